--- a/sequoiafall/wire/gen/ttypes.py
+++ b/sequoiafall/wire/gen/ttypes.py
@@ -3701,6 +3701,1358 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class FleetMember(object):
+    """
+    Attributes:
+     - instance
+     - incarnation
+     - zone
+     - front_address
+     - peer_address
+     - ready
+     - leaving
+
+    """
+
+    __slots__ = (
+        'instance',
+        'incarnation',
+        'zone',
+        'front_address',
+        'peer_address',
+        'ready',
+        'leaving',
+    )
+
+
+    def __init__(self, instance=None, incarnation=None, zone=None, front_address=None, peer_address=None, ready=None, leaving=None,):
+        self.instance = instance
+        self.incarnation = incarnation
+        self.zone = zone
+        self.front_address = front_address
+        self.peer_address = peer_address
+        self.ready = ready
+        self.leaving = leaving
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.front_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.peer_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.ready = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('FleetMember')
+        if self.instance is not None:
+            oprot.writeFieldBegin('instance', TType.STRING, 1)
+            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 3)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        if self.front_address is not None:
+            oprot.writeFieldBegin('front_address', TType.STRING, 4)
+            oprot.writeString(self.front_address.encode('utf-8') if sys.version_info[0] == 2 else self.front_address)
+            oprot.writeFieldEnd()
+        if self.peer_address is not None:
+            oprot.writeFieldBegin('peer_address', TType.STRING, 5)
+            oprot.writeString(self.peer_address.encode('utf-8') if sys.version_info[0] == 2 else self.peer_address)
+            oprot.writeFieldEnd()
+        if self.ready is not None:
+            oprot.writeFieldBegin('ready', TType.BOOL, 6)
+            oprot.writeBool(self.ready)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 7)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class MirroredRow(object):
+    """
+    Attributes:
+     - table
+     - key
+     - value
+     - version
+     - deleted
+
+    """
+
+    __slots__ = (
+        'table',
+        'key',
+        'value',
+        'version',
+        'deleted',
+    )
+
+
+    def __init__(self, table=None, key=None, value=None, version=None, deleted=None,):
+        self.table = table
+        self.key = key
+        self.value = value
+        self.version = version
+        self.deleted = deleted
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.table = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.value = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.deleted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MirroredRow')
+        if self.table is not None:
+            oprot.writeFieldBegin('table', TType.STRING, 1)
+            oprot.writeString(self.table.encode('utf-8') if sys.version_info[0] == 2 else self.table)
+            oprot.writeFieldEnd()
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 2)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.value is not None:
+            oprot.writeFieldBegin('value', TType.STRING, 3)
+            oprot.writeBinary(self.value)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 4)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.deleted is not None:
+            oprot.writeFieldBegin('deleted', TType.BOOL, 5)
+            oprot.writeBool(self.deleted)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class HeldPlace(object):
+    """
+    Attributes:
+     - request_id
+     - pool
+     - server
+     - adapter
+     - version
+     - prompt_tokens
+
+    """
+
+    __slots__ = (
+        'request_id',
+        'pool',
+        'server',
+        'adapter',
+        'version',
+        'prompt_tokens',
+    )
+
+
+    def __init__(self, request_id=None, pool=None, server=None, adapter=None, version=None, prompt_tokens=None,):
+        self.request_id = request_id
+        self.pool = pool
+        self.server = server
+        self.adapter = adapter
+        self.version = version
+        self.prompt_tokens = prompt_tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.server = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.adapter = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.version = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.prompt_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HeldPlace')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 1)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
+            oprot.writeFieldEnd()
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 2)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.server is not None:
+            oprot.writeFieldBegin('server', TType.STRING, 3)
+            oprot.writeString(self.server.encode('utf-8') if sys.version_info[0] == 2 else self.server)
+            oprot.writeFieldEnd()
+        if self.adapter is not None:
+            oprot.writeFieldBegin('adapter', TType.STRING, 4)
+            oprot.writeString(self.adapter.encode('utf-8') if sys.version_info[0] == 2 else self.adapter)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I32, 5)
+            oprot.writeI32(self.version)
+            oprot.writeFieldEnd()
+        if self.prompt_tokens is not None:
+            oprot.writeFieldBegin('prompt_tokens', TType.I32, 6)
+            oprot.writeI32(self.prompt_tokens)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class FleetPoll(object):
+    """
+    Attributes:
+     - member
+     - term
+     - revision
+     - tokens_by_organisation
+     - rows
+     - held
+     - recent_tokens_by_organisation
+
+    """
+
+    __slots__ = (
+        'member',
+        'term',
+        'revision',
+        'tokens_by_organisation',
+        'rows',
+        'held',
+        'recent_tokens_by_organisation',
+    )
+
+
+    def __init__(self, member=None, term=None, revision=None, tokens_by_organisation=None, rows=None, held=None, recent_tokens_by_organisation=None,):
+        self.member = member
+        self.term = term
+        self.revision = revision
+        self.tokens_by_organisation = tokens_by_organisation
+        self.rows = rows
+        self.held = held
+        self.recent_tokens_by_organisation = recent_tokens_by_organisation
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.member = FleetMember()
+                    self.member.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.MAP:
+                    self.tokens_by_organisation = {}
+                    (_ktype120, _vtype121, _size119) = iprot.readMapBegin()
+                    for _i123 in range(_size119):
+                        _key124 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val125 = iprot.readI64()
+                        self.tokens_by_organisation[_key124] = _val125
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.rows = []
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = MirroredRow()
+                        _elem131.read(iprot)
+                        self.rows.append(_elem131)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.held = []
+                    (_etype135, _size132) = iprot.readListBegin()
+                    for _i136 in range(_size132):
+                        _elem137 = HeldPlace()
+                        _elem137.read(iprot)
+                        self.held.append(_elem137)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.MAP:
+                    self.recent_tokens_by_organisation = {}
+                    (_ktype139, _vtype140, _size138) = iprot.readMapBegin()
+                    for _i142 in range(_size138):
+                        _key143 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val144 = iprot.readI64()
+                        self.recent_tokens_by_organisation[_key143] = _val144
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('FleetPoll')
+        if self.member is not None:
+            oprot.writeFieldBegin('member', TType.STRUCT, 1)
+            self.member.write(oprot)
+            oprot.writeFieldEnd()
+        if self.term is not None:
+            oprot.writeFieldBegin('term', TType.I64, 2)
+            oprot.writeI64(self.term)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 3)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.tokens_by_organisation is not None:
+            oprot.writeFieldBegin('tokens_by_organisation', TType.MAP, 4)
+            oprot.writeMapBegin(TType.STRING, TType.I64, len(self.tokens_by_organisation))
+            for kiter145, viter146 in self.tokens_by_organisation.items():
+                oprot.writeString(kiter145.encode('utf-8') if sys.version_info[0] == 2 else kiter145)
+                oprot.writeI64(viter146)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.rows is not None:
+            oprot.writeFieldBegin('rows', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.rows))
+            for iter147 in self.rows:
+                iter147.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.held is not None:
+            oprot.writeFieldBegin('held', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.held))
+            for iter148 in self.held:
+                iter148.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.recent_tokens_by_organisation is not None:
+            oprot.writeFieldBegin('recent_tokens_by_organisation', TType.MAP, 7)
+            oprot.writeMapBegin(TType.STRING, TType.I64, len(self.recent_tokens_by_organisation))
+            for kiter149, viter150 in self.recent_tokens_by_organisation.items():
+                oprot.writeString(kiter149.encode('utf-8') if sys.version_info[0] == 2 else kiter149)
+                oprot.writeI64(viter150)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class FleetPollReply(object):
+    """
+    Attributes:
+     - leads
+     - term
+     - revision
+     - rows
+     - members
+     - over_limit
+     - reaches_store
+     - newest_by_table
+     - leader_address
+
+    """
+
+    __slots__ = (
+        'leads',
+        'term',
+        'revision',
+        'rows',
+        'members',
+        'over_limit',
+        'reaches_store',
+        'newest_by_table',
+        'leader_address',
+    )
+
+
+    def __init__(self, leads=None, term=None, revision=None, rows=None, members=None, over_limit=None, reaches_store=None, newest_by_table=None, leader_address=None,):
+        self.leads = leads
+        self.term = term
+        self.revision = revision
+        self.rows = rows
+        self.members = members
+        self.over_limit = over_limit
+        self.reaches_store = reaches_store
+        self.newest_by_table = newest_by_table
+        self.leader_address = leader_address
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.leads = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.rows = []
+                    (_etype154, _size151) = iprot.readListBegin()
+                    for _i155 in range(_size151):
+                        _elem156 = MirroredRow()
+                        _elem156.read(iprot)
+                        self.rows.append(_elem156)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.members = []
+                    (_etype160, _size157) = iprot.readListBegin()
+                    for _i161 in range(_size157):
+                        _elem162 = FleetMember()
+                        _elem162.read(iprot)
+                        self.members.append(_elem162)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.over_limit = []
+                    (_etype166, _size163) = iprot.readListBegin()
+                    for _i167 in range(_size163):
+                        _elem168 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.over_limit.append(_elem168)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.reaches_store = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.MAP:
+                    self.newest_by_table = {}
+                    (_ktype170, _vtype171, _size169) = iprot.readMapBegin()
+                    for _i173 in range(_size169):
+                        _key174 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val175 = iprot.readI64()
+                        self.newest_by_table[_key174] = _val175
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRING:
+                    self.leader_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('FleetPollReply')
+        if self.leads is not None:
+            oprot.writeFieldBegin('leads', TType.BOOL, 1)
+            oprot.writeBool(self.leads)
+            oprot.writeFieldEnd()
+        if self.term is not None:
+            oprot.writeFieldBegin('term', TType.I64, 2)
+            oprot.writeI64(self.term)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 3)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.rows is not None:
+            oprot.writeFieldBegin('rows', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.rows))
+            for iter176 in self.rows:
+                iter176.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.members))
+            for iter177 in self.members:
+                iter177.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.over_limit is not None:
+            oprot.writeFieldBegin('over_limit', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRING, len(self.over_limit))
+            for iter178 in self.over_limit:
+                oprot.writeString(iter178.encode('utf-8') if sys.version_info[0] == 2 else iter178)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.reaches_store is not None:
+            oprot.writeFieldBegin('reaches_store', TType.BOOL, 7)
+            oprot.writeBool(self.reaches_store)
+            oprot.writeFieldEnd()
+        if self.newest_by_table is not None:
+            oprot.writeFieldBegin('newest_by_table', TType.MAP, 8)
+            oprot.writeMapBegin(TType.STRING, TType.I64, len(self.newest_by_table))
+            for kiter179, viter180 in self.newest_by_table.items():
+                oprot.writeString(kiter179.encode('utf-8') if sys.version_info[0] == 2 else kiter179)
+                oprot.writeI64(viter180)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.leader_address is not None:
+            oprot.writeFieldBegin('leader_address', TType.STRING, 9)
+            oprot.writeString(self.leader_address.encode('utf-8') if sys.version_info[0] == 2 else self.leader_address)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EngineAsk(object):
+    """
+    Attributes:
+     - request_id
+     - organisation
+     - pool
+     - adapter
+     - prompt_tokens
+     - output_tokens
+     - cost_tokens
+     - rank
+     - on_time_ms
+     - time_left_ms
+     - returned
+     - zone
+     - excluded
+     - charged
+     - term
+     - instance
+
+    """
+
+    __slots__ = (
+        'request_id',
+        'organisation',
+        'pool',
+        'adapter',
+        'prompt_tokens',
+        'output_tokens',
+        'cost_tokens',
+        'rank',
+        'on_time_ms',
+        'time_left_ms',
+        'returned',
+        'zone',
+        'excluded',
+        'charged',
+        'term',
+        'instance',
+    )
+
+
+    def __init__(self, request_id=None, organisation=None, pool=None, adapter=None, prompt_tokens=None, output_tokens=None, cost_tokens=None, rank=None, on_time_ms=None, time_left_ms=None, returned=None, zone=None, excluded=None, charged=None, term=None, instance=None,):
+        self.request_id = request_id
+        self.organisation = organisation
+        self.pool = pool
+        self.adapter = adapter
+        self.prompt_tokens = prompt_tokens
+        self.output_tokens = output_tokens
+        self.cost_tokens = cost_tokens
+        self.rank = rank
+        self.on_time_ms = on_time_ms
+        self.time_left_ms = time_left_ms
+        self.returned = returned
+        self.zone = zone
+        self.excluded = excluded
+        self.charged = charged
+        self.term = term
+        self.instance = instance
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.adapter = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.prompt_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.output_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.cost_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.rank = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.on_time_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.time_left_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.BOOL:
+                    self.returned = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.excluded = []
+                    (_etype184, _size181) = iprot.readListBegin()
+                    for _i185 in range(_size181):
+                        _elem186 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem186)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.BOOL:
+                    self.charged = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.I64:
+                    self.term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.STRING:
+                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EngineAsk')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 1)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
+            oprot.writeFieldEnd()
+        if self.organisation is not None:
+            oprot.writeFieldBegin('organisation', TType.STRING, 2)
+            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
+            oprot.writeFieldEnd()
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 3)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.adapter is not None:
+            oprot.writeFieldBegin('adapter', TType.STRING, 4)
+            oprot.writeString(self.adapter.encode('utf-8') if sys.version_info[0] == 2 else self.adapter)
+            oprot.writeFieldEnd()
+        if self.prompt_tokens is not None:
+            oprot.writeFieldBegin('prompt_tokens', TType.I32, 5)
+            oprot.writeI32(self.prompt_tokens)
+            oprot.writeFieldEnd()
+        if self.output_tokens is not None:
+            oprot.writeFieldBegin('output_tokens', TType.I32, 6)
+            oprot.writeI32(self.output_tokens)
+            oprot.writeFieldEnd()
+        if self.cost_tokens is not None:
+            oprot.writeFieldBegin('cost_tokens', TType.I32, 7)
+            oprot.writeI32(self.cost_tokens)
+            oprot.writeFieldEnd()
+        if self.rank is not None:
+            oprot.writeFieldBegin('rank', TType.I32, 8)
+            oprot.writeI32(self.rank)
+            oprot.writeFieldEnd()
+        if self.on_time_ms is not None:
+            oprot.writeFieldBegin('on_time_ms', TType.I32, 9)
+            oprot.writeI32(self.on_time_ms)
+            oprot.writeFieldEnd()
+        if self.time_left_ms is not None:
+            oprot.writeFieldBegin('time_left_ms', TType.I32, 10)
+            oprot.writeI32(self.time_left_ms)
+            oprot.writeFieldEnd()
+        if self.returned is not None:
+            oprot.writeFieldBegin('returned', TType.BOOL, 11)
+            oprot.writeBool(self.returned)
+            oprot.writeFieldEnd()
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 12)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        if self.excluded is not None:
+            oprot.writeFieldBegin('excluded', TType.LIST, 13)
+            oprot.writeListBegin(TType.STRING, len(self.excluded))
+            for iter187 in self.excluded:
+                oprot.writeString(iter187.encode('utf-8') if sys.version_info[0] == 2 else iter187)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.charged is not None:
+            oprot.writeFieldBegin('charged', TType.BOOL, 14)
+            oprot.writeBool(self.charged)
+            oprot.writeFieldEnd()
+        if self.term is not None:
+            oprot.writeFieldBegin('term', TType.I64, 15)
+            oprot.writeI64(self.term)
+            oprot.writeFieldEnd()
+        if self.instance is not None:
+            oprot.writeFieldBegin('instance', TType.STRING, 16)
+            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EngineAnswer(object):
+    """
+    Attributes:
+     - server
+     - version
+     - reason
+     - retry_after_ms
+     - charged
+     - detail
+     - address
+
+    """
+
+    __slots__ = (
+        'server',
+        'version',
+        'reason',
+        'retry_after_ms',
+        'charged',
+        'detail',
+        'address',
+    )
+
+
+    def __init__(self, server=None, version=None, reason=None, retry_after_ms=None, charged=None, detail=None, address=None,):
+        self.server = server
+        self.version = version
+        self.reason = reason
+        self.retry_after_ms = retry_after_ms
+        self.charged = charged
+        self.detail = detail
+        self.address = address
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.server = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.version = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.retry_after_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.charged = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.detail = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EngineAnswer')
+        if self.server is not None:
+            oprot.writeFieldBegin('server', TType.STRING, 1)
+            oprot.writeString(self.server.encode('utf-8') if sys.version_info[0] == 2 else self.server)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I32, 2)
+            oprot.writeI32(self.version)
+            oprot.writeFieldEnd()
+        if self.reason is not None:
+            oprot.writeFieldBegin('reason', TType.STRING, 3)
+            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
+            oprot.writeFieldEnd()
+        if self.retry_after_ms is not None:
+            oprot.writeFieldBegin('retry_after_ms', TType.I32, 4)
+            oprot.writeI32(self.retry_after_ms)
+            oprot.writeFieldEnd()
+        if self.charged is not None:
+            oprot.writeFieldBegin('charged', TType.BOOL, 5)
+            oprot.writeBool(self.charged)
+            oprot.writeFieldEnd()
+        if self.detail is not None:
+            oprot.writeFieldBegin('detail', TType.STRING, 6)
+            oprot.writeString(self.detail.encode('utf-8') if sys.version_info[0] == 2 else self.detail)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 7)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EngineEnd(object):
+    """
+    Attributes:
+     - request_id
+     - pool
+     - server
+     - outcome
+
+    """
+
+    __slots__ = (
+        'request_id',
+        'pool',
+        'server',
+        'outcome',
+    )
+
+
+    def __init__(self, request_id=None, pool=None, server=None, outcome=None,):
+        self.request_id = request_id
+        self.pool = pool
+        self.server = server
+        self.outcome = outcome
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.server = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.outcome = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EngineEnd')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 1)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
+            oprot.writeFieldEnd()
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 2)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.server is not None:
+            oprot.writeFieldBegin('server', TType.STRING, 3)
+            oprot.writeString(self.server.encode('utf-8') if sys.version_info[0] == 2 else self.server)
+            oprot.writeFieldEnd()
+        if self.outcome is not None:
+            oprot.writeFieldBegin('outcome', TType.STRING, 4)
+            oprot.writeString(self.outcome.encode('utf-8') if sys.version_info[0] == 2 else self.outcome)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EngineEnds(object):
+    """
+    Attributes:
+     - term
+     - ended
+
+    """
+
+    __slots__ = (
+        'term',
+        'ended',
+    )
+
+
+    def __init__(self, term=None, ended=None,):
+        self.term = term
+        self.ended = ended
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.ended = []
+                    (_etype191, _size188) = iprot.readListBegin()
+                    for _i192 in range(_size188):
+                        _elem193 = EngineEnd()
+                        _elem193.read(iprot)
+                        self.ended.append(_elem193)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EngineEnds')
+        if self.term is not None:
+            oprot.writeFieldBegin('term', TType.I64, 1)
+            oprot.writeI64(self.term)
+            oprot.writeFieldEnd()
+        if self.ended is not None:
+            oprot.writeFieldBegin('ended', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.ended))
+            for iter194 in self.ended:
+                iter194.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Member)
 Member.thrift_spec = (
     None,  # 0
@@ -3973,5 +5325,104 @@
     (1, TType.BOOL, 'acted', None, None, ),  # 1
     (2, TType.STRING, 'detail', 'UTF8', None, ),  # 2
 )
+all_structs.append(FleetMember)
+FleetMember.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.STRING, 'zone', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'front_address', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'peer_address', 'UTF8', None, ),  # 5
+    (6, TType.BOOL, 'ready', None, None, ),  # 6
+    (7, TType.BOOL, 'leaving', None, None, ),  # 7
+)
+all_structs.append(MirroredRow)
+MirroredRow.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'table', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'key', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'value', 'BINARY', None, ),  # 3
+    (4, TType.I64, 'version', None, None, ),  # 4
+    (5, TType.BOOL, 'deleted', None, None, ),  # 5
+)
+all_structs.append(HeldPlace)
+HeldPlace.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'pool', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'server', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'adapter', 'UTF8', None, ),  # 4
+    (5, TType.I32, 'version', None, None, ),  # 5
+    (6, TType.I32, 'prompt_tokens', None, None, ),  # 6
+)
+all_structs.append(FleetPoll)
+FleetPoll.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'member', [FleetMember, None], None, ),  # 1
+    (2, TType.I64, 'term', None, None, ),  # 2
+    (3, TType.I64, 'revision', None, None, ),  # 3
+    (4, TType.MAP, 'tokens_by_organisation', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 4
+    (5, TType.LIST, 'rows', (TType.STRUCT, [MirroredRow, None], False), None, ),  # 5
+    (6, TType.LIST, 'held', (TType.STRUCT, [HeldPlace, None], False), None, ),  # 6
+    (7, TType.MAP, 'recent_tokens_by_organisation', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 7
+)
+all_structs.append(FleetPollReply)
+FleetPollReply.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'leads', None, None, ),  # 1
+    (2, TType.I64, 'term', None, None, ),  # 2
+    (3, TType.I64, 'revision', None, None, ),  # 3
+    (4, TType.LIST, 'rows', (TType.STRUCT, [MirroredRow, None], False), None, ),  # 4
+    (5, TType.LIST, 'members', (TType.STRUCT, [FleetMember, None], False), None, ),  # 5
+    (6, TType.LIST, 'over_limit', (TType.STRING, 'UTF8', False), None, ),  # 6
+    (7, TType.BOOL, 'reaches_store', None, None, ),  # 7
+    (8, TType.MAP, 'newest_by_table', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 8
+    (9, TType.STRING, 'leader_address', 'UTF8', None, ),  # 9
+)
+all_structs.append(EngineAsk)
+EngineAsk.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'organisation', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'pool', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'adapter', 'UTF8', None, ),  # 4
+    (5, TType.I32, 'prompt_tokens', None, None, ),  # 5
+    (6, TType.I32, 'output_tokens', None, None, ),  # 6
+    (7, TType.I32, 'cost_tokens', None, None, ),  # 7
+    (8, TType.I32, 'rank', None, None, ),  # 8
+    (9, TType.I32, 'on_time_ms', None, None, ),  # 9
+    (10, TType.I32, 'time_left_ms', None, None, ),  # 10
+    (11, TType.BOOL, 'returned', None, None, ),  # 11
+    (12, TType.STRING, 'zone', 'UTF8', None, ),  # 12
+    (13, TType.LIST, 'excluded', (TType.STRING, 'UTF8', False), None, ),  # 13
+    (14, TType.BOOL, 'charged', None, None, ),  # 14
+    (15, TType.I64, 'term', None, None, ),  # 15
+    (16, TType.STRING, 'instance', 'UTF8', None, ),  # 16
+)
+all_structs.append(EngineAnswer)
+EngineAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'server', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'version', None, None, ),  # 2
+    (3, TType.STRING, 'reason', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'retry_after_ms', None, None, ),  # 4
+    (5, TType.BOOL, 'charged', None, None, ),  # 5
+    (6, TType.STRING, 'detail', 'UTF8', None, ),  # 6
+    (7, TType.STRING, 'address', 'UTF8', None, ),  # 7
+)
+all_structs.append(EngineEnd)
+EngineEnd.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'pool', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'server', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'outcome', 'UTF8', None, ),  # 4
+)
+all_structs.append(EngineEnds)
+EngineEnds.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'term', None, None, ),  # 1
+    (2, TType.LIST, 'ended', (TType.STRUCT, [EngineEnd, None], False), None, ),  # 2
+)
 fix_spec(all_structs)
 del all_structs
--- a/sequoiafall/wire/sequoiafall.thrift
+++ b/sequoiafall/wire/sequoiafall.thrift
@@ -267,3 +267,103 @@
   1: bool acted
   2: string detail
 }
+
+// An instance of a deployment that keeps its state in the platform's store.
+struct FleetMember {
+  1: string instance
+  2: i64 incarnation
+  3: string zone
+  4: string front_address
+  5: string peer_address
+  6: bool ready
+  7: bool leaving
+}
+
+// A row as the store holds it; `version` comes from the store's one counter.
+struct MirroredRow {
+  1: string table
+  2: string key
+  3: binary value
+  4: i64 version
+  5: bool deleted
+}
+
+// A place that a gateway holds at a backend server.
+struct HeldPlace {
+  1: string request_id
+  2: string pool
+  3: string server
+  4: string adapter
+  5: i32 version
+  6: i32 prompt_tokens
+}
+
+// `term` is the fencing token of the leader that the member follows, and
+// `revision` the leader's revision of the rows that the member has.
+// `held` and `recent_tokens` are sent with the first poll of a term.
+struct FleetPoll {
+  1: FleetMember member
+  2: i64 term
+  3: i64 revision
+  4: map<string, i64> tokens_by_organisation
+  5: list<MirroredRow> rows
+  6: list<HeldPlace> held
+  7: map<string, i64> recent_tokens_by_organisation
+}
+
+// `members` is complete whenever `members_revision` differs from the last one.
+struct FleetPollReply {
+  1: bool leads
+  2: i64 term
+  3: i64 revision
+  4: list<MirroredRow> rows
+  5: list<FleetMember> members
+  6: list<string> over_limit
+  7: bool reaches_store
+  8: map<string, i64> newest_by_table
+  9: string leader_address
+}
+
+// Asks for a place of a request at an engine. `on_time_ms` is the time left in
+// which its first token would be on time, negative if that has passed.
+struct EngineAsk {
+  1: string request_id
+  2: string organisation
+  3: string pool
+  4: string adapter
+  5: i32 prompt_tokens
+  6: i32 output_tokens
+  7: i32 cost_tokens
+  8: i32 rank
+  9: i32 on_time_ms
+  10: i32 time_left_ms
+  11: bool returned
+  12: string zone
+  13: list<string> excluded
+  14: bool charged
+  15: i64 term
+  16: string instance
+}
+
+// `reason` is empty if the place is granted.
+struct EngineAnswer {
+  1: string server
+  2: i32 version
+  3: string reason
+  4: i32 retry_after_ms
+  5: bool charged
+  6: string detail
+  7: string address
+}
+
+struct EngineEnd {
+  1: string request_id
+  2: string pool
+  3: string server
+  4: string outcome
+}
+
+struct EngineEnds {
+  1: i64 term
+  2: list<EngineEnd> ended
+}
