Keep a slot taken while its order is under way, and load base models

Cause: a report that was older than an order without an answer freed its slot, so an engine was told to load a seventh adapter (LIMIT); engines that started anew have no base model and answered every order with a conflict. Change: slots with an order under way are not freed by reports, an unknown slot is kept until the engine has accepted a newer order, absent base models are loaded, the feed waits 1 s, the leader says at once that a store call failed.

--- a/sequoiafall/engine_planner.py
+++ b/sequoiafall/engine_planner.py
@@ -10,7 +10,14 @@
 from dataclasses import dataclass, field
 
 from .backend_registry import BackendEntry
-from .engine_pool import Engine, EnginePool, EngineReport, EngineSlot, SlotState
+from .engine_pool import (
+    Engine,
+    EnginePool,
+    EngineReport,
+    EngineSlot,
+    ModelState,
+    SlotState,
+)
 from .placement import DecayedCounts
 from .refusal import Reason
 
@@ -111,7 +118,10 @@
 
 @dataclass(slots=True, frozen=True)
 class LoadOrder:
-    """Tells an engine to load an adapter, after unloading another one."""
+    """Tells an engine to load an adapter, after unloading another one.
+
+    Without an adapter, the base model is loaded.
+    """
 
     server: str
     adapter: str
@@ -291,21 +301,45 @@
         if engine.observe(report, now):
             self._unbind(name)
         self._drop_lost_bindings(engine)
-        return self._dispatch(now)
+        actions: list[Action] = []
+        if engine.model_state is ModelState.ABSENT and not engine.entry.is_leaving:
+            engine.model_state = ModelState.ORDERED
+            engine.model_changed_at = now
+            engine.pending_orders += 1
+            actions.append(LoadOrder(name, "", 0))
+        return actions + self._dispatch(now)
 
     def on_ordered(
-        self, order: LoadOrder, accepted: bool | None, now: float
+        self, order: LoadOrder, accepted: bool | None, now: float, sequence: int = -1
     ) -> list[Action]:
-        """Note the answer to an order; None if there was none."""
+        """Note the answer to an order.
+
+        Parameters
+        ----------
+        order : LoadOrder
+            The order.
+        accepted : bool or None
+            Whether the engine carries it out; None if there was no answer.
+        now : float
+            Time in seconds.
+        sequence : int, default=-1
+            Sequence that an order without an answer was sent with.
+        """
         engine = self.pool.engines_by_name.get(order.server)
         if engine is None:
             return []
         engine.pending_orders = max(0, engine.pending_orders - 1)
         engine.ordered_at = now
+        if not order.adapter:
+            engine.model_changed_at = now
+            if accepted is False:
+                engine.model_state = ModelState.ABSENT
+            return []
         slot = engine.slots_by_adapter.get(order.adapter)
         if slot is None:
             return []
         slot.changed_at = now
+        slot.is_ordered = False
         if accepted:
             load_s = COLD_LOAD_S * max(1.0, self.pool.transfers() / MAX_TRANSFERS)
             if not slot.from_store:
@@ -317,19 +351,22 @@
         if accepted is None:
             # The order may still be carried out, so its slot stays taken.
             slot.state = SlotState.UNKNOWN
+            slot.sequence = sequence
             engine.stalled_until = now + FAILED_LOAD_PAUSE_S
         else:
             del engine.slots_by_adapter[order.adapter]
         self._unbind(order.server, order.adapter)
         return self._dispatch(now)
 
-    def restore_slot(self, server: str, adapter: str, now: float) -> None:
+    def restore_slot(
+        self, server: str, adapter: str, now: float, sequence: int = -1
+    ) -> None:
         """Take a slot as taken whose unload was not confirmed."""
         engine = self.pool.engines_by_name.get(server)
         if engine is not None and adapter not in engine.slots_by_adapter:
             version = self.version_of(adapter)
             engine.slots_by_adapter[adapter] = EngineSlot(
-                adapter, version, SlotState.UNKNOWN, now, now
+                adapter, version, SlotState.UNKNOWN, now, now, sequence=sequence
             )
 
     def tick(self, now: float) -> list[Action]:
@@ -553,6 +590,7 @@
             now + 10.0,
             now,
             from_store=option.is_cold,
+            is_ordered=True,
         )
         engine.slots_by_adapter[ask.adapter] = slot
         engine.pending_orders += 1
--- a/sequoiafall/engine_pool.py
+++ b/sequoiafall/engine_pool.py
@@ -16,6 +16,8 @@
 WARM_ADAPTERS = 32
 # Prompt tokens that an engine reads in a second, shared by all its requests.
 PREFILL_TOKENS_PER_S = 25_000.0
+# A base model that is not there this long after its order is ordered again.
+MODEL_LOAD_LIMIT_S = 6.0
 # Weight of the newest outcome in an engine's share of failures.
 FAILURE_WEIGHT = 0.25
 # An engine that cannot be reached gets nothing for this long, doubling with each
@@ -35,6 +37,14 @@
     UNKNOWN = "unknown"
 
 
+class ModelState(enum.Enum):
+    """Whether an engine has its base model; it starts without it."""
+
+    ABSENT = "absent"
+    ORDERED = "ordered"
+    PRESENT = "present"
+
+
 @dataclass(slots=True)
 class EngineSlot:
     """An adapter that takes one of an engine's slots.
@@ -52,6 +62,13 @@
         slot last got a request, in seconds.
     uses : int
         Requests that were given this slot and have not ended.
+    from_store : bool
+        Whether the weights come from the weight store.
+    is_ordered : bool
+        Whether an order for this slot is on its way.
+    sequence : int
+        For an unknown slot, the sequence that its order was sent with. The order
+        can take effect until the engine has accepted another one.
     """
 
     adapter: str
@@ -62,6 +79,8 @@
     used_at: float = 0.0
     uses: int = 0
     from_store: bool = False
+    is_ordered: bool = False
+    sequence: int = -1
 
 
 @dataclass(slots=True, frozen=True)
@@ -78,6 +97,8 @@
         Requests at the engine.
     born : int
         Unix time of its start in milliseconds, 0 if it does not say.
+    models : frozenset of str
+        Base models that it holds.
     """
 
     sequence: int
@@ -86,6 +107,7 @@
     running: int
     waiting: int
     born: int = 0
+    models: frozenset[str] = frozenset()
 
 
 @dataclass(slots=True)
@@ -107,6 +129,8 @@
     pending_orders: int = 0
     born: int = 0
     is_known: bool = False
+    model_state: ModelState = ModelState.ABSENT
+    model_changed_at: float = 0.0
 
     @property
     def name(self) -> str:
@@ -115,6 +139,8 @@
 
     def takes_work(self, now: float) -> bool:
         """Whether requests may be sent to the engine."""
+        if self.model_state is not ModelState.PRESENT:
+            return False
         return not self.entry.is_leaving and now >= self.avoided_until
 
     def takes_orders(self, now: float) -> bool:
@@ -180,6 +206,7 @@
         self.running = 0
         self.busy_until = 0.0
         self.is_known = False
+        self.model_state = ModelState.ABSENT
 
     def observe(self, report: EngineReport, now: float) -> bool:
         """Reconcile the slots with a report.
@@ -195,8 +222,9 @@
         self.born = report.born or self.born
         self.is_known = True
         before = now - REPORT_LAG_S
+        self._observe_model(report, before)
         for name, slot in list(self.slots_by_adapter.items()):
-            if slot.changed_at > before:
+            if slot.changed_at > before or slot.is_ordered:
                 continue
             held = report.resident.get(name)
             if held is not None:
@@ -208,12 +236,22 @@
                 if slot.state is SlotState.UNKNOWN:
                     slot.state = SlotState.LOADING
                 slot.ready_at = max(slot.ready_at, now)
-            else:
+            elif report.sequence > slot.sequence:
                 del self.slots_by_adapter[name]
         if self.is_settled(now):
             self._adopt(report, now)
         return restarted
 
+    def _observe_model(self, report: EngineReport, before: float) -> None:
+        if report.models:
+            self.model_state = ModelState.PRESENT
+        elif self.model_changed_at <= before and not self.pending_orders:
+            # An ordered load shows in the report only when it has ended.
+            if self.model_state is ModelState.PRESENT or (
+                before - self.model_changed_at > MODEL_LOAD_LIMIT_S
+            ):
+                self.model_state = ModelState.ABSENT
+
     def _adopt(self, report: EngineReport, now: float) -> None:
         for name, version in report.resident.items():
             if name not in self.slots_by_adapter:
--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -45,8 +45,9 @@
 ELECTION_INTERVAL_S = 0.25
 # Spread of candidates, so that their writes do not collide.
 ELECTION_JITTER_S = 0.15
-# A feed of changes waits this long at the store.
-FEED_WAIT_S = 10.0
+# A feed of changes waits this long at the store. A connection that went silent
+# is noticed only at the end of the wait.
+FEED_WAIT_S = 1.0
 # Backend servers change their entries several times a second; the feed is read
 # at most this often.
 FEED_INTERVAL_S = 0.3
@@ -250,7 +251,7 @@
             rows=_rows_to_wire(self._mirror.since_revision(revision)),
             members=duties.live_members(),
             over_limit=duties.limits.over_limit(boot_time()),
-            reaches_store=self.tenure.state == "leading",
+            reaches_store=self.reaches_store and self.tenure.state == "leading",
             newest_by_table=self._mirror.newest_by_table(),
             leader_address=self._peer_address(),
         )
--- a/sequoiafall/fleet_leader.py
+++ b/sequoiafall/fleet_leader.py
@@ -375,11 +375,13 @@
         delay_s = self._started_at + GATHER_S - boot_time()
         if delay_s > 0.0:
             await asyncio.sleep(delay_s + 0.005)
-        evicted, accepted = await self._worker(entry).load(order)
+        worker = self._worker(entry)
+        evicted, accepted = await worker.load(order)
         now = boot_time()
+        sequence = worker.sequence
         if order.evicted and evicted is not True:
-            planner.restore_slot(order.server, order.evicted, now)
-        self._apply(planner, planner.on_ordered(order, accepted, now))
+            planner.restore_slot(order.server, order.evicted, now, sequence)
+        self._apply(planner, planner.on_ordered(order, accepted, now, sequence))
 
     async def _poll_reports(self) -> None:
         while True:
--- a/sequoiafall/order_worker.py
+++ b/sequoiafall/order_worker.py
@@ -13,9 +13,10 @@
 
 # An engine's reports are about 0.1 s old; a sequence read sooner may be old.
 REPORT_AGE_S = 0.12
-# Tries of one order with a sequence that turned out to be wrong, or without an
+# Tries of one order with a sequence that turned out to be wrong, and without an
 # answer. A repeated order has the same precondition, so only one takes effect.
-MAX_TRIES = 3
+MAX_CONFLICTS = 3
+MAX_SILENT = 6
 
 
 class OrderWorker:
@@ -102,10 +103,11 @@
             return True, (None if answer is OrderAnswer.NO_ANSWER else False)
 
     async def _send(self, is_load: bool, adapter: str, version: int) -> OrderAnswer:
+        conflicts = silent = 0
         answer = OrderAnswer.INVALID
-        for attempt in range(MAX_TRIES):
+        while conflicts < MAX_CONFLICTS and silent < MAX_SILENT:
             if self._sequence < 0 and not await self._resynchronise():
-                return OrderAnswer.NO_ANSWER if attempt else OrderAnswer.INVALID
+                return OrderAnswer.NO_ANSWER if silent else OrderAnswer.INVALID
             token = self._token()
             if not token:
                 return OrderAnswer.INVALID
@@ -128,7 +130,7 @@
                 version=version,
                 sequence=self._sequence,
                 token=token,
-                attempt=attempt + 1,
+                attempt=conflicts + silent + 1,
                 answer=answer.value,
             )
             if answer is OrderAnswer.ACCEPTED or (
@@ -144,15 +146,36 @@
                 self._on_fenced()
                 return answer
             if answer is OrderAnswer.CONFLICT:
-                self._sequence = -1
+                conflicts += 1
                 await asyncio.sleep(REPORT_AGE_S)
-            elif answer is not OrderAnswer.NO_ANSWER:
+                if silent and await self._took_effect(is_load, adapter):
+                    return OrderAnswer.DONE
+                self._sequence = -1
+            elif answer is OrderAnswer.NO_ANSWER:
+                silent += 1
+            else:
                 log_warning(
                     "order_refused", server=self.entry.name, answer=answer.value
                 )
                 return answer
         return answer
 
+    async def _took_effect(self, is_load: bool, adapter: str) -> bool:
+        """Whether an order without an answer has been carried out after all."""
+        report = await self._control.report(self.entry)
+        if report is None or not adapter:
+            return False
+        is_held = adapter in report.resident or adapter in report.incoming
+        if is_held is not is_load:
+            return False
+        self._sequence = report.sequence
+        return True
+
+    @property
+    def sequence(self) -> int:
+        """Sequence that the last order was sent with, -1 if it is not known."""
+        return self._sequence
+
     async def _resynchronise(self) -> bool:
         report = await self._control.report(self.entry)
         if report is None:
--- a/sequoiafall/platform/engines.py
+++ b/sequoiafall/platform/engines.py
@@ -14,8 +14,9 @@
 from . import names
 
 CONNECT_TIMEOUT_S = 0.3
-# An engine answers reports and orders within a few ms.
-ANSWER_TIMEOUT_S = 0.5
+# An engine answers reports and orders within a few ms; a lost packet costs 0.2 s.
+REPORT_TIMEOUT_S = 0.5
+ORDER_TIMEOUT_S = 0.25
 
 _ANSWERS_BY_STATUS = {
     200: OrderAnswer.DONE,
@@ -83,6 +84,7 @@
             report.running,
             report.waiting,
             report.born,
+            frozenset(model.name for model in report.models),
         )
 
     async def order(self, entry: BackendEntry, order: EngineOrder) -> OrderAnswer:
@@ -90,10 +92,11 @@
         body: dict[str, Any] = {
             "operation": "model_load" if order.is_load else "model_unload",
             "model": order.model,
-            "adapter": order.adapter,
             "holder": order.holder,
             "fencing_token": order.fencing_token,
         }
+        if order.adapter:
+            body["adapter"] = order.adapter
         if order.sequence >= 0:
             body["precondition"] = order.sequence
         if order.is_load and order.version:
@@ -106,6 +109,9 @@
                     "Content-Type": "application/json",
                     names.EXPECTED_SERVER: entry.name,
                 },
+                timeout=aiohttp.ClientTimeout(
+                    total=ORDER_TIMEOUT_S, sock_connect=ORDER_TIMEOUT_S
+                ),
             ) as response:
                 await response.read()
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
@@ -117,7 +123,7 @@
         if self._session is None:
             self._session = aiohttp.ClientSession(
                 timeout=aiohttp.ClientTimeout(
-                    total=ANSWER_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
+                    total=REPORT_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
                 ),
                 cookie_jar=aiohttp.DummyCookieJar(),
                 auto_decompress=False,
