Send orders only with the sequence of the report that they were decided on

Cause: after a conflict the worker read a newer sequence and sent the same order again, though the slots it was decided on were older: after a change of leader an engine got a load too many (LIMIT). Change: the sequence and the adapters are taken over from one report; a conflict fails the order and the planner decides anew.

--- a/sequoiafall/engine_planner.py
+++ b/sequoiafall/engine_planner.py
@@ -49,6 +49,9 @@
 MAX_RETRY_AFTER_S = 4.0
 # Demand for adapters halves in this time: it shifts within seconds.
 DEMAND_HALF_LIFE_S = 12.0
+# After a conflict, a report this much younger than usual counts as settled: no
+# order has taken effect.
+CONFLICT_SETTLED_S = 0.2
 # A load that failed is not tried again on the same engine for this long.
 FAILED_LOAD_PAUSE_S = 0.6
 # A request is sent to the engine again this often after "not run" answers.
@@ -302,7 +305,7 @@
             self._unbind(name)
         self._drop_lost_bindings(engine)
         actions: list[Action] = []
-        if engine.model_state is ModelState.ABSENT and not engine.entry.is_leaving:
+        if engine.lacks_model() and engine.is_known:
             engine.model_state = ModelState.ORDERED
             engine.model_changed_at = now
             engine.pending_orders += 1
@@ -334,6 +337,7 @@
             engine.model_changed_at = now
             if accepted is False:
                 engine.model_state = ModelState.ABSENT
+                engine.is_known = False
             return []
         slot = engine.slots_by_adapter.get(order.adapter)
         if slot is None:
@@ -347,6 +351,9 @@
             slot.ready_at = now + load_s + LOAD_MARGIN_S
             return []
         self.counts.failed_loads += 1
+        # The engine is not as believed; the next settled report tells.
+        engine.is_known = False
+        engine.ordered_at = now - CONFLICT_SETTLED_S
         self._paused_loads[order.server, order.adapter] = now + FAILED_LOAD_PAUSE_S
         if accepted is None:
             # The order may still be carried out, so its slot stays taken.
--- a/sequoiafall/engine_pool.py
+++ b/sequoiafall/engine_pool.py
@@ -147,6 +147,10 @@
         """Whether the engine can be told to load an adapter."""
         return self.is_known and self.takes_work(now) and now >= self.stalled_until
 
+    def lacks_model(self) -> bool:
+        """Whether the base model has to be loaded."""
+        return self.model_state is ModelState.ABSENT and not self.entry.is_leaving
+
     def backlog_s(self, now: float) -> float:
         """Return the seconds until the prompts placed here have been read."""
         return max(0.0, self.busy_until - now)
@@ -220,7 +224,6 @@
         if restarted:
             self.clear()
         self.born = report.born or self.born
-        self.is_known = True
         before = now - REPORT_LAG_S
         self._observe_model(report, before)
         for name, slot in list(self.slots_by_adapter.items()):
@@ -239,18 +242,20 @@
             elif report.sequence > slot.sequence:
                 del self.slots_by_adapter[name]
         if self.is_settled(now):
+            self.is_known = True
             self._adopt(report, now)
         return restarted
 
     def _observe_model(self, report: EngineReport, before: float) -> None:
         if report.models:
             self.model_state = ModelState.PRESENT
-        elif self.model_changed_at <= before and not self.pending_orders:
-            # An ordered load shows in the report only when it has ended.
-            if self.model_state is ModelState.PRESENT or (
-                before - self.model_changed_at > MODEL_LOAD_LIMIT_S
-            ):
-                self.model_state = ModelState.ABSENT
+            return
+        if self.model_changed_at > before or self.pending_orders:
+            return
+        # An ordered load shows in the report only when it has ended.
+        is_overdue = before - self.model_changed_at > MODEL_LOAD_LIMIT_S
+        if self.model_state is ModelState.PRESENT or is_overdue:
+            self.model_state = ModelState.ABSENT
 
     def _adopt(self, report: EngineReport, now: float) -> None:
         for name, version in report.resident.items():
--- a/sequoiafall/order_worker.py
+++ b/sequoiafall/order_worker.py
@@ -8,14 +8,13 @@
 from .backend_registry import BackendEntry
 from .engine_planner import LoadOrder
 from .engine_pool import EngineReport
-from .log import log_event, log_warning
+from .log import log_event
 from .serving_ports import EngineControl, EngineOrder, OrderAnswer
 
 # An engine's reports are about 0.1 s old; a sequence read sooner may be old.
 REPORT_AGE_S = 0.12
-# Tries of one order with a sequence that turned out to be wrong, and without an
-# answer. A repeated order has the same precondition, so only one takes effect.
-MAX_CONFLICTS = 3
+# Tries of an order without an answer. A repeated order has the same precondition,
+# so only one takes effect.
 MAX_SILENT = 6
 
 
@@ -73,8 +72,13 @@
         self.ordered = 0
 
     def observe(self, report: EngineReport, is_settled: bool) -> None:
-        """Take over the sequence of a report that no recent order may outrun."""
-        if self._sequence < 0 or is_settled:
+        """Take over the sequence of a report that shows the effect of all orders.
+
+        The leader takes over the adapters of the same report. An order that was
+        decided on older ones must not be sent with a newer sequence: it could
+        load more adapters than the engine has slots.
+        """
+        if is_settled:
             self._sequence = report.sequence
 
     def forget(self) -> None:
@@ -103,14 +107,12 @@
             return True, (None if answer is OrderAnswer.NO_ANSWER else False)
 
     async def _send(self, is_load: bool, adapter: str, version: int) -> OrderAnswer:
-        conflicts = silent = 0
+        silent = 0
         answer = OrderAnswer.INVALID
-        while conflicts < MAX_CONFLICTS and silent < MAX_SILENT:
-            if self._sequence < 0 and not await self._resynchronise():
-                return OrderAnswer.NO_ANSWER if silent else OrderAnswer.INVALID
+        while silent < MAX_SILENT:
             token = self._token()
-            if not token:
-                return OrderAnswer.INVALID
+            if not token or self._sequence < 0:
+                return OrderAnswer.NO_ANSWER if silent else OrderAnswer.INVALID
             order = EngineOrder(
                 is_load,
                 self._model,
@@ -130,34 +132,32 @@
                 version=version,
                 sequence=self._sequence,
                 token=token,
-                attempt=conflicts + silent + 1,
+                attempt=silent + 1,
                 answer=answer.value,
             )
-            if answer is OrderAnswer.ACCEPTED or (
-                answer is OrderAnswer.DONE and not is_load
-            ):
-                self._sequence += 1
-                return answer
-            if answer is OrderAnswer.DONE:
-                # A load that held already may or may not have been counted.
-                self._sequence = -1
-                return answer
-            if answer is OrderAnswer.FENCED:
-                self._on_fenced()
-                return answer
-            if answer is OrderAnswer.CONFLICT:
-                conflicts += 1
-                await asyncio.sleep(REPORT_AGE_S)
-                if silent and await self._took_effect(is_load, adapter):
-                    return OrderAnswer.DONE
-                self._sequence = -1
-            elif answer is OrderAnswer.NO_ANSWER:
-                silent += 1
-            else:
-                log_warning(
-                    "order_refused", server=self.entry.name, answer=answer.value
-                )
-                return answer
+            if answer is not OrderAnswer.NO_ANSWER:
+                return await self._conclude(answer, is_load, adapter, silent > 0)
+            silent += 1
+        return answer
+
+    async def _conclude(
+        self, answer: OrderAnswer, is_load: bool, adapter: str, was_silent: bool
+    ) -> OrderAnswer:
+        if answer is OrderAnswer.ACCEPTED or (
+            answer is OrderAnswer.DONE and not is_load
+        ):
+            self._sequence += 1
+            return answer
+        if answer is OrderAnswer.FENCED:
+            self._on_fenced()
+            return answer
+        # The engine is not in the state that the order was decided on. The next
+        # report tells the sequence together with the adapters.
+        self._sequence = -1
+        if answer is OrderAnswer.CONFLICT and was_silent:
+            await asyncio.sleep(REPORT_AGE_S)
+            if await self._took_effect(is_load, adapter):
+                return OrderAnswer.DONE
         return answer
 
     async def _took_effect(self, is_load: bool, adapter: str) -> bool:
@@ -166,22 +166,12 @@
         if report is None or not adapter:
             return False
         is_held = adapter in report.resident or adapter in report.incoming
-        if is_held is not is_load:
-            return False
-        self._sequence = report.sequence
-        return True
+        return is_held is is_load
 
     @property
     def sequence(self) -> int:
         """Sequence that the last order was sent with, -1 if it is not known."""
         return self._sequence
 
-    async def _resynchronise(self) -> bool:
-        report = await self._control.report(self.entry)
-        if report is None:
-            return False
-        self._sequence = report.sequence
-        return True
-
 
 _UNCERTAIN = (OrderAnswer.ACCEPTED, OrderAnswer.NO_ANSWER, OrderAnswer.CONFLICT)
