Replace a silent leader sooner and admit while a bucket is not empty

Cause: after a freeze the successor waited 2.4 s from its own first reading, and a nearly empty bucket served small requests before large ones. Change: the leader names its lease version in each answer, so the wait counts from its last renewal (1.7 s where tokens are checked); a refused connection is typed; the last request may overdraw a bucket.

--- a/sequoiafall/engine_client.py
+++ b/sequoiafall/engine_client.py
@@ -79,7 +79,9 @@
 
     def __init__(self, **options: Any) -> None:
         super().__init__(**options)
-        self._factory = functools.partial(_ExactProtocol, loop=self._loop)
+        self._factory: functools.partial[Any] = functools.partial(
+            _ExactProtocol, loop=self._loop
+        )
 
     async def connect(
         self, req: ClientRequest, traces: list[Any], timeout: aiohttp.ClientTimeout
--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -20,9 +20,11 @@
 from .catalog import Catalog
 from .fleet_leader import LeaderDuties
 from .lease import (
+    FENCED_TAKEOVER_S,
     LEASE_KEY,
     LEASE_TABLE,
     RENEW_S,
+    TAKEOVER_S,
     LeaseRecord,
     LeaseStep,
     LeaseWatch,
@@ -34,7 +36,7 @@
 from .row_store import HistoryLost, Rejected, RowStore, StoreRow, newest
 from .serving_ports import EngineControl, NodeSettings, RowDecoder
 from .token_bucket import RecentUse
-from .transport import Delivery, Kind, WireClient, WireServer
+from .transport import Kind, WireClient, WireServer
 from .wire.gen import ttypes
 
 POLL_INTERVAL_S = 0.25
@@ -107,7 +109,8 @@
         self.reaches_store = False
         self.configuration_seen_at = 0.0
         self._mirror = Mirror(self._on_row)
-        self._watch = LeaseWatch(settings.instance, self.incarnation)
+        takeover_s = FENCED_TAKEOVER_S if settings.is_fenced else TAKEOVER_S
+        self._watch = LeaseWatch(settings.instance, self.incarnation, takeover_s)
         self._leader: WireClient | None = None
         self._leader_term = 0
         self._leader_revision = 0
@@ -253,6 +256,7 @@
             reaches_store=self.reaches_store and self.tenure.state == "leading",
             newest_by_table=self._mirror.newest_by_table(),
             leader_address=self._peer_address(),
+            lease_version=self.tenure.version,
         )
 
     def _reply_of_member(self) -> Any:
@@ -267,6 +271,7 @@
             reaches_store=self.reaches_store,
             newest_by_table={},
             leader_address=leader,
+            lease_version=0,
         )
 
     async def _on_ask(self, request: Any, _peer: str) -> Any:
@@ -311,11 +316,9 @@
                     await asyncio.sleep(RENEW_S)
                     continue
                 await self._poll_leader()
-                if self.has_leader:
-                    self._watch.reset()
-                    if self._leader_reaches_store:
-                        await asyncio.sleep(POLL_INTERVAL_S)
-                        continue
+                if self.has_leader and self._leader_reaches_store:
+                    await asyncio.sleep(POLL_INTERVAL_S)
+                    continue
                 if not self.is_leaving:
                     await self._stand()
             except Exception as error:
@@ -349,9 +352,7 @@
         result = await client.call(poll, POLL_TIMEOUT_S)
         if isinstance(result, Failure):
             error = result.failure()
-            self._leader_refuses = error.delivery is Delivery.NOT_SENT and (
-                "refused" in error.detail or "reset" in error.detail
-            )
+            self._leader_refuses = error.refused
             self._restore_tokens(tokens)
             if not client.connected:
                 await self._on_leader_silent(error.detail)
@@ -359,7 +360,12 @@
         reply = result.unwrap()
         if not reply.leads:
             self._restore_tokens(tokens)
-            await self._set_leader(reply.leader_address, "redirected")
+            if reply.leader_address:
+                await self._set_leader(reply.leader_address, "redirected")
+                return
+            # A new process listens at the holder's address.
+            self._leader_refuses = True
+            await self._on_leader_silent("the holder does not lead")
             return
         self._on_reply(reply)
 
@@ -397,6 +403,8 @@
             self._outage_at = boot_time()
         self._leader_reaches_store = reply.reaches_store
         self._heard_at = boot_time()
+        if reply.reaches_store:
+            self._watch.on_leader(reply.lease_version, self._heard_at)
         self._leader_refuses = False
         self.members = reply.members
         self.over_limit = frozenset(reply.over_limit)
--- a/sequoiafall/fleet_leader.py
+++ b/sequoiafall/fleet_leader.py
@@ -129,10 +129,9 @@
                 self._set_service(service, now)
 
     def _set_service(self, service: Service, now: float) -> None:
-        planner = self.planners_by_service.get(service.name)
-        if planner is None:
-            planner = EnginePlanner(service.name, seed=self.term)
-            self.planners_by_service[service.name] = planner
+        planner = self.planners_by_service.setdefault(
+            service.name, EnginePlanner(service.name, seed=self.term)
+        )
         self._models_by_service[service.name] = service.models[0].name
         entries = self._registry.all_of(service.name)
         self._apply(
@@ -180,8 +179,8 @@
             gateway = poll.member.instance
             self._apply(planner, planner.release_gateway(gateway, kept, now))
         for held in poll.held:
-            planner = self.planners_by_service.get(held.pool)
-            if planner is not None:
+            pool = self.planners_by_service.get(held.pool)
+            if pool is not None:
                 ask = Ask(
                     held.request_id,
                     "",
@@ -193,7 +192,7 @@
                     0.0,
                     0.0,
                 )
-                planner.adopt(ask, held.server, held.version, now)
+                pool.adopt(ask, held.server, held.version, now)
         for organisation, tokens in poll.recent_tokens_by_organisation.items():
             recent = self._recent_by_organisation
             recent[organisation] = recent.get(organisation, 0.0) + tokens
--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -155,6 +155,7 @@
         self._settings = settings
         self._budgets_by_service: dict[str, RetryBudget] = {}
         self.open_requests = 0
+        self._idle = asyncio.Event()
 
     async def handle(self, web_request: web.Request) -> web.StreamResponse:
         """Answer a caller's request."""
@@ -168,6 +169,17 @@
             return await self._serve(opened)
         finally:
             self.open_requests -= 1
+            if not self.open_requests:
+                self._idle.set()
+
+    async def wait_idle(self, timeout_s: float) -> None:
+        """Wait until no request is open, at most for a time in seconds."""
+        self._idle.clear()
+        if not self.open_requests:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max(0.0, timeout_s)):
+                await self._idle.wait()
 
     # Admission
 
--- a/sequoiafall/lease.py
+++ b/sequoiafall/lease.py
@@ -14,7 +14,7 @@
 LEASE_KEY = "leader"
 
 # A leader renews this often; each renewal is a priced call of the store.
-RENEW_S = 0.8
+RENEW_S = 0.7
 # A leader that could not renew for this long says that it does not reach the store.
 FRESH_S = 1.8
 # A leader without a renewal stops issuing orders after this time where backend
@@ -23,6 +23,9 @@
 # A candidate takes the row after it has stood unchanged for this long, which
 # leaves the holder of a lease 0.4 s for an order that is on its way.
 TAKEOVER_S = 2.4
+# Where backend servers check fencing tokens, two missed renewals are enough: an
+# order of the former holder is refused by them.
+FENCED_TAKEOVER_S = 1.7
 # The holder's port refuses connections: its process has ended.
 ENDED_TAKEOVER_S = 0.3
 
@@ -70,8 +73,17 @@
 
     instance: str
     incarnation: int
+    takeover_s: float = TAKEOVER_S
     version: int = -1
     seen_at: float = 0.0
+    told_version: int = -1
+    told_at: float = 0.0
+
+    def on_leader(self, version: int, now: float) -> None:
+        """Note the version that the leader itself has named."""
+        if version != self.told_version:
+            self.told_version, self.told_at = version, now
+        self.version = -1
 
     def observe(
         self, row: StoreRow | None, has_ended: bool, now: float
@@ -91,7 +103,10 @@
         record = LeaseRecord.from_row(row)
         if version != self.version:
             self.version, self.seen_at = version, now
-            if record is not None and not record.resigned:
+            if version == self.told_version:
+                # It has stood unchanged since the leader named it.
+                self.seen_at = self.told_at
+            elif record is not None and not record.resigned:
                 mine = record.instance == self.instance
                 if mine and record.incarnation != self.incarnation:
                     # The predecessor of this process has ended.
@@ -101,14 +116,14 @@
             return LeaseStep.TAKE, record
         if record.instance == self.instance:
             return LeaseStep.TAKE, record
-        wait_s = ENDED_TAKEOVER_S if has_ended else TAKEOVER_S
+        wait_s = ENDED_TAKEOVER_S if has_ended else self.takeover_s
         if now - self.seen_at >= wait_s:
             return LeaseStep.TAKE, record
         return LeaseStep.WAIT, record
 
     def reset(self) -> None:
-        """Forget the reading after a leader answered."""
-        self.version = -1
+        """Forget all readings."""
+        self.version = self.told_version = -1
 
 
 class Tenure:
--- a/sequoiafall/node.py
+++ b/sequoiafall/node.py
@@ -118,12 +118,10 @@
         await self.fleet.leave()
         grace_s = max(0.0, self.settings.grace_s - STOP_MARGIN_S)
         accept_until = started_at + grace_s * ACCEPT_SHARE
-        while loop.time() < accept_until:
-            await asyncio.sleep(0.05)
+        await asyncio.sleep(max(0.0, accept_until - loop.time()))
         if self._front is not None:
             await self._front.stop()
-        while self.forwarder.open_requests and loop.time() < started_at + grace_s:
-            await asyncio.sleep(0.02)
+        await self.forwarder.wait_idle(started_at + grace_s - loop.time())
         await self.fleet.stop()
         left = self.forwarder.open_requests
         if left:
--- a/sequoiafall/token_bucket.py
+++ b/sequoiafall/token_bucket.py
@@ -9,6 +9,8 @@
 # What a bucket may hold after a change of leader beyond what is known of the
 # recent use, in seconds of the rate: the tokens of gateways that did not report.
 START_LEVEL_S = 0.3
+# A refused caller is told to come back when the bucket holds about one request.
+MIN_LEVEL_TOKENS = 2000.0
 # Use is remembered for as long as a full bucket takes to refill at most.
 RECENT_S = 10.0
 
@@ -50,22 +52,23 @@
         self._level = min(limit.burst, self._level + grown)
 
     def take(self, tokens: float, now: float) -> float:
-        """Take tokens if they are there.
+        """Take tokens if the bucket is not empty.
+
+        The last request may take more than there is, so that large requests are
+        not refused more often than small ones while the bucket is nearly empty.
 
         Returns
         -------
         float
-            0 if they were taken, else the seconds until they will be there.
+            0 if they were taken, else the seconds until there is a token again.
         """
         if self.limit.rate_per_s <= 0.0:
             return 0.0
         level = self.level(now)
-        # A request above the burst could never be admitted; a full bucket pays.
-        needed = min(tokens, self.limit.burst)
-        if level >= needed:
+        if level > 0.0:
             self._level = level - tokens
             return 0.0
-        return (needed - level) / self.limit.rate_per_s
+        return (MIN_LEVEL_TOKENS - level) / self.limit.rate_per_s
 
     def charge(self, tokens: float, now: float) -> None:
         """Subtract tokens that were used already."""
--- a/sequoiafall/transport.py
+++ b/sequoiafall/transport.py
@@ -95,10 +95,13 @@
         ``NOT_SENT`` only if the peer cannot have acted on the request.
     detail : str
         Explanation for the log.
+    refused : bool, default=False
+        Whether the peer's machine refused the connection: no process listens.
     """
 
     delivery: Delivery
     detail: str
+    refused: bool = False
 
 
 _NOT_SENT = WireError(Delivery.NOT_SENT, "connection lost or too long")
@@ -491,7 +494,10 @@
                 self._connect_failures += 1
                 if self._connect_failures == 1:
                     log_warning("connect_failed", peer=self.address, error=error)
-                return Failure(WireError(Delivery.NOT_SENT, f"connect: {error}"))
+                refused = isinstance(error, ConnectionRefusedError)
+                return Failure(
+                    WireError(Delivery.NOT_SENT, f"connect: {error}", refused)
+                )
             if self._connect_failures:
                 log_event(
                     "reconnected", peer=self.address, failures=self._connect_failures
--- a/sequoiafall/wire/gen/ttypes.py
+++ b/sequoiafall/wire/gen/ttypes.py
@@ -4278,6 +4278,7 @@
      - reaches_store
      - newest_by_table
      - leader_address
+     - lease_version
 
     """
 
@@ -4291,10 +4292,11 @@
         'reaches_store',
         'newest_by_table',
         'leader_address',
+        'lease_version',
     )
 
 
-    def __init__(self, leads=None, term=None, revision=None, rows=None, members=None, over_limit=None, reaches_store=None, newest_by_table=None, leader_address=None,):
+    def __init__(self, leads=None, term=None, revision=None, rows=None, members=None, over_limit=None, reaches_store=None, newest_by_table=None, leader_address=None, lease_version=None,):
         self.leads = leads
         self.term = term
         self.revision = revision
@@ -4304,6 +4306,7 @@
         self.reaches_store = reaches_store
         self.newest_by_table = newest_by_table
         self.leader_address = leader_address
+        self.lease_version = lease_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4382,6 +4385,11 @@
                     self.leader_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.lease_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4441,6 +4449,10 @@
             oprot.writeFieldBegin('leader_address', TType.STRING, 9)
             oprot.writeString(self.leader_address.encode('utf-8') if sys.version_info[0] == 2 else self.leader_address)
             oprot.writeFieldEnd()
+        if self.lease_version is not None:
+            oprot.writeFieldBegin('lease_version', TType.I64, 10)
+            oprot.writeI64(self.lease_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5378,6 +5390,7 @@
     (7, TType.BOOL, 'reaches_store', None, None, ),  # 7
     (8, TType.MAP, 'newest_by_table', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 8
     (9, TType.STRING, 'leader_address', 'UTF8', None, ),  # 9
+    (10, TType.I64, 'lease_version', None, None, ),  # 10
 )
 all_structs.append(EngineAsk)
 EngineAsk.thrift_spec = (
--- a/sequoiafall/wire/sequoiafall.thrift
+++ b/sequoiafall/wire/sequoiafall.thrift
@@ -311,7 +311,7 @@
   7: map<string, i64> recent_tokens_by_organisation
 }
 
-// `members` is complete whenever `members_revision` differs from the last one.
+// `lease_version` is the version of the lease row after the last renewal.
 struct FleetPollReply {
   1: bool leads
   2: i64 term
@@ -322,6 +322,7 @@
   7: bool reaches_store
   8: map<string, i64> newest_by_table
   9: string leader_address
+  10: i64 lease_version
 }
 
 // Asks for a place of a request at an engine. `on_time_ms` is the time left in
