Do not wait at a restart, and let plain calls overdraw a bucket

Change: delays only where the settings say that the system starts for the first time; plain calls go on until a bucket is 6,000 tokens below empty.

--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -45,8 +45,10 @@
 # Instances that no hint names stand for the lease this much later at first, so
 # that a start of many instances reads the lease row once each.
 FIRST_STAND_DELAY_S = 0.5
-# An instance without a leader reads the tables itself after this time.
+# An instance without a leader reads the tables itself after this time: at the
+# first start of all, and later.
 FIRST_READ_DELAY_S = 1.0
+READ_DELAY_S = 0.2
 # Between two steps of an election; each reads the lease row.
 ELECTION_INTERVAL_S = 0.15
 # Spread of candidates, so that their writes do not collide.
@@ -222,7 +224,7 @@
     def is_over_limit(self, organisation: str) -> bool:
         """Whether the leader says that an organisation's bucket is empty."""
         if self.duties is not None:
-            return self.duties.limits.level(organisation, boot_time()) < 0.0
+            return organisation in self.duties.limits.over_limit(boot_time())
         return organisation in self.over_limit
 
     async def ask(self, request: Any, timeout_s: float) -> Any | None:
@@ -338,7 +340,8 @@
         )
 
     async def _follow_leader(self) -> None:
-        if self.settings.address not in self.settings.peer_hints:
+        is_hint = self.settings.address in self.settings.peer_hints
+        if self.settings.is_first_start and not is_hint:
             await asyncio.sleep(FIRST_STAND_DELAY_S)
         while not self.should_stop:
             try:
@@ -486,7 +489,8 @@
         now = boot_time()
         step, record = self._watch.observe(row, self._leader_refuses, now)
         if step is LeaseStep.TAKE:
-            await asyncio.sleep(random.uniform(0.0, self._jitter_s()))
+            if record is None or record.instance != self.settings.instance:
+                await asyncio.sleep(random.uniform(0.0, self._jitter_s()))
             await self._take(row, record)
         elif record is not None and not self.has_leader:
             await self._set_leader(record.address, "lease row")
@@ -678,7 +682,9 @@
     def _should_read(self) -> bool:
         if self.tenure.leads:
             return True
-        if boot_time() - self._started_at < FIRST_READ_DELAY_S:
+        is_first = self.settings.is_first_start
+        delay_s = FIRST_READ_DELAY_S if is_first else READ_DELAY_S
+        if boot_time() - self._started_at < delay_s:
             return False
         return not (self.has_leader and self._leader_reaches_store)
 
--- a/sequoiafall/lease.py
+++ b/sequoiafall/lease.py
@@ -27,7 +27,7 @@
 # order of the former holder is refused by them.
 FENCED_TAKEOVER_S = 1.2
 # The holder's port refuses connections: its process has ended.
-ENDED_TAKEOVER_S = 0.3
+ENDED_TAKEOVER_S = 0.2
 
 
 class LeaseRecord(msgspec.Struct, frozen=True):
--- a/sequoiafall/platform/node_file.py
+++ b/sequoiafall/platform/node_file.py
@@ -87,5 +87,6 @@
         is_fenced=reader.get("bounds.fencing_enforced", bool, True),
         lease_s=reader.get("bounds.lease_ms", float, 3000.0) / 1e3,
         core_share=reader.get("limits.cpu_share", float, 1.0),
+        is_first_start=reader.get("bootstrap", bool, False),
     )
     return Failure(reader.findings) if reader.findings else Success(settings)
--- a/sequoiafall/serving_ports.py
+++ b/sequoiafall/serving_ports.py
@@ -235,6 +235,8 @@
         Time within which two holders may not take turns.
     core_share : float
         Share of a core that the instance has.
+    is_first_start : bool
+        Whether the whole system starts for the first time.
     """
 
     instance: str
@@ -255,3 +257,4 @@
     is_fenced: bool = True
     lease_s: float = 3.0
     core_share: float = 1.0
+    is_first_start: bool = False
--- a/sequoiafall/token_bucket.py
+++ b/sequoiafall/token_bucket.py
@@ -11,6 +11,9 @@
 START_LEVEL_S = 0.3
 # A refused caller is told to come back when the bucket holds about one request.
 MIN_LEVEL_TOKENS = 2000.0
+# Calls of plain services cost a tenth of a generation. They go on until a bucket
+# is this far below empty, and generations make up for it.
+PLAIN_OVERDRAFT_TOKENS = 6000.0
 # Use is remembered for as long as a full bucket takes to refill at most.
 RECENT_S = 10.0
 
@@ -146,11 +149,12 @@
         return bucket.level(now) if bucket is not None else 0.0
 
     def over_limit(self, now: float) -> list[str]:
-        """Return the organisations whose bucket is empty."""
+        """Return the organisations whose plain calls are refused too."""
         return [
             name
             for name, bucket in self._buckets_by_organisation.items()
-            if bucket.limit.rate_per_s > 0.0 and bucket.level(now) <= 0.0
+            if bucket.limit.rate_per_s > 0.0
+            and bucket.level(now) < -PLAIN_OVERDRAFT_TOKENS
         ]
 
 
--- a/tests/test_token_bucket.py
+++ b/tests/test_token_bucket.py
@@ -89,6 +89,8 @@
         limits = TokenLimits(0.0)
         limits.set_limits({"org": LIMIT}, 0.0)
         limits.charge("org", 5000.0, 0.0)
+        self.assertEqual(limits.over_limit(0.0), [])
+        limits.charge("org", 5000.0, 0.0)
         self.assertEqual(limits.over_limit(0.0), ["org"])
 
     def test_recent_use_ends(self):
