Write the node's log lines to standard output without ever waiting

Cause: the platform's engineers read standard output, and a slow reader could stop a process. Change: a bounded buffer before a non-blocking descriptor, equal lines folded with a count, dropped lines counted in a metric.

--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -181,6 +181,10 @@
             async with asyncio.timeout(max(0.0, timeout_s)):
                 await self._idle.wait()
 
+    def retries(self) -> int:
+        """Return the number of sends beyond the first ones."""
+        return sum(row.retries for row in self._budgets_by_service.values())
+
     # Admission
 
     def _open(
--- a/sequoiafall/log.py
+++ b/sequoiafall/log.py
@@ -1,7 +1,10 @@
 """Log lines of key=value pairs, one line per event."""
 
+import asyncio
+import atexit
 import functools
 import json
+import os
 import re
 import sys
 import time
@@ -12,8 +15,101 @@
 
 _NAMES_BY_LEVEL = {INFO: "info", WARNING: "warning"}
 
+# Lines that wait for a slow reader of the output; further ones are dropped.
+MAX_BUFFERED_BYTES = 256 * 1024
+# Until the next try when the reader takes nothing.
+RETRY_WRITE_S = 0.02
+
+
+class LineBuffer:
+    """Writes lines to a descriptor without ever waiting for its reader.
+
+    Parameters
+    ----------
+    descriptor : int
+        Descriptor that is written to; it is made non-blocking.
+
+    Attributes
+    ----------
+    dropped : int
+        Lines that found the buffer full.
+    """
+
+    __slots__ = (
+        "_descriptor",
+        "_is_scheduled",
+        "_last",
+        "_lines",
+        "_repeats",
+        "_size",
+        "dropped",
+    )
+
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+        self._lines: list[bytes] = []
+        self._size = 0
+        self._is_scheduled = False
+        self._last = ""
+        self._repeats = 0
+        self.dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def write_line(self, prefix: str, line: str) -> None:
+        """Add a line; one that equals the last one is only counted."""
+        if line == self._last:
+            self._repeats += 1
+            return
+        if self._repeats:
+            text = format_event("repeated", count=self._repeats)
+            self._repeats = 0
+            self._add(f"{prefix} {text}\n")
+        self._last = line
+        self._add(f"{prefix} {line}\n")
+
+    def _add(self, text: str) -> None:
+        data = text.encode()
+        if self._size + len(data) > MAX_BUFFERED_BYTES:
+            self.dropped += 1
+            return
+        self._lines.append(data)
+        self._size += len(data)
+        if self._is_scheduled:
+            return
+        try:
+            loop = asyncio.get_running_loop()
+        except RuntimeError:
+            self.flush()
+            return
+        self._is_scheduled = True
+        loop.call_soon(self._flush_later, loop)
+
+    def _flush_later(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._is_scheduled = False
+        self.flush()
+        if self._lines and not loop.is_closed():
+            self._is_scheduled = True
+            loop.call_later(RETRY_WRITE_S, self._flush_later, loop)
+
+    def flush(self) -> None:
+        """Write what the reader takes now."""
+        if not self._lines:
+            return
+        data = b"".join(self._lines)
+        try:
+            written = os.write(self._descriptor, data)
+        except BlockingIOError:
+            written = 0
+        except OSError:
+            # The output is closed; there is nowhere to say so.
+            written = len(data)
+        rest = data[written:]
+        self._lines = [rest] if rest else []
+        self._size = len(rest)
+
+
 # Where lines are written; None until `configure_logging`, as in the tests.
-_output: TextIO | None = None
+_output: TextIO | LineBuffer | None = None
 
 _is_plain = re.compile(r"[A-Za-z0-9_.:/@,+-]+").fullmatch
 
@@ -73,6 +169,10 @@
     # the write; a gateway logs five lines for each request.
     now = time.time()
     second = int(now)
+    if isinstance(_output, LineBuffer):
+        stamp = f"{_format_second(second)}.{int((now - second) * 1000):03d}Z"
+        _output.write_line(f"time={stamp} level={_NAMES_BY_LEVEL[level]}", line)
+        return
     # As in the handlers of `logging`, a full or closed output fails no call.
     try:  # noqa: SIM105 - the context manager takes longer.
         _output.write(
@@ -99,8 +199,13 @@
         return f"time={stamp}.{int(record.msecs):03d}Z level={level} {text}"
 
 
-def configure_logging() -> None:
-    """Send log lines to standard error.
+def dropped_lines() -> int:
+    """Return the number of lines that a slow reader of the output has cost."""
+    return _output.dropped if isinstance(_output, LineBuffer) else 0
+
+
+def configure_logging(to_standard_output: bool = False) -> None:
+    """Send log lines to standard error, or to standard output without waiting.
 
     Libraries are heard from level WARNING; their lines carry the event
     ``library_message``.
@@ -114,4 +219,8 @@
     handler.setFormatter(_LibraryFormatter())
     handler.python_handler.stream = sys.stderr
     handler.setLevel(WARNING)
+    if to_standard_output:
+        _output = LineBuffer(sys.stdout.fileno())
+        atexit.register(_output.flush)
+        return
     _output = sys.stderr
--- a/sequoiafall/node.py
+++ b/sequoiafall/node.py
@@ -10,9 +10,10 @@
 from aiohttp import web
 from mode import Service
 
+from .boot_clock import boot_time
 from .fleet import Fleet
 from .forwarding import Forwarder
-from .log import log_event, log_warning
+from .log import dropped_lines, log_event, log_warning
 from .node_metrics import NodeMetrics
 from .place_source import PlaceSource
 from .row_store import RowStore
@@ -173,9 +174,28 @@
             "reaches_store": float(fleet.reaches_store),
             "fencing_token": fleet.tenure.token,
             "members": len(fleet.ready_members()),
+            "log_lines_dropped": dropped_lines(),
+            "retries": self.forwarder.retries(),
+            "configuration_age_seconds": boot_time() - fleet.configuration_seen_at,
+            **self._leader_gauges(),
         }
         return self.metrics.respond(request)
 
+    def _leader_gauges(self) -> dict[str, float]:
+        duties = self.fleet.duties
+        if duties is None:
+            return {}
+        gauges: dict[str, float] = {}
+        for planner in duties.planners_by_service.values():
+            counts = planner.counts
+            gauges["places_granted"] = counts.granted
+            gauges["places_refused"] = sum(counts.refused_by_reason.values())
+            gauges["loads_from_store"] = counts.cold_loads
+            gauges["loads_from_memory"] = counts.warm_loads
+            gauges["loads_failed"] = counts.failed_loads
+            gauges["waiting"] = planner.waiting_count
+        return gauges
+
     def _on_reload(self) -> None:
         # Addresses and bounds of a running process do not change; the next
         # start reads the file again.
--- a/sequoiafall/platform/program.py
+++ b/sequoiafall/platform/program.py
@@ -45,7 +45,7 @@
         PlatformDialect(),
         PlatformApplications(),
     )
-    run_service(node)
+    run_service(node, logs_to_standard_output=True)
 
 
 if __name__ == "__main__":
--- a/sequoiafall/process.py
+++ b/sequoiafall/process.py
@@ -14,19 +14,21 @@
 COLLECT_AFTER_OBJECTS = 5_000
 
 
-def run_service(service: Service) -> None:
+def run_service(service: Service, logs_to_standard_output: bool = False) -> None:
     """Run a service until SIGTERM or SIGINT, then exit.
 
     Parameters
     ----------
     service : Service
         Its ``on_stop`` runs to the end before the process exits.
+    logs_to_standard_output : bool, default=False
+        Whether log lines go to standard output and never block.
     """
     # What the modules hold lives as long as the process.
     gc.collect()
     gc.freeze()
     gc.set_threshold(COLLECT_AFTER_OBJECTS, 20, 20)
-    configure_logging()
+    configure_logging(logs_to_standard_output)
     Worker(
         service, override_logging=False, redirect_stdouts=False, daemon=True
     ).execute_from_commandline()
--- /dev/null
+++ b/tests/test_line_buffer.py
@@ -0,0 +1,42 @@
+"""Tests of log lines whose reader is slow."""
+
+import os
+import unittest
+
+from sequoiafall.log import MAX_BUFFERED_BYTES, LineBuffer
+
+
+class LineBufferTest(unittest.TestCase):
+    """A process must not wait for the reader of its log."""
+
+    def setUp(self):
+        self.reader, self.writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, self.writer)
+        self.buffer = LineBuffer(self.writer)
+
+    def test_reader_that_stops_costs_lines_and_not_time(self):
+        line = "event=x " + "y" * 1000
+        for number in range(2000):
+            self.buffer.write_line("time=t", f"{line} number={number}")
+        self.assertGreater(self.buffer.dropped, 0)
+        self.assertLessEqual(self.buffer._size, MAX_BUFFERED_BYTES)
+
+    def test_lines_arrive_whole_after_a_pause_of_the_reader(self):
+        for number in range(200):
+            self.buffer.write_line("t", f"event=x text={'z' * 900} number={number}")
+        received = b""
+        while self.buffer._lines or not received.endswith(b"number=199\n"):
+            received += os.read(self.reader, 1 << 16)
+            self.buffer.flush()
+        numbers = [line.rsplit(b"=", 1)[1] for line in received.splitlines()]
+        self.assertEqual(numbers, [str(number).encode() for number in range(200)])
+
+    def test_equal_lines_are_counted(self):
+        for _ in range(50):
+            self.buffer.write_line("t", "event=same")
+        self.buffer.write_line("t", "event=other")
+        lines = os.read(self.reader, 1 << 16).decode().splitlines()
+        self.assertEqual(
+            lines, ["t event=same", "t event=repeated count=49", "t event=other"]
+        )
