--- a/sequoiafall/engine_planner.py
+++ b/sequoiafall/engine_planner.py
@@ -447,6 +447,17 @@
             "transfers": self.pool.transfers(),
         }
 
+    def describe_engine(self, name: str, now: float) -> dict[str, object]:
+        """Return what was believed of an engine, for the log."""
+        engine = self.pool.engines_by_name.get(name)
+        if engine is None:
+            return {}
+        return {
+            "report_age_ms": int((now - engine.reported_at) * 1e3),
+            "backlog_ms": int(engine.backlog_s(now) * 1e3),
+            "failing": round(engine.failing(now), 2),
+        }
+
     # Decisions
 
     def _most_transfers(self) -> int:
--- a/sequoiafall/engine_pool.py
+++ b/sequoiafall/engine_pool.py
@@ -133,6 +133,7 @@
     is_known: bool = False
     model_state: ModelState = ModelState.ABSENT
     model_changed_at: float = 0.0
+    reported_at: float = 0.0
 
     @property
     def name(self) -> str:
@@ -228,6 +229,7 @@
         bool
             Whether the engine has started anew.
         """
+        self.reported_at = now
         restarted = bool(report.born and self.born and report.born != self.born)
         if restarted:
             self.clear()
--- a/sequoiafall/fleet_leader.py
+++ b/sequoiafall/fleet_leader.py
@@ -328,7 +328,7 @@
             if isinstance(action, GrantPlace):
                 self._on_granted(planner, action)
             elif isinstance(action, RefusePlace):
-                self._on_refused(action)
+                self._on_refused(planner, action)
             else:
                 self._spawn(self._order(planner, action))
         self._wake.set()
@@ -346,6 +346,7 @@
             version=grant.version,
             waited_ms=int(grant.waited_s * 1e3),
             term=self.term,
+            **planner.describe_engine(grant.server, boot_time()),
             **planner.describe(boot_time()),
         )
         answer.set_result(
@@ -360,7 +361,7 @@
             )
         )
 
-    def _on_refused(self, refusal: RefusePlace) -> None:
+    def _on_refused(self, planner: EnginePlanner, refusal: RefusePlace) -> None:
         answer = self._answers_by_request.get(refusal.request_id)
         log_event(
             "place_refused",
@@ -369,6 +370,7 @@
             detail=refusal.detail,
             retry_after_ms=int(refusal.retry_after_s * 1e3),
             term=self.term,
+            **planner.describe(boot_time()),
         )
         if answer is not None and not answer.done():
             answer.set_result(
--- a/sequoiafall/operator_client.py
+++ b/sequoiafall/operator_client.py
@@ -24,6 +24,7 @@
     format_value,
 )
 from .operator_session import Reply, Session, Table
+from .request_story import format_story, tell_story
 from .settings import Finding
 from .table import ROW_TYPES_BY_KIND, Row
 from .table_csv import FileRow, TableFile, read_csv, write_csv
@@ -311,6 +312,32 @@
     session.show(body, format_value(body))
 
 
+@app.command("story")
+def show_story(
+    request_id: Annotated[str, typer.Argument(help="Identity of the request.")],
+    files: Annotated[
+        list[Path] | None,
+        typer.Argument(help="Log files; standard input by default."),
+    ] = None,
+) -> None:
+    """Show what log lines of many processes say of one request."""
+    lines_by_source: dict[str, list[str]] = {}
+    for path in files or []:
+        try:
+            text = path.read_bytes().decode(errors="replace")
+        except OSError as error:
+            typer.echo(f"{path}: expected a readable file ({error.strerror})", err=True)
+            raise typer.Exit(2) from error
+        lines_by_source[path.name] = text.splitlines()
+    if not files:
+        lines_by_source["-"] = sys.stdin.read().splitlines()
+    story = tell_story(request_id, lines_by_source)
+    for line in format_story(request_id, story):
+        typer.echo(line)
+    if not story.lines:
+        raise typer.Exit(1)
+
+
 def _check_kinds(session: Session, kinds: Sequence[str]) -> None:
     expected = " or ".join(ROW_TYPES_BY_KIND)
     findings = [
--- /dev/null
+++ b/sequoiafall/request_story.py
@@ -0,0 +1,149 @@
+"""Joins the log lines of many processes into the story of one request."""
+
+from __future__ import annotations
+
+import json
+import re
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+# Lines that say what a process believed are shown if they stand this close to
+# the request.
+CONTEXT_BEFORE_S = 5.0
+CONTEXT_AFTER_S = 0.5
+BELIEF_EVENTS = frozenset(
+    (
+        "lease_taken",
+        "lease_lost",
+        "lease_given_up",
+        "leader_lost",
+        "leader_found",
+        "term_started",
+        "member_lost",
+        "store_lost",
+        "store_reached",
+        "history_lost",
+        "configuration_in_force",
+        "adapter_version",
+        "started",
+        "stopping",
+        "reload",
+    )
+)
+SERVER_EVENTS = frozenset(
+    ("backend_server", "backend_server_gone", "engine_order", "report_failed")
+)
+_PAIR = re.compile(r'([A-Za-z_]+)=("(?:[^"\\]|\\.)*"|\S*)')
+_CLOCK = re.compile(r"T(\d\d):(\d\d):(\d\d)\.(\d\d\d)Z")
+
+
+@dataclass(slots=True, frozen=True)
+class LogLine:
+    """A parsed line.
+
+    Parameters
+    ----------
+    source : str
+        File that it comes from.
+    at_s : float
+        Time of the day in seconds.
+    fields : dict of str to str
+        The pairs of the line.
+    text : str
+        The line as it was.
+    """
+
+    source: str
+    at_s: float
+    fields: dict[str, str]
+    text: str
+
+
+@dataclass(slots=True)
+class Story:
+    """Lines of a request in their order, and what could not be read.
+
+    Parameters
+    ----------
+    lines : list of LogLine
+        The request's own lines and the beliefs around them.
+    unreadable : dict of str to int
+        Lines that are cut or are not pairs, by source.
+    """
+
+    lines: list[LogLine] = field(default_factory=list)
+    unreadable: dict[str, int] = field(default_factory=dict)
+
+
+def parse_line(source: str, text: str) -> LogLine | None:
+    """Parse one line; None if it is cut or is no line of ours."""
+    fields: dict[str, str] = {}
+    for name, value in _PAIR.findall(text):
+        if value.startswith('"'):
+            try:
+                value = json.loads(value)
+            except ValueError:
+                return None
+        fields.setdefault(name, value)
+    clock = _CLOCK.search(fields.get("time", ""))
+    if clock is None or "event" not in fields:
+        return None
+    hours, minutes, seconds, milliseconds = (int(part) for part in clock.groups())
+    at_s = hours * 3600 + minutes * 60 + seconds + milliseconds / 1e3
+    return LogLine(source, at_s, fields, text.strip())
+
+
+def tell_story(request_id: str, lines_by_source: Mapping[str, Iterable[str]]) -> Story:
+    """Collect what happened to a request.
+
+    Parameters
+    ----------
+    request_id : str
+        Identity of the request.
+    lines_by_source : mapping of str to iterable of str
+        Log lines by file or process.
+    """
+    story = Story()
+    own: list[LogLine] = []
+    beliefs: list[LogLine] = []
+    for source, texts in lines_by_source.items():
+        for text in texts:
+            if not text.strip():
+                continue
+            line = parse_line(source, text)
+            if line is None:
+                story.unreadable[source] = story.unreadable.get(source, 0) + 1
+            elif line.fields.get("request_id") == request_id:
+                own.append(line)
+            elif line.fields["event"] in BELIEF_EVENTS | SERVER_EVENTS:
+                beliefs.append(line)
+    if not own:
+        return story
+    first_s = min(line.at_s for line in own) - CONTEXT_BEFORE_S
+    last_s = max(line.at_s for line in own) + CONTEXT_AFTER_S
+    servers = {line.fields["server"] for line in own if line.fields.get("server")}
+    adapters = {line.fields["adapter"] for line in own if line.fields.get("adapter")}
+    for line in beliefs:
+        if not first_s <= line.at_s <= last_s:
+            continue
+        concerns = (
+            line.fields.get("server") in servers
+            or line.fields.get("adapter") in adapters
+        )
+        if line.fields["event"] in BELIEF_EVENTS or concerns:
+            own.append(line)
+    story.lines = sorted(own, key=lambda line: line.at_s)
+    return story
+
+
+def format_story(request_id: str, story: Story) -> list[str]:
+    """Return the lines to print; those of the request are marked."""
+    printed = []
+    for line in story.lines:
+        mark = ">" if line.fields.get("request_id") == request_id else " "
+        printed.append(f"{mark} {line.source}: {line.text}")
+    if not story.lines:
+        printed.append(f"no line has request_id={request_id}")
+    for source, count in story.unreadable.items():
+        printed.append(f"{source}: {count} lines could not be read")
+    return printed
