Load hot adapters on more engines before their prompts queue; add the soak

Loads that nobody waited for any more counted as transfers. Change: an adapter whose prompts take over 0.3 of its engines' time is loaded on one more, where it displaces less; transfers count while they last.

--- a/sequoiafall/engine_planner.py
+++ b/sequoiafall/engine_planner.py
@@ -11,6 +11,7 @@
 
 from .backend_registry import BackendEntry
 from .engine_pool import (
+    PREFILL_TOKENS_PER_S,
     Engine,
     EnginePool,
     EngineReport,
@@ -18,7 +19,7 @@
     ModelState,
     SlotState,
 )
-from .placement import DecayedCounts
+from .placement import REPLICA_HYSTERESIS, DecayedCounts
 from .refusal import Reason
 
 # Time of a load from the weight store while at most `MAX_TRANSFERS` are under
@@ -55,6 +56,16 @@
 # After a conflict, a report this much younger than usual counts as settled: no
 # order has taken effect.
 CONFLICT_SETTLED_S = 0.2
+# Prompt tokens of an adapter are counted with this half-life, to see a shift of
+# demand within seconds.
+PROMPT_HALF_LIFE_S = 2.5
+# An adapter whose prompts take more than this share of its engines' time is
+# loaded on one more: at half load a queue of prompts is as long as a prompt.
+REPLICA_SHARE = 0.3
+# Between two further loads of one adapter.
+REPLICA_PAUSE_S = 0.3
+# Loads that callers wait for keep this many of the transfers.
+RESERVED_TRANSFERS = 2
 # A load that failed is not tried again on the same engine for this long.
 FAILED_LOAD_PAUSE_S = 0.6
 # A request is sent to the engine again this often after "not run" answers.
@@ -181,7 +192,9 @@
 
     def __init__(self, pool: EnginePool, now: float) -> None:
         self.now = now
-        self.transfers = pool.transfers()
+        for engine in pool.engines_by_name.values():
+            engine.finish_loads(now)
+        self.transfers = pool.transfers(now)
         self.usable = [
             engine for engine in pool.engines_by_name.values() if engine.takes_work(now)
         ]
@@ -223,6 +236,8 @@
         self.counts = PlannerCounts()
         self._random = random.Random(seed)
         self._demand = DecayedCounts(DEMAND_HALF_LIFE_S)
+        self._prompts = DecayedCounts(PROMPT_HALF_LIFE_S)
+        self._replicated_at: dict[str, float] = {}
         self._waiting_by_id: dict[str, _Waiting] = {}
         self._placed_by_id: dict[str, _Placed] = {}
         self._versions_by_adapter: dict[str, int] = {}
@@ -282,6 +297,7 @@
         """Place, queue or refuse a request."""
         if ask.adapter:
             self._demand.add(ask.adapter, 1.0, now)
+            self._prompts.add(ask.adapter, ask.prompt_tokens, now)
         if ask.request_id in self._placed_by_id:
             self._release(ask.request_id, now)
         on_time_until = now + ask.on_time_s
@@ -294,8 +310,10 @@
             return [refused]
         self._waiting_by_id[ask.request_id] = waiting
         if self._has_changed:
-            return self._dispatch(now)
-        return self._advance(waiting, _Round(self.pool, now))
+            actions = self._dispatch(now)
+            return actions + self._replicate(ask.adapter, _Round(self.pool, now))
+        state = _Round(self.pool, now)
+        return self._advance(waiting, state) + self._replicate(ask.adapter, state)
 
     def cancel(self, request_id: str, now: float) -> list[Action]:
         """Forget a request whose gateway no longer waits."""
@@ -379,7 +397,7 @@
         slot.is_ordered = False
         if accepted:
             load_s = COLD_LOAD_S * max(
-                1.0, self.pool.transfers() / self._most_transfers()
+                1.0, self.pool.transfers(now) / self._most_transfers()
             )
             if not slot.from_store:
                 load_s = WARM_LOAD_S
@@ -444,7 +462,7 @@
             "waiting": len(self._waiting_by_id),
             "running": sum(row.running for row in engines),
             "resident": sum(len(row.slots_by_adapter) for row in engines),
-            "transfers": self.pool.transfers(),
+            "transfers": self.pool.transfers(now),
         }
 
     def describe_engine(self, name: str, now: float) -> dict[str, object]:
@@ -479,7 +497,7 @@
                     break
                 if engine.is_warm(ask.adapter, version):
                     load_s = WARM_LOAD_S
-        return load_s + ask.prompt_tokens / 25_000.0 + FIRST_EVENT_S
+        return load_s + ask.prompt_tokens / PREFILL_TOKENS_PER_S + FIRST_EVENT_S
 
     def _refusal_at_once(self, waiting: _Waiting, now: float) -> RefusePlace | None:
         ask = waiting.ask
@@ -505,7 +523,7 @@
     def _order(self, waiting: _Waiting, now: float) -> tuple[bool, int, float]:
         """Return the sort key: on time first, then priority, then arrival."""
         ask = waiting.ask
-        late = waiting.on_time_until - now < ask.prompt_tokens / 25_000.0
+        late = waiting.on_time_until - now < ask.prompt_tokens / PREFILL_TOKENS_PER_S
         return (late, ask.rank, waiting.arrived_at)
 
     def _on_change(self, now: float) -> list[Action]:
@@ -547,7 +565,7 @@
             return [self._grant(waiting, option.engine, 0, now)]
         actions: list[Action] = []
         if option.slot is None:
-            actions.append(self._start_load(waiting.ask, option, state))
+            actions.append(self._start_load(waiting.ask.adapter, option, state))
         self._bind(waiting, option.engine, now)
         return actions
 
@@ -556,11 +574,6 @@
         if slot is None:
             waiting.bound_to = ""
             return []
-        if slot.state is SlotState.LOADING and now >= slot.ready_at:
-            slot.state = SlotState.RESIDENT
-            slot.changed_at = now
-            engine = self.pool.engines_by_name[waiting.bound_to]
-            engine.remember(slot.adapter, slot.version)
         if slot.state is SlotState.RESIDENT:
             slot.uses = max(0, slot.uses - 1)
             engine = self.pool.engines_by_name[waiting.bound_to]
@@ -655,6 +668,59 @@
         cost_s += load_s + (COLD_PRICE_S if is_cold else 0.0)
         return _Option(engine, None, load_s, cost_s, evicted, load_s, is_cold)
 
+    def _replicate(self, adapter: str, state: _Round) -> list[Action]:
+        """Load an adapter on one more engine before its prompts queue up."""
+        now = state.now
+        if not adapter:
+            return []
+        share = self._prompts.rate_per_s(adapter, now) / PREFILL_TOKENS_PER_S
+        if share < REPLICA_SHARE:
+            return []
+        version = self.version_of(adapter)
+        holders = [
+            engine
+            for engine in state.holders_by_adapter.get(adapter, ())
+            if engine.slots_by_adapter[adapter].version == version
+        ]
+        if not holders or share < REPLICA_SHARE * len(holders):
+            return []
+        if now - self._replicated_at.get(adapter, 0.0) < REPLICA_PAUSE_S:
+            return []
+        if state.transfers + RESERVED_TRANSFERS >= self._most_transfers():
+            return []
+        option = self._replica_option(adapter, version, len(holders), state)
+        if option is None:
+            return []
+        self._replicated_at[adapter] = now
+        return [self._start_load(adapter, option, state)]
+
+    def _replica_option(
+        self, adapter: str, version: int, replicas: int, state: _Round
+    ) -> _Option | None:
+        now = state.now
+        demand = self._demand.get(adapter, now) / (replicas + 1)
+        best: _Option | None = None
+        for engine in self._loadable(state):
+            if adapter in engine.slots_by_adapter:
+                continue
+            if now < self._paused_loads.get((engine.name, adapter), 0.0):
+                continue
+            assert state.victims_by_name is not None
+            victim = state.victims_by_name[engine.name]
+            cost_s = engine.backlog_s(now) + FAILURE_PRICE_S * engine.failing(now)
+            evicted = ""
+            if victim is not None:
+                evicted = victim.adapter
+                lost = self._demand.get(evicted, now)
+                if lost * REPLICA_HYSTERESIS > demand:
+                    continue
+                cost_s += EVICTION_PRICE_S * self._demand.rate_per_s(evicted, now)
+            is_cold = not engine.is_warm(adapter, version)
+            cost_s += COLD_PRICE_S if is_cold else 0.0
+            if best is None or cost_s < best.cost_s:
+                best = _Option(engine, None, 0.0, cost_s, evicted, 0.0, is_cold)
+        return best
+
     def _victim(self, engine: Engine, now: float) -> EngineSlot | None:
         idle = [
             slot
@@ -671,9 +737,9 @@
             default=None,
         )
 
-    def _start_load(self, ask: Ask, option: _Option, state: _Round) -> LoadOrder:
+    def _start_load(self, adapter: str, option: _Option, state: _Round) -> LoadOrder:
         engine, now = option.engine, state.now
-        version = self.version_of(ask.adapter)
+        version = self.version_of(adapter)
         if option.evicted:
             del engine.slots_by_adapter[option.evicted]
             self.counts.evictions += 1
@@ -683,7 +749,7 @@
         else:
             self.counts.warm_loads += 1
         slot = EngineSlot(
-            ask.adapter,
+            adapter,
             version,
             SlotState.LOADING,
             # Until the engine accepts the order, the load has no expected end.
@@ -692,11 +758,11 @@
             from_store=option.is_cold,
             is_ordered=True,
         )
-        engine.slots_by_adapter[ask.adapter] = slot
+        engine.slots_by_adapter[adapter] = slot
         engine.pending_orders += 1
-        state.holders_by_adapter.setdefault(ask.adapter, []).append(engine)
+        state.holders_by_adapter.setdefault(adapter, []).append(engine)
         self._set_victim(engine, state)
-        return LoadOrder(engine.name, ask.adapter, version, option.evicted)
+        return LoadOrder(engine.name, adapter, version, option.evicted)
 
     # Book-keeping
 
--- a/sequoiafall/engine_pool.py
+++ b/sequoiafall/engine_pool.py
@@ -16,6 +16,8 @@
 WARM_ADAPTERS = 32
 # Prompt tokens that an engine reads in a second, shared by all its requests.
 PREFILL_TOKENS_PER_S = 25_000.0
+# An engine answers an order within a few ms, if it does.
+ORDER_ANSWER_S = 0.05
 # A base model that is not there this long after its order is ordered again.
 MODEL_LOAD_LIMIT_S = 6.0
 # Weight of the newest outcome in an engine's share of failures.
@@ -166,6 +168,15 @@
             if slot.state is not SlotState.RESIDENT
         )
 
+    def finish_loads(self, now: float) -> None:
+        """Take the loads whose expected time has passed for ended."""
+        for slot in self.slots_by_adapter.values():
+            is_over = not slot.is_ordered and now >= slot.ready_at
+            if slot.state is SlotState.LOADING and is_over:
+                slot.state = SlotState.RESIDENT
+                slot.changed_at = now
+                self.remember(slot.adapter, slot.version)
+
     def is_warm(self, adapter: str, version: int) -> bool:
         """Whether the engine held this version lately and still has its weights."""
         return (adapter, version) in self.warm
@@ -310,11 +321,16 @@
             engine.entry = entry
         return left
 
-    def transfers(self) -> int:
-        """Return the adapters on their way from the store to any engine."""
+    def transfers(self, now: float) -> int:
+        """Return the adapters on their way from the store to any engine.
+
+        An order that has not been answered for long has not started a transfer.
+        """
         return sum(
             1
             for engine in self.engines_by_name.values()
             for slot in engine.slots_by_adapter.values()
-            if slot.state is not SlotState.RESIDENT and slot.from_store
+            if slot.from_store
+            and slot.state is SlotState.LOADING
+            and not (slot.is_ordered and now - slot.changed_at > ORDER_ANSWER_S)
         )
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomised soak: real programs, faults from outside, promises checked."""
--- a/tests/test_engine_planner.py
+++ b/tests/test_engine_planner.py
@@ -155,6 +155,26 @@
         driver.run(0.5)
         self.assertEqual({row.server for row in driver.granted.values()}, {"e0", "e1"})
 
+    def test_hot_adapter_is_loaded_elsewhere_before_its_prompts_queue(self):
+        """A fifth of all requests ask for one adapter: no request waits for it."""
+        driver = Driver(engines=4)
+        for number in range(80):
+            driver.ask(f"r{number}", "hot", prompt_tokens=2000)
+            driver.run(0.1)
+            driver.end(f"r{number - 2}")
+        holders = [name for name, held in driver.held.items() if "hot" in held]
+        self.assertGreaterEqual(len(holders), 2)
+        late = [row for row in list(driver.granted.values())[20:] if row.waited_s > 0.1]
+        self.assertEqual(late, [])
+
+    def test_rare_adapter_is_loaded_once(self):
+        driver = Driver(engines=4)
+        for number in range(20):
+            driver.ask(f"r{number}", "rare", prompt_tokens=2000)
+            driver.run(1.0)
+            driver.end(f"r{number}")
+        self.assertEqual(len(driver.orders), 1)
+
     @parameterized.expand([("failed",), ("broken",), ("unreachable",)])
     def test_engine_that_fails_gets_less(self, outcome):
         """A grey engine answers its health check and fails its requests."""
@@ -298,7 +318,9 @@
                 driver.end(request_id, rng.choice(("ok", "ok", "ok", "not_run")))
             if rng.random() < 0.05:
                 driver.report_all()
-            self.assertLessEqual(driver.planner.pool.transfers(), MAX_TRANSFERS)
+            self.assertLessEqual(
+                driver.planner.pool.transfers(driver.now), MAX_TRANSFERS
+            )
         self.assertLessEqual(driver.most_held, SLOTS)
         self.assertGreater(len(driver.granted), 100)
 
