--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import xxhash
 from mode import Service
 from returns.result import Failure, Success
 
@@ -51,6 +52,11 @@
 READ_DELAY_S = 0.2
 # Between two steps of an election; each reads the lease row.
 ELECTION_INTERVAL_S = 0.15
+# Members act one after the other when the leader is lost, in an order that
+# changes with each term: the first one that succeeds tells the others, and the
+# store is not read by all of them at once.
+RANK_DELAY_S = 0.02
+RANK_DELAY_MAX_S = 1.5
 # Spread of candidates, so that their writes do not collide.
 ELECTION_JITTER_S = 0.15
 # A feed of changes waits this long at the store. A connection that went silent
@@ -130,6 +136,9 @@
         self._heard_at = 0.0
         self._leader_refuses = False
         self._should_poll = False
+        self._lost_at = boot_time()
+        self._rank_delay_s = 0.0
+        self._last_term = 0
         self._lost_logged = True
         self._pending_tokens: dict[str, int] = {}
         self._pending_ends: list[Any] = []
@@ -351,15 +360,35 @@
                     continue
                 if self._leader_term or self._should_poll:
                     await self._poll_leader()
-                if self.has_leader and self._leader_reaches_store:
+                if self._has_good_leader():
+                    self._lost_at = 0.0
                     await asyncio.sleep(self._poll_interval_s())
                     continue
-                if not self.is_leaving:
+                self._note_lost()
+                if self._is_my_turn() and not self.is_leaving:
                     await self._stand()
+                    await asyncio.sleep(self._rank_delay_s)
             except Exception as error:
                 log_warning("fleet_step_failed", error=repr(error))
             await asyncio.sleep(ELECTION_INTERVAL_S)
 
+    def _has_good_leader(self) -> bool:
+        return self.has_leader and self._leader_reaches_store
+
+    def _note_lost(self) -> None:
+        if self._lost_at:
+            return
+        self._lost_at = boot_time()
+        names = [row.instance for row in self.members]
+        seed = str(self._last_term)
+        names.sort(key=lambda name: xxhash.xxh64_intdigest(f"{seed} {name}".encode()))
+        own = self.settings.instance
+        rank = names.index(own) if own in names else 0
+        self._rank_delay_s = min(RANK_DELAY_MAX_S, rank * RANK_DELAY_S)
+
+    def _is_my_turn(self) -> bool:
+        return boot_time() - self._lost_at >= self._rank_delay_s
+
     async def _poll_leader(self) -> None:
         client = self._leader
         self._should_poll = False
@@ -441,7 +470,7 @@
                 members=len(reply.members),
             )
         self._lost_logged = False
-        self._leader_term = reply.term
+        self._leader_term = self._last_term = reply.term
         self._leader_revision = reply.revision
         self._leader_newest = reply.newest_by_table
         if not reply.reaches_store:
@@ -686,7 +715,9 @@
         delay_s = FIRST_READ_DELAY_S if is_first else READ_DELAY_S
         if boot_time() - self._started_at < delay_s:
             return False
-        return not (self.has_leader and self._leader_reaches_store)
+        if self._has_good_leader():
+            return False
+        return not self._lost_at or self._is_my_turn()
 
     async def _follow_table(self, table: str, interval_s: float) -> None:
         cursor = -1
