Let each settled report decide which adapters an engine holds

Cause: slots taken over from a new leader's first report were not reconciled for 0.35 s; one that the former leader had just unloaded was evicted again in its place, and the engine got a seventh adapter.

--- a/sequoiafall/engine_pool.py
+++ b/sequoiafall/engine_pool.py
@@ -246,9 +246,10 @@
             self.clear()
         self.born = report.born or self.born
         before = now - REPORT_LAG_S
+        is_settled = self.is_settled(now)
         self._observe_model(report, before)
         for name, slot in list(self.slots_by_adapter.items()):
-            if slot.changed_at > before or slot.is_ordered:
+            if slot.is_ordered or (slot.changed_at > before and not is_settled):
                 continue
             held = report.resident.get(name)
             if held is not None:
@@ -262,7 +263,7 @@
                 slot.ready_at = max(slot.ready_at, now)
             elif report.sequence > slot.sequence:
                 del self.slots_by_adapter[name]
-        if self.is_settled(now):
+        if is_settled:
             self.is_known = True
             self._adopt(report, now)
         return restarted
--- a/tests/test_engine_planner.py
+++ b/tests/test_engine_planner.py
@@ -302,6 +302,23 @@
         driver.run(0.01)
         self.assertEqual(driver.orders[0].evicted, "b1")
 
+    def test_second_report_after_a_change_of_leader_counts(self):
+        """The first report was older than the last leader's last order.
+
+        Soak seed 56: an adapter that was gone stayed in the book, was evicted
+        once more in its place, and the engine got a seventh one.
+        """
+        driver = Driver(engines=1, slots=2)
+        driver.held["e0"] = {"gone": 1, "kept": 1}
+        driver.now += 1.0
+        driver.report_all()
+        driver.held["e0"] = {"new": 1, "kept": 1}
+        driver.sequence["e0"] = 2
+        driver.now += 0.25
+        driver.report_all()
+        engine = driver.planner.pool.engines_by_name["e0"]
+        self.assertEqual(set(engine.slots_by_adapter), {"new", "kept"})
+
     @parameterized.expand([(seed,) for seed in range(12)])
     def test_random_load_never_exceeds_the_slots(self, seed):
         """Skewed demand with failures, reports and restarts of engines."""
