--- a/soak/run.py
+++ b/soak/run.py
@@ -38,7 +38,6 @@
 SETTLE_S = 15.0
 CALLS_PER_S = 30.0
 DEADLINE_S = 4.0
-_nets = itertools.count(os.getpid() % 200)
 
 
 class CheckedEngine(AdapterEngine):
@@ -63,7 +62,9 @@
         self.seed = seed
         self.random = random.Random(seed)
         self.folder = folder
-        self.net = f"127.{10 + seed % 200}.{next(_nets) % 250}"
+        # Runs beside each other must not take the same addresses.
+        place = random.Random(f"{os.getpid()} {seed}")
+        self.net = f"127.{place.randrange(200, 255)}.{place.randrange(250)}"
         self.store = RowServer(seed)
         self.engines: list[CheckedEngine] = []
         self.addresses: dict[str, str] = {}
@@ -467,8 +468,8 @@
         return statuses == [200, 401]
 
 
-async def play(seed: int, folder: Path) -> Soak:
-    """Play one seed and return it with its findings."""
+async def play(seed: int, folder: Path, play_s: float = PLAY_S) -> Soak:
+    """Play one seed for some seconds and return it with its findings."""
     soak = Soak(seed, folder)
     try:
         await soak.start()
@@ -478,7 +479,7 @@
                 if await soak.all_ready(session):
                     break
                 await asyncio.sleep(0.1)
-        until = time.monotonic() + PLAY_S
+        until = time.monotonic() + play_s
         await asyncio.gather(soak.traffic(until), soak.faults(until))
         await soak.settle()
     finally:
--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -100,7 +100,7 @@
 
     async def asyncSetUp(self):
         number = next(_fleets)
-        self._net = f"127.{1 + os.getpid() % 250}.{number}"
+        self._net = f"127.{1 + os.getpid() % 199}.{number}"
         self._runners = []
         self.nodes = []
         self.engines = {}
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,61 @@
+"""A short run of the soak with fixed seeds, and a check that it can fail."""
+
+import asyncio
+import tempfile
+import unittest
+from pathlib import Path
+
+from parameterized import parameterized
+
+from soak.run import Soak, play
+
+PLAY_S = 4.0
+
+
+class SoakTest(unittest.TestCase):
+    """Processes are killed, paused and cut off while callers call."""
+
+    @parameterized.expand([(3,), (56,)])
+    def test_seed(self, seed):
+        with tempfile.TemporaryDirectory() as folder:
+            soak = asyncio.run(play(seed, Path(folder), PLAY_S))
+        self.assertEqual(soak.findings, [])
+        self.assertGreater(soak.answers["200"], 20)
+
+
+class CheckTest(unittest.TestCase):
+    """Each promise that the soak checks can be found broken."""
+
+    @parameterized.expand(
+        [
+            ("order ran twice", "order", 200, b"done:b", 2, "ran 2 times"),
+            ("refused and ran", "order", 503, b"", 1, "answered 503 and ran"),
+            ("other body", "order", 200, b"x", 1, "body"),
+            ("event missing", "draft", 200, b"id: 1\n\nid: 3\n\n", 1, "events"),
+            ("denied", "look", 404, b"", 0, "denied"),
+        ]
+    )
+    def test_broken_promise(self, _name, kind, status, body, runs, expected):
+        from soak.run import CheckedEngine
+
+        soak = Soak(1, Path())
+        engine = CheckedEngine("e1", "base")
+        soak.engines.append(engine)
+        engine.runs["r1"] = runs
+        soak._check("r1", kind, "org-1", status, body)
+        self.assertEqual(len(soak.findings), 1)
+        self.assertIn(expected, soak.findings[0])
+
+    def test_request_that_ran_for_another_organisation(self):
+        from sequoiafall.platform import names
+        from soak.run import KEYS, CheckedEngine
+
+        soak = Soak(1, Path())
+        engine = CheckedEngine("d1")
+        soak.engines.append(engine)
+        engine.headers_by_request["r1"] = {
+            names.ORGANISATION: "org-2",
+            "X-Other": KEYS["org-1"],
+        }
+        soak._check("r1", "order", "org-1", 200, b"done:b")
+        self.assertEqual(len(soak.findings), 2)
