--- a/sequoiafall/engine_planner.py
+++ b/sequoiafall/engine_planner.py
@@ -68,8 +68,7 @@
 RESERVED_TRANSFERS = 2
 # A load that failed is not tried again on the same engine for this long.
 FAILED_LOAD_PAUSE_S = 0.6
-# A request is sent to the engine again this often after "not run" answers.
-MAX_NOT_READY = 3
+# A slot whose engine answered "not run" is tried again after this time.
 NOT_READY_DELAY_S = 0.03
 # A place that was granted this recently may not have reached its gateway yet.
 GRANT_DELIVERY_S = 0.6
@@ -157,9 +156,7 @@
     arrived_at: float
     on_time_until: float
     refuse_at: float
-    not_before: float = 0.0
     bound_to: str = ""
-    not_ready: int = 0
 
 
 @dataclass(slots=True)
@@ -440,8 +437,6 @@
             due = self._dispatched_at + DISPATCH_INTERVAL_S
         for waiting in self._waiting_by_id.values():
             due = min(due, waiting.refuse_at)
-            if waiting.not_before > now:
-                due = min(due, waiting.not_before)
             if waiting.bound_to:
                 slot = self._slot_of(waiting)
                 if slot is not None:
@@ -549,8 +544,6 @@
 
     def _advance(self, waiting: _Waiting, state: _Round) -> list[Action]:
         now = state.now
-        if waiting.not_before > now:
-            return []
         if waiting.bound_to:
             return self._advance_bound(waiting, now)
         option = self._best_option(waiting.ask, state)
--- a/sequoiafall/node.py
+++ b/sequoiafall/node.py
@@ -31,6 +31,8 @@
 ACCEPT_SHARE = 0.8
 # Lifetime of a directory answer.
 DIRECTORY_LIFE_S = 1.5
+# Time for connections that are left when the process ends.
+CLOSE_TIMEOUT_S = 0.1
 # Instances in one directory answer.
 MAX_ADDRESSES = 64
 # Fewer instances than this in a caller's zone are filled up from other zones.
@@ -128,7 +130,6 @@
         if left:
             log_warning("requests_cut", count=left)
         for runner in self._runners:
-            runner._shutdown_timeout = 0.1
             await runner.cleanup()
         await self._control.close()
         await self._store.close()
@@ -139,6 +140,11 @@
         """Whether callers may use this instance."""
         return self.fleet.catalog is not None and not self.fleet.is_leaving
 
+    @property
+    def directory_life_s(self) -> float:
+        """Seconds for which callers may keep a directory answer."""
+        return min(DIRECTORY_LIFE_S, self.settings.directory_life_s)
+
     def addresses_for(self, zone: str) -> list[str]:
         """Return the addresses that callers of an availability zone should use."""
         members = self.fleet.ready_members()
@@ -156,6 +162,8 @@
             keepalive_timeout=KEEP_ALIVE_S,
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
+            # Open requests are waited for by `on_stop`.
+            shutdown_timeout=CLOSE_TIMEOUT_S,
         )
         await runner.setup()
         self._runners.append(runner)
--- a/sequoiafall/platform/applications.py
+++ b/sequoiafall/platform/applications.py
@@ -4,7 +4,7 @@
 
 from aiohttp import web
 
-from ..node import DIRECTORY_LIFE_S, Node
+from ..node import Node
 from . import names
 
 
@@ -28,7 +28,7 @@
             addresses = node.addresses_for(request.query.get("zone", ""))
             if not addresses:
                 return web.Response(status=503)
-            body = {"addresses": addresses, "ttl_s": DIRECTORY_LIFE_S}
+            body = {"addresses": addresses, "ttl_s": node.directory_life_s}
             return web.json_response(body)
 
         application = web.Application()
--- a/sequoiafall/platform/node_file.py
+++ b/sequoiafall/platform/node_file.py
@@ -29,12 +29,12 @@
         if value is None:
             if default is not None:
                 return default
-            self._find(path, kind, "")
+            self.find(path, kind, "")
             return kind()
         if kind is float and isinstance(value, int) and not isinstance(value, bool):
             return float(value)
         if not isinstance(value, kind):
-            self._find(path, kind, str(value))
+            self.find(path, kind, str(value))
             return default if default is not None else kind()
         return value
 
@@ -42,10 +42,11 @@
         """Return a ``host:port``."""
         text = str(self.get(path, str, None if is_required else ""))
         if text and not text.rpartition(":")[2].isdigit():
-            self._find(path, str, text, "host:port")
+            self.find(path, str, text, "host:port")
         return text
 
-    def _find(self, path: str, kind: type, found: str, expected: str = "") -> None:
+    def find(self, path: str, kind: type, found: str, expected: str = "") -> None:
+        """Note a finding."""
         expected = expected or f"a value of type {kind.__name__}"
         self.findings.append(Finding(f"{self._place}: {path}", expected, found))
 
@@ -65,7 +66,7 @@
     reader = _Reader(path, content)
     ports = reader.get("internal_ports", list)
     if len(ports) < 2 or not all(isinstance(port, int) for port in ports):
-        reader._find("internal_ports", list, str(ports), "two port numbers")
+        reader.find("internal_ports", list, str(ports), "two port numbers")
         ports = [0, 0]
     seeds = reader.get("seeds", list, [])
     settings = NodeSettings(
@@ -83,9 +84,7 @@
         directory_life_s=reader.get("bounds.ttl_max_s", float, 5.0),
         retry_share=reader.get("bounds.retry_budget_ratio", float, 0.2),
         retry_extra=reader.get("bounds.budget_extra_retries", float, 100.0),
-        retry_window_s=reader.get("bounds.budget_window_s", float, 10.0),
         is_fenced=reader.get("bounds.fencing_enforced", bool, True),
-        lease_s=reader.get("bounds.lease_ms", float, 3000.0) / 1e3,
         core_share=reader.get("limits.cpu_share", float, 1.0),
         is_first_start=reader.get("bootstrap", bool, False),
     )
--- a/sequoiafall/serving_ports.py
+++ b/sequoiafall/serving_ports.py
@@ -226,13 +226,11 @@
         Time between the signal to stop and the end of the process.
     directory_life_s : float
         Longest time for which callers keep a directory answer.
-    retry_share, retry_extra, retry_window_s : float
+    retry_share, retry_extra : float
         Budget of repeats of all instances: share of the requests, plus a number
-        in each window.
+        in each window of some seconds.
     is_fenced : bool
         Whether engines check fencing tokens.
-    lease_s : float
-        Time within which two holders may not take turns.
     core_share : float
         Share of a core that the instance has.
     is_first_start : bool
@@ -253,8 +251,6 @@
     directory_life_s: float = 5.0
     retry_share: float = 0.2
     retry_extra: float = 100.0
-    retry_window_s: float = 10.0
     is_fenced: bool = True
-    lease_s: float = 3.0
     core_share: float = 1.0
     is_first_start: bool = False
--- a/sequoiafall/wire/gen/ttypes.py
+++ b/sequoiafall/wire/gen/ttypes.py
@@ -4522,12 +4522,10 @@
      - pool
      - adapter
      - prompt_tokens
-     - output_tokens
      - cost_tokens
      - rank
      - on_time_ms
      - time_left_ms
-     - returned
      - zone
      - excluded
      - charged
@@ -4542,12 +4540,10 @@
         'pool',
         'adapter',
         'prompt_tokens',
-        'output_tokens',
         'cost_tokens',
         'rank',
         'on_time_ms',
         'time_left_ms',
-        'returned',
         'zone',
         'excluded',
         'charged',
@@ -4556,18 +4552,16 @@
     )
 
 
-    def __init__(self, request_id=None, organisation=None, pool=None, adapter=None, prompt_tokens=None, output_tokens=None, cost_tokens=None, rank=None, on_time_ms=None, time_left_ms=None, returned=None, zone=None, excluded=None, charged=None, term=None, instance=None,):
+    def __init__(self, request_id=None, organisation=None, pool=None, adapter=None, prompt_tokens=None, cost_tokens=None, rank=None, on_time_ms=None, time_left_ms=None, zone=None, excluded=None, charged=None, term=None, instance=None,):
         self.request_id = request_id
         self.organisation = organisation
         self.pool = pool
         self.adapter = adapter
         self.prompt_tokens = prompt_tokens
-        self.output_tokens = output_tokens
         self.cost_tokens = cost_tokens
         self.rank = rank
         self.on_time_ms = on_time_ms
         self.time_left_ms = time_left_ms
-        self.returned = returned
         self.zone = zone
         self.excluded = excluded
         self.charged = charged
@@ -4608,11 +4602,6 @@
                     self.prompt_tokens = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 6:
-                if ftype == TType.I32:
-                    self.output_tokens = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.I32:
                     self.cost_tokens = iprot.readI32()
@@ -4633,11 +4622,6 @@
                     self.time_left_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 11:
-                if ftype == TType.BOOL:
-                    self.returned = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.STRING:
                     self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
@@ -4698,10 +4682,6 @@
             oprot.writeFieldBegin('prompt_tokens', TType.I32, 5)
             oprot.writeI32(self.prompt_tokens)
             oprot.writeFieldEnd()
-        if self.output_tokens is not None:
-            oprot.writeFieldBegin('output_tokens', TType.I32, 6)
-            oprot.writeI32(self.output_tokens)
-            oprot.writeFieldEnd()
         if self.cost_tokens is not None:
             oprot.writeFieldBegin('cost_tokens', TType.I32, 7)
             oprot.writeI32(self.cost_tokens)
@@ -4718,10 +4698,6 @@
             oprot.writeFieldBegin('time_left_ms', TType.I32, 10)
             oprot.writeI32(self.time_left_ms)
             oprot.writeFieldEnd()
-        if self.returned is not None:
-            oprot.writeFieldBegin('returned', TType.BOOL, 11)
-            oprot.writeBool(self.returned)
-            oprot.writeFieldEnd()
         if self.zone is not None:
             oprot.writeFieldBegin('zone', TType.STRING, 12)
             oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
@@ -5439,12 +5415,12 @@
     (3, TType.STRING, 'pool', 'UTF8', None, ),  # 3
     (4, TType.STRING, 'adapter', 'UTF8', None, ),  # 4
     (5, TType.I32, 'prompt_tokens', None, None, ),  # 5
-    (6, TType.I32, 'output_tokens', None, None, ),  # 6
+    None,  # 6
     (7, TType.I32, 'cost_tokens', None, None, ),  # 7
     (8, TType.I32, 'rank', None, None, ),  # 8
     (9, TType.I32, 'on_time_ms', None, None, ),  # 9
     (10, TType.I32, 'time_left_ms', None, None, ),  # 10
-    (11, TType.BOOL, 'returned', None, None, ),  # 11
+    None,  # 11
     (12, TType.STRING, 'zone', 'UTF8', None, ),  # 12
     (13, TType.LIST, 'excluded', (TType.STRING, 'UTF8', False), None, ),  # 13
     (14, TType.BOOL, 'charged', None, None, ),  # 14
--- a/sequoiafall/wire/sequoiafall.thrift
+++ b/sequoiafall/wire/sequoiafall.thrift
@@ -338,12 +338,10 @@
   3: string pool
   4: string adapter
   5: i32 prompt_tokens
-  6: i32 output_tokens
   7: i32 cost_tokens
   8: i32 rank
   9: i32 on_time_ms
   10: i32 time_left_ms
-  11: bool returned
   12: string zone
   13: list<string> excluded
   14: bool charged
