--- /dev/null
+++ b/bench/leader.py
@@ -0,0 +1,82 @@
+"""Slopes of the leader on the users' platform: ``python -m bench.leader``."""
+
+from __future__ import annotations
+
+import random
+import time
+
+from sequoiafall.backend_registry import BackendEntry
+from sequoiafall.channel import decode_struct, encode_struct
+from sequoiafall.engine_planner import Ask, EnginePlanner, GrantPlace, LoadOrder
+from sequoiafall.engine_pool import EngineReport
+from sequoiafall.wire.gen import ttypes
+
+REQUESTS = 4000
+ENGINES = (6, 35, 70, 140)
+# Requests a second for each engine, as on the grown sites.
+RATE_PER_ENGINE = 6.0
+RUN_S = 0.4
+
+
+def _play(engines: int) -> tuple[float, int]:
+    """Return the seconds of processor time for each request, and the loads."""
+    rng = random.Random(engines)
+    planner = EnginePlanner("assist")
+    entries = [
+        BackendEntry(f"e{n}", "assist", f"10.0.0.{n}:1", f"z{n % 3}", 64, False)
+        for n in range(engines)
+    ]
+    now, loads, spent = 100.0, 0, 0.0
+    planner.set_entries(entries, 6, now)
+    report = EngineReport(0, {}, {}, 0, 0, models=frozenset({"base"}))
+    for entry in entries:
+        planner.on_report(entry.name, report, now)
+    ends: list[tuple[float, str]] = []
+    for number in range(REQUESTS):
+        now += rng.expovariate(RATE_PER_ENGINE * engines)
+        adapter = f"a{int(rng.paretovariate(0.5))}"
+        ask = Ask(f"r{number}", "o", "g", "z1", adapter, 2000, 1, 0.8, 4.0)
+        due = [request_id for at, request_id in ends if at <= now]
+        ends = [item for item in ends if item[0] > now]
+        started = time.process_time()
+        actions = planner.tick(now) + planner.submit(ask, now)
+        for request_id in due:
+            actions += planner.end(request_id, "ok", now)
+        for action in actions:
+            if isinstance(action, GrantPlace):
+                ends.append((now + RUN_S, action.request_id))
+            elif isinstance(action, LoadOrder):
+                loads += 1
+                planner.on_ordered(action, True, now)
+        spent += time.process_time() - started
+    return spent / REQUESTS, loads
+
+
+def _poll() -> tuple[float, int]:
+    """Return the processor time and bytes of one poll and its answer."""
+    member = ttypes.FleetMember("node-1", 1, "z1", "10.0.0.1:1", "10.0.0.1:2", True)
+    poll = ttypes.FleetPoll(member, 7, 3, {"org": 200}, [], [], {}, False, 5)
+    reply = ttypes.FleetPollReply(
+        True, 7, 3, [], [], [], True, {"op": 9, "servers": 8}, "10.0.0.2:2", 9, 5
+    )
+    started = time.process_time()
+    for _ in range(2000):
+        size = 0
+        for message in (poll, reply):
+            data = encode_struct(message)
+            size += len(data)
+            decode_struct(type(message), data)
+    return (time.process_time() - started) / 2000, size
+
+
+def main() -> None:
+    """Print the slopes."""
+    for engines in ENGINES:
+        seconds, loads = _play(engines)
+        print(f"engines={engines} place_us={seconds * 1e6:.0f} loads={loads}")
+    seconds, size = _poll()
+    print(f"poll_us={seconds * 1e6:.0f} poll_bytes={size} (without frame and TCP)")
+
+
+if __name__ == "__main__":
+    main()
