Say truly how long a lost leader has been silent

Cause: a question that found its connection lost set the time of the last answer to zero, so leader_lost named a silence of hours. Change: a flag of its own.

--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -135,6 +135,8 @@
         self._leader_reaches_store = False
         self._heard_at = 0.0
         self._leader_refuses = False
+        # A question to the leader found its connection lost.
+        self._leader_failed = False
         self._should_poll = False
         self._lost_at = boot_time()
         self._rank_delay_s = 0.0
@@ -203,7 +205,7 @@
         """Whether a leader answers, or this instance leads."""
         if self.tenure.leads:
             return True
-        if self._leader is None or not self._leader_term:
+        if self._leader is None or not self._leader_term or self._leader_failed:
             return False
         silence_s = LEADER_SILENCE_POLLS * self._poll_interval_s()
         return boot_time() - self._heard_at < silence_s
@@ -252,7 +254,7 @@
         if isinstance(result, Success):
             return result.unwrap()
         if not client.connected:
-            self._heard_at = 0.0
+            self._leader_failed = True
         return None
 
     def end_place(self, end: Any) -> None:
@@ -477,6 +479,7 @@
             self._outage_at = boot_time()
         self._leader_reaches_store = reply.reaches_store
         self._heard_at = boot_time()
+        self._leader_failed = False
         if reply.reaches_store:
             self._watch.on_leader(reply.lease_version, self._heard_at)
         self._leader_refuses = False
