Take an unreadable answer of the store for unknown, not for empty

Cause: PlatformRowStore turned an answer that is no JSON, or a row whose value is no base64, into an empty one without a log line.

Change: answers are decoded into typed structs. What cannot be read is Unavailable for a read and Unknown for a write, counted as a failure and logged once with the call and the decoder's reason; the lease settles Unknown by reading the row. An unreadable lease row is logged as well.

--- a/sequoiafall/lease.py
+++ b/sequoiafall/lease.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from .chart import Lifecycle
+from .log import log_event
 from .row_store import StoreRow
 
 LEASE_TABLE = "fleet"
@@ -50,7 +51,8 @@
             return None
         try:
             return msgspec.json.decode(row.value, type=cls)
-        except msgspec.DecodeError:
+        except msgspec.DecodeError as error:
+            log_event("lease_unreadable", row_version=row.version, reason=str(error))
             return None
 
 
--- a/sequoiafall/platform/store.py
+++ b/sequoiafall/platform/store.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import base64
-import binascii
 from typing import Any
 
 import aiohttp
 import msgspec
 from returns.result import Failure, Result, Success
 
+from ..log import log_event
 from ..platform_client import Unavailable, Unknown
 from ..row_store import HistoryLost, Rejected, Rows, RowStore, StoreRow
 from . import names
@@ -19,6 +19,35 @@
 ANSWER_TIMEOUT_S = 0.9
 # Rows in one answer, by the platform's protocol.
 PAGE_ROWS = 500
+# Of a decoder's message in a log line.
+MAX_REASON_CHARS = 120
+
+
+class _Row(msgspec.Struct):
+    """A row as the store sends it; `value` is base64 on the wire."""
+
+    table: str
+    key: str
+    row_version: int
+    part: str = ""
+    value: bytes | None = None
+    deleted: bool = False
+
+
+class _Answer(msgspec.Struct):
+    """Any answer of the store; each call sends some of the fields."""
+
+    row_version: int = 0
+    rows: list[_Row] = []
+    has_more: bool = False
+
+    def store_rows(self) -> list[StoreRow]:
+        """Return the rows; sequoiafall uses the empty part alone."""
+        return [
+            StoreRow(row.table, row.key, row.value or b"", row.row_version, row.deleted)
+            for row in self.rows
+            if not row.part
+        ]
 
 
 class PlatformRowStore(RowStore):
@@ -50,7 +79,7 @@
         answer = await self._get(names.ROWS_PATH, query, ANSWER_TIMEOUT_S)
         if not isinstance(answer, Success):
             return _unavailable(answer)
-        rows = _rows_of(answer.unwrap())
+        rows = answer.unwrap().store_rows()
         return Success(rows[0] if rows and rows[0].key == key else None)
 
     async def scan(self, table: str) -> Result[Rows, Unavailable]:
@@ -63,11 +92,11 @@
             if not isinstance(answer, Success):
                 return _unavailable(answer)
             body = answer.unwrap()
-            page = _rows_of(body)
+            page = body.store_rows()
             rows.extend(page)
             if version < 0:
-                version = int(body.get("row_version", 0))
-            if not body.get("has_more") or not page:
+                version = body.row_version
+            if not body.has_more or not page:
                 return Success(Rows(rows, version))
             # The range includes its first key; a zero byte makes the next one.
             query["from"] = page[-1].key + "\0"
@@ -82,7 +111,7 @@
             failure = answer.failure()
             return Failure(HistoryLost() if failure == 410 else _reason(failure))
         body = answer.unwrap()
-        return Success(Rows(_rows_of(body), int(body.get("row_version", after))))
+        return Success(Rows(body.store_rows(), body.row_version or after))
 
     async def replace(
         self, table: str, key: str, value: bytes, version: int
@@ -110,17 +139,25 @@
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             self.failures += 1
             return Failure(Unknown(type(error).__name__))
-        if response.status == 200:
-            return Success(int(_decode(content).get("row_version", 0)))
+        if response.status not in (200, 412):
+            self.failures += 1
+            return Failure(Unavailable(f"status {response.status}"))
+        answer = _decode(names.TRANSACTION_PATH, content)
+        if not isinstance(answer, Success):
+            self.failures += 1
+            return Failure(Unknown(answer.failure()))
         if response.status == 412:
-            rows = _rows_of(_decode(content))
+            rows = answer.unwrap().store_rows()
             return Failure(Rejected(rows[0] if rows else None))
-        self.failures += 1
-        return Failure(Unavailable(f"status {response.status}"))
+        written = answer.unwrap().row_version
+        if written <= 0:
+            self.failures += 1
+            return Failure(Unknown("the answer names no version"))
+        return Success(written)
 
     async def _get(
         self, path: str, query: dict[str, str], timeout_s: float
-    ) -> Result[dict[str, Any], int | str]:
+    ) -> Result[_Answer, int | str]:
         self.calls += 1
         try:
             async with self._open().get(
@@ -133,7 +170,10 @@
         if response.status != 200:
             self.failures += 1
             return Failure(response.status)
-        return Success(_decode(content))
+        decoded = _decode(path, content)
+        if not isinstance(decoded, Success):
+            self.failures += 1
+        return decoded
 
     def _open(self) -> aiohttp.ClientSession:
         if self._session is None:
@@ -160,30 +200,12 @@
     return Failure(_reason(answer.failure()))
 
 
-def _decode(content: bytes) -> dict[str, Any]:
+def _decode(path: str, content: bytes) -> Result[_Answer, str]:
     try:
-        body = msgspec.json.decode(content)
-    except msgspec.DecodeError:
-        return {}
-    return body if isinstance(body, dict) else {}
-
-
-def _rows_of(body: dict[str, Any]) -> list[StoreRow]:
-    rows = []
-    for item in body.get("rows") or ():
-        if not isinstance(item, dict) or item.get("part"):
-            continue
-        try:
-            value = base64.b64decode(item.get("value") or "")
-        except (binascii.Error, ValueError):
-            value = b""
-        rows.append(
-            StoreRow(
-                str(item.get("table", "")),
-                str(item.get("key", "")),
-                value,
-                int(item.get("row_version", 0)),
-                bool(item.get("deleted", False)),
-            )
+        return Success(msgspec.json.decode(content, type=_Answer))
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        reason = str(error)[:MAX_REASON_CHARS]
+        log_event(
+            "store_answer_unreadable", path=path, bytes=len(content), reason=reason
         )
-    return rows
+        return Failure(f"the answer cannot be read: {reason}")
