Keep the index of holders and victims from one decision to the next

Change: slots are changed through the engine alone, which notes itself as changed or moving in the pool's SlotIndex; victims are computed for changed engines only.

--- a/bench/leader.py
+++ b/bench/leader.py
@@ -7,8 +7,9 @@
 
 from sequoiafall.backend_registry import BackendEntry
 from sequoiafall.channel import decode_struct, encode_struct
-from sequoiafall.engine_planner import Ask, EnginePlanner, GrantPlace, LoadOrder
+from sequoiafall.engine_planner import EnginePlanner
 from sequoiafall.engine_pool import EngineReport
+from sequoiafall.place_ask import Ask, GrantPlace, LoadOrder
 from sequoiafall.wire.gen import ttypes
 
 REQUESTS = 4000
--- /dev/null
+++ b/sequoiafall/engine_choice.py
@@ -0,0 +1,368 @@
+"""Chooses the engine for a request, and what is loaded and evicted where."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from .engine_pool import (
+    PREFILL_TOKENS_PER_S,
+    Engine,
+    EnginePool,
+    EngineSlot,
+    SlotState,
+)
+from .place_ask import Ask, LoadOrder
+from .placement import REPLICA_HYSTERESIS, DecayedCounts
+from .placement_policy import PlacementPolicy
+
+# Time of a load from the weight store while at most `MAX_TRANSFERS` are under
+# way, and from the engine's own memory. Both from the deployments' sheets.
+COLD_LOAD_S = 0.25
+WARM_LOAD_S = 0.025
+# Adapters on their way to all engines, and to one engine, at full speed; the
+# deployments' sheets give 8 for 6 or 9 engines, 56 for 45 and 80 for 70.
+MAX_TRANSFERS = 8
+TRANSFERS_PER_ENGINE = 1.1
+MAX_TRANSFERS_PER_ENGINE = 4
+FEW_ENGINES = 10
+# Another availability zone costs bytes between zones and the way.
+ZONE_PRICE_S = 0.006
+# An engine that fails all its requests is as bad as this delay.
+FAILURE_PRICE_S = 2.0
+# Each running request makes the steps of an engine longer.
+RUNNING_PRICE_S = 0.001
+# Demand for adapters halves in this time: it shifts within seconds.
+DEMAND_HALF_LIFE_S = 12.0
+# Prompt tokens of an adapter are counted with this half-life, to see a shift of
+# demand within seconds.
+PROMPT_HALF_LIFE_S = 2.5
+# Between two further loads of one adapter.
+REPLICA_PAUSE_S = 0.3
+# Loads that callers wait for keep this many of the transfers.
+RESERVED_TRANSFERS = 2
+
+
+@dataclass(slots=True)
+class Option:
+    """An engine for a request, with what it costs.
+
+    Parameters
+    ----------
+    engine : Engine
+        The engine.
+    slot : EngineSlot or None
+        Slot that holds the adapter; None if it has to be loaded, or if the base
+        model is asked for.
+    start_s : float
+        Seconds until the adapter can be used.
+    cost_s : float
+        Estimated time with all prices, in seconds.
+    evicted : str
+        Adapter that makes room for the load.
+    is_cold : bool
+        Whether the weights come from the weight store.
+    """
+
+    engine: Engine
+    slot: EngineSlot | None
+    start_s: float
+    cost_s: float
+    evicted: str = ""
+    is_cold: bool = False
+
+
+class EngineChooser:
+    """Chooses by the least estimated time; it keeps what that needs.
+
+    Parameters
+    ----------
+    pool : EnginePool
+        The engines of the service.
+    policy : PlacementPolicy
+        What things are worth.
+    """
+
+    __slots__ = (
+        "_demand",
+        "_paused_loads",
+        "_policy",
+        "_pool",
+        "_prompts",
+        "_replicated_at",
+        "_transfers",
+        "_versions_by_adapter",
+        "_victims_by_name",
+    )
+
+    def __init__(self, pool: EnginePool, policy: PlacementPolicy) -> None:
+        self._pool = pool
+        self._policy = policy
+        self._demand = DecayedCounts(DEMAND_HALF_LIFE_S)
+        self._prompts = DecayedCounts(PROMPT_HALF_LIFE_S)
+        self._replicated_at: dict[str, float] = {}
+        self._versions_by_adapter: dict[str, int] = {}
+        self._paused_loads: dict[tuple[str, str], float] = {}
+        # The slot to evict, None if one is free; engines without either are left
+        # out. Looking at each slot for each request would take most of a core
+        # with 70 engines, so only engines that changed are looked at.
+        self._victims_by_name: dict[str, EngineSlot | None] = {}
+        self._transfers = 0
+
+    # Inputs
+
+    def set_version(self, adapter: str, version: int) -> None:
+        """Take over the newest version of an adapter; it never goes back."""
+        known = self._versions_by_adapter.get(adapter, 0)
+        self._versions_by_adapter[adapter] = max(known, version)
+        for engine in self._pool.slots.holders(adapter):
+            self._pool.slots.changed.add(engine.name)
+
+    def version_of(self, adapter: str) -> int:
+        """Return the newest declared version of an adapter, 1 if none is."""
+        return self._versions_by_adapter.get(adapter, 1) if adapter else 0
+
+    def note_ask(self, ask: Ask, now: float) -> None:
+        """Count the demand for an adapter."""
+        if ask.adapter:
+            self._demand.add(ask.adapter, 1.0, now)
+            self._prompts.add(ask.adapter, ask.prompt_tokens, now)
+
+    def pause_load(self, server: str, adapter: str, until: float) -> None:
+        """Do not load an adapter on an engine for a while."""
+        self._paused_loads[server, adapter] = until
+
+    def begin_round(self, now: float) -> None:
+        """Bring up to date what passes with time; at the start of each pass."""
+        self._pool.finish_loads(now)
+        self._transfers = self._pool.transfers(now)
+
+    # Decisions
+
+    def most_transfers(self) -> int:
+        """Return the adapters that may be on their way at full speed."""
+        engines = len(self._pool.engines_by_name)
+        if engines <= FEW_ENGINES:
+            return MAX_TRANSFERS
+        return int(TRANSFERS_PER_ENGINE * engines)
+
+    def fastest_load_s(self, adapter: str) -> float:
+        """Return the least time until an adapter is somewhere if a slot were free."""
+        if not adapter:
+            return 0.0
+        version = self.version_of(adapter)
+        for engine in self._pool.slots.holders(adapter):
+            if engine.slots_by_adapter[adapter].version == version:
+                return 0.0
+        engines = self._pool.engines_by_name.values()
+        is_warm = any(engine.is_warm(adapter, version) for engine in engines)
+        return WARM_LOAD_S if is_warm else COLD_LOAD_S
+
+    def best(self, ask: Ask, most_backlog_s: float, now: float) -> Option | None:
+        """Return the engine of least cost, None if the request has to wait.
+
+        Parameters
+        ----------
+        ask : Ask
+            The request.
+        most_backlog_s : float
+            Longest queue of prompts that it may join, in seconds.
+        now : float
+            Time in seconds.
+        """
+        if not ask.adapter:
+            options = [
+                Option(engine, None, 0.0, _engine_cost_s(engine, ask, now))
+                for engine in self._pool.engines_by_name.values()
+                if engine.takes_work(now)
+                and engine.running < engine.entry.slots
+                and engine.name not in ask.excluded
+                and engine.backlog_s(now) <= most_backlog_s
+            ]
+            return min(options, key=lambda option: option.cost_s, default=None)
+        version = self.version_of(ask.adapter)
+        best = self._best_holder(ask, version, most_backlog_s, now)
+        # Loading it once more costs at least this much.
+        if best is not None and best.cost_s <= WARM_LOAD_S:
+            return best
+        may_fetch = self._transfers < self.most_transfers()
+        for engine, victim in self._loadable(now):
+            if engine.backlog_s(now) > most_backlog_s:
+                continue
+            option = self._load_option(engine, victim, ask, version, now, may_fetch)
+            if option is not None and (best is None or option.cost_s < best.cost_s):
+                best = option
+        return best
+
+    def _best_holder(
+        self, ask: Ask, version: int, most_backlog_s: float, now: float
+    ) -> Option | None:
+        best: Option | None = None
+        for engine in self._pool.slots.holders(ask.adapter):
+            if not engine.takes_work(now) or engine.name in ask.excluded:
+                continue
+            slot = engine.slots_by_adapter[ask.adapter]
+            if slot.version != version or slot.state is SlotState.UNKNOWN:
+                continue
+            if engine.backlog_s(now) > most_backlog_s:
+                continue
+            cost_s = _engine_cost_s(engine, ask, now)
+            wait_s = 0.0
+            if slot.state is SlotState.LOADING:
+                wait_s = max(0.001, slot.ready_at - now)
+            if best is None or cost_s + wait_s < best.cost_s:
+                best = Option(engine, slot, wait_s, cost_s + wait_s)
+        return best
+
+    def _load_option(
+        self,
+        engine: Engine,
+        victim: EngineSlot | None,
+        ask: Ask,
+        version: int,
+        now: float,
+        may_fetch: bool,
+    ) -> Option | None:
+        is_cold = not engine.is_warm(ask.adapter, version)
+        if (is_cold and not may_fetch) or engine.name in ask.excluded:
+            return None
+        slot = engine.slots_by_adapter.get(ask.adapter)
+        if slot is not None:
+            # An older version is replaced only when it is idle.
+            if slot.version == version or slot.uses:
+                return None
+            if slot.state is not SlotState.RESIDENT:
+                return None
+            victim = None
+        if now < self._paused_loads.get((engine.name, ask.adapter), 0.0):
+            return None
+        load_s = COLD_LOAD_S if is_cold else WARM_LOAD_S
+        cost_s = _engine_cost_s(engine, ask, now) + load_s
+        cost_s += self._policy.cold_price_s if is_cold else 0.0
+        evicted = ""
+        if victim is not None:
+            evicted = victim.adapter
+            cost_s += self._policy.eviction_price_s * self._demand.rate_per_s(
+                evicted, now
+            )
+        return Option(engine, None, load_s, cost_s, evicted, is_cold)
+
+    def replica(self, adapter: str, now: float) -> Option | None:
+        """Return where to load an adapter once more, before its prompts queue up."""
+        if not adapter:
+            return None
+        share = self._prompts.rate_per_s(adapter, now) / PREFILL_TOKENS_PER_S
+        if share < self._policy.replica_share:
+            return None
+        version = self.version_of(adapter)
+        replicas = sum(
+            1
+            for engine in self._pool.slots.holders(adapter)
+            if engine.takes_work(now)
+            and engine.slots_by_adapter[adapter].version == version
+        )
+        if not replicas or share < self._policy.replica_share * replicas:
+            return None
+        if now - self._replicated_at.get(adapter, 0.0) < REPLICA_PAUSE_S:
+            return None
+        if self._transfers + RESERVED_TRANSFERS >= self.most_transfers():
+            return None
+        option = self._replica_option(adapter, version, replicas, now)
+        if option is not None:
+            self._replicated_at[adapter] = now
+        return option
+
+    def _replica_option(
+        self, adapter: str, version: int, replicas: int, now: float
+    ) -> Option | None:
+        demand = self._demand.get(adapter, now) / (replicas + 1)
+        best: Option | None = None
+        for engine, victim in self._loadable(now):
+            if adapter in engine.slots_by_adapter:
+                continue
+            if now < self._paused_loads.get((engine.name, adapter), 0.0):
+                continue
+            cost_s = engine.backlog_s(now) + FAILURE_PRICE_S * engine.failing(now)
+            evicted = ""
+            if victim is not None:
+                evicted = victim.adapter
+                lost = self._demand.get(evicted, now)
+                if lost * REPLICA_HYSTERESIS > demand:
+                    continue
+                cost_s += self._policy.eviction_price_s * self._demand.rate_per_s(
+                    evicted, now
+                )
+            is_cold = not engine.is_warm(adapter, version)
+            cost_s += self._policy.cold_price_s if is_cold else 0.0
+            if best is None or cost_s < best.cost_s:
+                best = Option(engine, None, 0.0, cost_s, evicted, is_cold)
+        return best
+
+    def begin_load(self, adapter: str, option: Option, now: float) -> LoadOrder:
+        """Take a slot for a load and return its order."""
+        engine = option.engine
+        version = self.version_of(adapter)
+        if option.evicted:
+            engine.drop_slot(option.evicted)
+        if option.is_cold:
+            self._transfers += 1
+        slot = EngineSlot(
+            adapter,
+            version,
+            SlotState.LOADING,
+            # Until the engine accepts the order, the load has no expected end.
+            now + 10.0,
+            now,
+            from_store=option.is_cold,
+            is_ordered=True,
+        )
+        engine.put_slot(slot)
+        engine.pending_orders += 1
+        return LoadOrder(engine.name, adapter, version, option.evicted)
+
+    # Victims
+
+    def _loadable(self, now: float) -> list[tuple[Engine, EngineSlot | None]]:
+        """Return the engines that can be told to load an adapter, and the victims."""
+        engines_by_name = self._pool.engines_by_name
+        victims_by_name = self._victims_by_name
+        changed = self._pool.slots.changed
+        for name in changed:
+            victims_by_name.pop(name, None)
+            engine = engines_by_name.get(name)
+            if engine is None or engine.in_transit() >= MAX_TRANSFERS_PER_ENGINE:
+                continue
+            if len(engine.slots_by_adapter) < engine.adapter_slots:
+                victims_by_name[name] = None
+                continue
+            victim = self._victim(engine, now)
+            if victim is not None:
+                victims_by_name[name] = victim
+        changed.clear()
+        return [
+            (engines_by_name[name], victim)
+            for name, victim in victims_by_name.items()
+            if engines_by_name[name].takes_orders(now)
+        ]
+
+    def _victim(self, engine: Engine, now: float) -> EngineSlot | None:
+        idle = [
+            slot
+            for slot in engine.slots_by_adapter.values()
+            if slot.state is SlotState.RESIDENT and slot.uses == 0
+        ]
+        if len(idle) < 2:
+            return idle[0] if idle else None
+        return min(
+            idle,
+            key=lambda slot: (
+                slot.version == self.version_of(slot.adapter),
+                self._demand.get(slot.adapter, now),
+                slot.used_at,
+            ),
+        )
+
+
+def _engine_cost_s(engine: Engine, ask: Ask, now: float) -> float:
+    zone_s = 0.0 if engine.entry.zone == ask.zone else ZONE_PRICE_S
+    failure_s = FAILURE_PRICE_S * engine.failing(now)
+    return engine.backlog_s(now) + zone_s + failure_s + RUNNING_PRICE_S * engine.running
--- a/sequoiafall/engine_planner.py
+++ b/sequoiafall/engine_planner.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from .backend_registry import BackendEntry
+from .engine_choice import COLD_LOAD_S, WARM_LOAD_S, EngineChooser, Option
 from .engine_pool import (
     PREFILL_TOKENS_PER_S,
     Engine,
@@ -19,56 +20,21 @@
     ModelState,
     SlotState,
 )
-from .placement import REPLICA_HYSTERESIS, DecayedCounts
+from .place_ask import Action, Ask, GrantPlace, LoadOrder, RefusePlace
+from .placement_policy import PlacementPolicy
 from .refusal import Reason
 
-# Time of a load from the weight store while at most `MAX_TRANSFERS` are under
-# way, and from the engine's own memory. Both from the deployments' sheets.
-COLD_LOAD_S = 0.25
-WARM_LOAD_S = 0.025
-# Adapters on their way to all engines, and to one engine, at full speed; the
-# deployments' sheets give 8 for 6 or 9 engines, 56 for 45 and 80 for 70.
-MAX_TRANSFERS = 8
-TRANSFERS_PER_ENGINE = 1.1
-MAX_TRANSFERS_PER_ENGINE = 4
-FEW_ENGINES = 10
 # Added to an estimated load before the first request is sent, for the way of
 # the order and the engine's rounding.
 LOAD_MARGIN_S = 0.012
-# A load from the weight store is priced about like 0.15 s of a caller's time.
-COLD_PRICE_S = 0.15
-# Another availability zone costs bytes between zones and the way.
-ZONE_PRICE_S = 0.006
-# An engine that fails all its requests is as bad as this delay.
-FAILURE_PRICE_S = 2.0
-# Weight of the demand for an adapter that would be evicted.
-EVICTION_PRICE_S = 0.25
 # Time between the start of reading a prompt and the first event at the caller.
 FIRST_EVENT_S = 0.06
-# A request whose first event would be late may wait this share of its time.
-LATE_WAIT_SHARE = 0.25
-LATE_WAIT_MAX_S = 1.2
-# A request that will be late joins a queue of prompts of at most this length, so
-# that it fills what the others leave.
-LATE_BACKLOG_S = 0.15
 # Bounds of the time after which a refused caller should come back.
 MIN_RETRY_AFTER_S = 0.3
 MAX_RETRY_AFTER_S = 4.0
-# Demand for adapters halves in this time: it shifts within seconds.
-DEMAND_HALF_LIFE_S = 12.0
 # After a conflict, a report this much younger than usual counts as settled: no
 # order has taken effect.
 CONFLICT_SETTLED_S = 0.2
-# Prompt tokens of an adapter are counted with this half-life, to see a shift of
-# demand within seconds.
-PROMPT_HALF_LIFE_S = 2.5
-# An adapter whose prompts take more than this share of its engines' time is
-# loaded on one more: at half load a queue of prompts is as long as a prompt.
-REPLICA_SHARE = 0.3
-# Between two further loads of one adapter.
-REPLICA_PAUSE_S = 0.3
-# Loads that callers wait for keep this many of the transfers.
-RESERVED_TRANSFERS = 2
 # A load that failed is not tried again on the same engine for this long.
 FAILED_LOAD_PAUSE_S = 0.6
 # A slot whose engine answered "not run" is tried again after this time.
@@ -83,76 +49,6 @@
 RELEASE_WEIGHT = 0.1
 
 
-@dataclass(slots=True, frozen=True)
-class Ask:
-    """A request for a place.
-
-    Parameters
-    ----------
-    request_id, organisation, gateway, zone : str
-        Who asks.
-    adapter : str
-        Adapter, empty for the base model.
-    prompt_tokens : int
-        Tokens of the prompt.
-    rank : int
-        Priority, 0 goes first.
-    on_time_s : float
-        Time left in which the first event would be on time.
-    time_left_s : float
-        Time until the caller gives up.
-    excluded : frozenset of str
-        Engines that failed this request.
-    """
-
-    request_id: str
-    organisation: str
-    gateway: str
-    zone: str
-    adapter: str
-    prompt_tokens: int
-    rank: int
-    on_time_s: float
-    time_left_s: float
-    excluded: frozenset[str] = frozenset()
-
-
-@dataclass(slots=True, frozen=True)
-class GrantPlace:
-    """Tells a gateway to send the request to an engine now."""
-
-    request_id: str
-    server: str
-    version: int
-    waited_s: float
-
-
-@dataclass(slots=True, frozen=True)
-class RefusePlace:
-    """Tells a gateway that the request does not run."""
-
-    request_id: str
-    reason: Reason
-    retry_after_s: float
-    detail: str
-
-
-@dataclass(slots=True, frozen=True)
-class LoadOrder:
-    """Tells an engine to load an adapter, after unloading another one.
-
-    Without an adapter, the base model is loaded.
-    """
-
-    server: str
-    adapter: str
-    version: int
-    evicted: str = ""
-
-
-Action = GrantPlace | RefusePlace | LoadOrder
-
-
 @dataclass(slots=True)
 class _Waiting:
     ask: Ask
@@ -170,43 +66,6 @@
     placed_at: float
 
 
-@dataclass(slots=True)
-class _Option:
-    engine: Engine
-    slot: EngineSlot | None
-    start_s: float
-    cost_s: float
-    evicted: str = ""
-    load_s: float = 0.0
-    is_cold: bool = False
-
-
-class _Round:
-    """What one pass over the waiting requests knows of the engines.
-
-    Looking at each engine for each request would take most of a core with 70
-    engines; the index and the victims are made once for a pass.
-    """
-
-    __slots__ = ("holders_by_adapter", "now", "transfers", "usable", "victims_by_name")
-
-    def __init__(self, pool: EnginePool, now: float) -> None:
-        self.now = now
-        for engine in pool.engines_by_name.values():
-            engine.finish_loads(now)
-        self.transfers = pool.transfers(now)
-        self.usable = [
-            engine for engine in pool.engines_by_name.values() if engine.takes_work(now)
-        ]
-        self.holders_by_adapter: dict[str, list[Engine]] = {}
-        for engine in self.usable:
-            for name in engine.slots_by_adapter:
-                self.holders_by_adapter.setdefault(name, []).append(engine)
-        # The slot to evict, None if one is free; engines without either are left
-        # out. Made when the first request needs a load.
-        self.victims_by_name: dict[str, EngineSlot | None] | None = None
-
-
 @dataclass(slots=True)
 class PlannerCounts:
     """Counts for metrics."""
@@ -228,20 +87,21 @@
         Name of the service.
     seed : int
         Seed of the spread of retry times.
+    policy : PlacementPolicy or None, default=None
+        Settings that experiments vary; by default those of the product.
     """
 
-    def __init__(self, service: str, seed: int = 0) -> None:
+    def __init__(
+        self, service: str, seed: int = 0, policy: PlacementPolicy | None = None
+    ) -> None:
         self.service = service
         self.pool = EnginePool()
+        self._policy = policy or PlacementPolicy()
         self.counts = PlannerCounts()
         self._random = random.Random(seed)
-        self._demand = DecayedCounts(DEMAND_HALF_LIFE_S)
-        self._prompts = DecayedCounts(PROMPT_HALF_LIFE_S)
-        self._replicated_at: dict[str, float] = {}
+        self._chooser = EngineChooser(self.pool, self._policy)
         self._waiting_by_id: dict[str, _Waiting] = {}
         self._placed_by_id: dict[str, _Placed] = {}
-        self._versions_by_adapter: dict[str, int] = {}
-        self._paused_loads: dict[tuple[str, str], float] = {}
         self._release_interval_s = 0.05
         self._released_at = 0.0
         self._has_changed = False
@@ -260,12 +120,11 @@
 
     def set_version(self, adapter: str, version: int) -> None:
         """Take over the newest version of an adapter; it never goes back."""
-        known = self._versions_by_adapter.get(adapter, 0)
-        self._versions_by_adapter[adapter] = max(known, version)
+        self._chooser.set_version(adapter, version)
 
     def version_of(self, adapter: str) -> int:
         """Return the newest declared version of an adapter, 1 if none is."""
-        return self._versions_by_adapter.get(adapter, 1) if adapter else 0
+        return self._chooser.version_of(adapter)
 
     def adopt(self, ask: Ask, server: str, version: int, now: float) -> None:
         """Note a place that was granted by an earlier leader."""
@@ -276,7 +135,7 @@
         engine.running += 1
         slot = engine.slots_by_adapter.get(ask.adapter)
         if slot is not None:
-            slot.uses += 1
+            engine.use_slot(slot)
 
     def release_gateway(
         self, gateway: str, kept: frozenset[str], now: float
@@ -295,25 +154,25 @@
 
     def submit(self, ask: Ask, now: float) -> list[Action]:
         """Place, queue or refuse a request."""
-        if ask.adapter:
-            self._demand.add(ask.adapter, 1.0, now)
-            self._prompts.add(ask.adapter, ask.prompt_tokens, now)
+        self._chooser.note_ask(ask, now)
         if ask.request_id in self._placed_by_id:
             self._release(ask.request_id, now)
         on_time_until = now + ask.on_time_s
-        wait_s = ask.on_time_s - self._fastest_start_s(ask, now)
+        wait_s = ask.on_time_s - self._fastest_start_s(ask)
         if wait_s <= 0.0:
-            wait_s = min(LATE_WAIT_MAX_S, LATE_WAIT_SHARE * ask.time_left_s)
+            wait_s = min(
+                self._policy.late_wait_max_s,
+                self._policy.late_wait_share * ask.time_left_s,
+            )
         waiting = _Waiting(ask, now, on_time_until, now + wait_s)
         refused = self._refusal_at_once(waiting, now)
         if refused is not None:
             return [refused]
         self._waiting_by_id[ask.request_id] = waiting
         if self._has_changed:
-            actions = self._dispatch(now)
-            return actions + self._replicate(ask.adapter, _Round(self.pool, now))
-        state = _Round(self.pool, now)
-        return self._advance(waiting, state) + self._replicate(ask.adapter, state)
+            return self._dispatch(now) + self._replicate(ask.adapter, now)
+        self._chooser.begin_round(now)
+        return self._advance(waiting, now) + self._replicate(ask.adapter, now)
 
     def cancel(self, request_id: str, now: float) -> list[Action]:
         """Forget a request whose gateway no longer waits."""
@@ -397,7 +256,7 @@
         slot.is_ordered = False
         if accepted:
             load_s = COLD_LOAD_S * max(
-                1.0, self.pool.transfers(now) / self._most_transfers()
+                1.0, self.pool.transfers(now) / self._chooser.most_transfers()
             )
             if not slot.from_store:
                 load_s = WARM_LOAD_S
@@ -407,14 +266,14 @@
         # The engine is not as believed; the next settled report tells.
         engine.is_known = False
         engine.ordered_at = now - CONFLICT_SETTLED_S
-        self._paused_loads[order.server, order.adapter] = now + FAILED_LOAD_PAUSE_S
+        self._chooser.pause_load(order.server, order.adapter, now + FAILED_LOAD_PAUSE_S)
         if accepted is None:
             # The order may still be carried out, so its slot stays taken.
-            slot.state = SlotState.UNKNOWN
+            engine.set_state(slot, SlotState.UNKNOWN)
             slot.sequence = sequence
             engine.stalled_until = now + FAILED_LOAD_PAUSE_S
         else:
-            del engine.slots_by_adapter[order.adapter]
+            engine.drop_slot(order.adapter)
         self._unbind(order.server, order.adapter)
         return self._on_change(now)
 
@@ -425,8 +284,10 @@
         engine = self.pool.engines_by_name.get(server)
         if engine is not None and adapter not in engine.slots_by_adapter:
             version = self.version_of(adapter)
-            engine.slots_by_adapter[adapter] = EngineSlot(
-                adapter, version, SlotState.UNKNOWN, now, now, sequence=sequence
+            engine.put_slot(
+                EngineSlot(
+                    adapter, version, SlotState.UNKNOWN, now, now, sequence=sequence
+                )
             )
 
     def tick(self, now: float) -> list[Action]:
@@ -476,25 +337,9 @@
 
     # Decisions
 
-    def _most_transfers(self) -> int:
-        engines = len(self.pool.engines_by_name)
-        if engines <= FEW_ENGINES:
-            return MAX_TRANSFERS
-        return int(TRANSFERS_PER_ENGINE * engines)
-
-    def _fastest_start_s(self, ask: Ask, now: float) -> float:
+    def _fastest_start_s(self, ask: Ask) -> float:
         """Return the least time to the first event if a slot were free now."""
-        load_s = 0.0
-        if ask.adapter:
-            version = self.version_of(ask.adapter)
-            load_s = COLD_LOAD_S
-            for engine in self.pool.engines_by_name.values():
-                slot = engine.slots_by_adapter.get(ask.adapter)
-                if slot is not None and slot.version == version:
-                    load_s = 0.0
-                    break
-                if engine.is_warm(ask.adapter, version):
-                    load_s = WARM_LOAD_S
+        load_s = self._chooser.fastest_load_s(ask.adapter)
         return load_s + ask.prompt_tokens / PREFILL_TOKENS_PER_S + FIRST_EVENT_S
 
     def _refusal_at_once(self, waiting: _Waiting, now: float) -> RefusePlace | None:
@@ -505,11 +350,11 @@
             return self._refuse(waiting, Reason.OVERLOADED, now, "queue is full")
         if ask.time_left_s <= 0.0:
             return self._refuse(waiting, Reason.OVERLOADED, now, "no time left")
+        order = self._order(waiting, now)
         ahead = sum(
             1
             for other in self._waiting_by_id.values()
-            if not other.bound_to
-            and self._order(other, now) < self._order(waiting, now)
+            if not other.bound_to and self._order(other, now) < order
         )
         expected_s = ahead * self._release_interval_s
         if ahead > 4 and expected_s > waiting.refuse_at - now:
@@ -540,16 +385,16 @@
         ordered = sorted(
             self._waiting_by_id.values(), key=lambda item: self._order(item, now)
         )
-        state = _Round(self.pool, now)
+        self._chooser.begin_round(now)
         for waiting in ordered:
-            actions.extend(self._advance(waiting, state))
+            actions.extend(self._advance(waiting, now))
         return actions
 
-    def _advance(self, waiting: _Waiting, state: _Round) -> list[Action]:
-        now = state.now
+    def _advance(self, waiting: _Waiting, now: float) -> list[Action]:
         if waiting.bound_to:
             return self._advance_bound(waiting, now)
-        option = self._best_option(waiting, state)
+        most_backlog_s = self._most_backlog_s(waiting, now)
+        option = self._chooser.best(waiting.ask, most_backlog_s, now)
         if option is None:
             if now >= waiting.refuse_at:
                 del self._waiting_by_id[waiting.ask.request_id]
@@ -561,7 +406,7 @@
             return [self._grant(waiting, option.engine, 0, now)]
         actions: list[Action] = []
         if option.slot is None:
-            actions.append(self._start_load(waiting.ask.adapter, option, state))
+            actions.append(self._start_load(waiting.ask.adapter, option, now))
         self._bind(waiting, option.engine, now)
         return actions
 
@@ -571,50 +416,11 @@
             waiting.bound_to = ""
             return []
         if slot.state is SlotState.RESIDENT:
-            slot.uses = max(0, slot.uses - 1)
             engine = self.pool.engines_by_name[waiting.bound_to]
+            engine.release_slot(slot)
             return [self._grant(waiting, engine, slot.version, now)]
         return []
 
-    def _best_option(self, waiting: _Waiting, state: _Round) -> _Option | None:
-        ask, now = waiting.ask, state.now
-        most_s = self._most_backlog_s(waiting, now)
-        if not ask.adapter:
-            options = [
-                _Option(engine, None, 0.0, self._engine_cost(engine, ask, now))
-                for engine in state.usable
-                if engine.running < engine.entry.slots
-                and engine.name not in ask.excluded
-                and engine.backlog_s(now) <= most_s
-            ]
-            return min(options, key=lambda option: option.cost_s, default=None)
-        options = []
-        version = self.version_of(ask.adapter)
-        for engine in state.holders_by_adapter.get(ask.adapter, ()):
-            slot = engine.slots_by_adapter.get(ask.adapter)
-            if slot is None or slot.version != version:
-                continue
-            if slot.state is SlotState.UNKNOWN or engine.name in ask.excluded:
-                continue
-            if engine.backlog_s(now) > most_s:
-                continue
-            cost_s = self._engine_cost(engine, ask, now)
-            wait_s = 0.0
-            if slot.state is SlotState.LOADING:
-                wait_s = max(0.001, slot.ready_at - now)
-            options.append(_Option(engine, slot, wait_s, cost_s + wait_s))
-        best = min(options, key=lambda option: option.cost_s, default=None)
-        # Loading it once more costs at least this much.
-        if best is not None and best.cost_s <= WARM_LOAD_S:
-            return best
-        for engine in self._loadable(state):
-            if engine.backlog_s(now) > most_s:
-                continue
-            option = self._load_option(engine, ask, version, state)
-            if option is not None and (best is None or option.cost_s < best.cost_s):
-                best = option
-        return best
-
     def _most_backlog_s(self, waiting: _Waiting, now: float) -> float:
         """Return the longest queue of prompts that a request may join.
 
@@ -623,158 +429,17 @@
         """
         left_s = waiting.on_time_until - now - FIRST_EVENT_S
         left_s -= waiting.ask.prompt_tokens / PREFILL_TOKENS_PER_S
-        return max(LATE_BACKLOG_S, left_s)
-
-    def _engine_cost(self, engine: Engine, ask: Ask, now: float) -> float:
-        zone_s = 0.0 if engine.entry.zone == ask.zone else ZONE_PRICE_S
-        failure_s = FAILURE_PRICE_S * engine.failing(now)
-        return engine.backlog_s(now) + zone_s + failure_s + 0.001 * engine.running
-
-    def _loadable(self, state: _Round) -> list[Engine]:
-        """Return the engines that can be told to load an adapter now."""
-        if state.victims_by_name is None:
-            state.victims_by_name = {}
-            for engine in state.usable:
-                self._set_victim(engine, state)
-        victims = state.victims_by_name
-        return [engine for engine in state.usable if engine.name in victims]
-
-    def _set_victim(self, engine: Engine, state: _Round) -> None:
-        assert state.victims_by_name is not None
-        state.victims_by_name.pop(engine.name, None)
-        if not engine.takes_orders(state.now):
-            return
-        if engine.in_transit() >= MAX_TRANSFERS_PER_ENGINE:
-            return
-        if len(engine.slots_by_adapter) < engine.adapter_slots:
-            state.victims_by_name[engine.name] = None
-            return
-        victim = self._victim(engine, state.now)
-        if victim is not None:
-            state.victims_by_name[engine.name] = victim
-
-    def _load_option(
-        self, engine: Engine, ask: Ask, version: int, state: _Round
-    ) -> _Option | None:
-        now = state.now
-        slot = engine.slots_by_adapter.get(ask.adapter)
-        if slot is not None and (
-            slot.version == version or slot.uses or slot.state is not SlotState.RESIDENT
-        ):
-            return None  # An older version is replaced only when it is idle.
-        if engine.name in ask.excluded:
-            return None
-        if now < self._paused_loads.get((engine.name, ask.adapter), 0.0):
-            return None
-        is_cold = not engine.is_warm(ask.adapter, version)
-        if is_cold and state.transfers >= self._most_transfers():
-            return None
-        assert state.victims_by_name is not None
-        victim = state.victims_by_name[engine.name] if slot is None else None
-        cost_s = self._engine_cost(engine, ask, now)
-        evicted = ""
-        if victim is not None:
-            evicted = victim.adapter
-            cost_s += EVICTION_PRICE_S * self._demand.rate_per_s(evicted, now)
-        load_s = COLD_LOAD_S if is_cold else WARM_LOAD_S
-        cost_s += load_s + (COLD_PRICE_S if is_cold else 0.0)
-        return _Option(engine, None, load_s, cost_s, evicted, load_s, is_cold)
-
-    def _replicate(self, adapter: str, state: _Round) -> list[Action]:
-        """Load an adapter on one more engine before its prompts queue up."""
-        now = state.now
-        if not adapter:
-            return []
-        share = self._prompts.rate_per_s(adapter, now) / PREFILL_TOKENS_PER_S
-        if share < REPLICA_SHARE:
-            return []
-        version = self.version_of(adapter)
-        holders = [
-            engine
-            for engine in state.holders_by_adapter.get(adapter, ())
-            if engine.slots_by_adapter[adapter].version == version
-        ]
-        if not holders or share < REPLICA_SHARE * len(holders):
-            return []
-        if now - self._replicated_at.get(adapter, 0.0) < REPLICA_PAUSE_S:
-            return []
-        if state.transfers + RESERVED_TRANSFERS >= self._most_transfers():
-            return []
-        option = self._replica_option(adapter, version, len(holders), state)
-        if option is None:
-            return []
-        self._replicated_at[adapter] = now
-        return [self._start_load(adapter, option, state)]
-
-    def _replica_option(
-        self, adapter: str, version: int, replicas: int, state: _Round
-    ) -> _Option | None:
-        now = state.now
-        demand = self._demand.get(adapter, now) / (replicas + 1)
-        best: _Option | None = None
-        for engine in self._loadable(state):
-            if adapter in engine.slots_by_adapter:
-                continue
-            if now < self._paused_loads.get((engine.name, adapter), 0.0):
-                continue
-            assert state.victims_by_name is not None
-            victim = state.victims_by_name[engine.name]
-            cost_s = engine.backlog_s(now) + FAILURE_PRICE_S * engine.failing(now)
-            evicted = ""
-            if victim is not None:
-                evicted = victim.adapter
-                lost = self._demand.get(evicted, now)
-                if lost * REPLICA_HYSTERESIS > demand:
-                    continue
-                cost_s += EVICTION_PRICE_S * self._demand.rate_per_s(evicted, now)
-            is_cold = not engine.is_warm(adapter, version)
-            cost_s += COLD_PRICE_S if is_cold else 0.0
-            if best is None or cost_s < best.cost_s:
-                best = _Option(engine, None, 0.0, cost_s, evicted, 0.0, is_cold)
-        return best
-
-    def _victim(self, engine: Engine, now: float) -> EngineSlot | None:
-        idle = [
-            slot
-            for slot in engine.slots_by_adapter.values()
-            if slot.state is SlotState.RESIDENT and slot.uses == 0
-        ]
-        return min(
-            idle,
-            key=lambda slot: (
-                slot.version == self.version_of(slot.adapter),
-                self._demand.get(slot.adapter, now),
-                slot.used_at,
-            ),
-            default=None,
-        )
+        return max(self._policy.late_backlog_s, left_s)
 
-    def _start_load(self, adapter: str, option: _Option, state: _Round) -> LoadOrder:
-        engine, now = option.engine, state.now
-        version = self.version_of(adapter)
-        if option.evicted:
-            del engine.slots_by_adapter[option.evicted]
-            self.counts.evictions += 1
-        if option.is_cold:
-            state.transfers += 1
-            self.counts.cold_loads += 1
-        else:
-            self.counts.warm_loads += 1
-        slot = EngineSlot(
-            adapter,
-            version,
-            SlotState.LOADING,
-            # Until the engine accepts the order, the load has no expected end.
-            now + 10.0,
-            now,
-            from_store=option.is_cold,
-            is_ordered=True,
-        )
-        engine.slots_by_adapter[adapter] = slot
-        engine.pending_orders += 1
-        state.holders_by_adapter.setdefault(adapter, []).append(engine)
-        self._set_victim(engine, state)
-        return LoadOrder(engine.name, adapter, version, option.evicted)
+    def _replicate(self, adapter: str, now: float) -> list[Action]:
+        option = self._chooser.replica(adapter, now)
+        return [self._start_load(adapter, option, now)] if option else []
+
+    def _start_load(self, adapter: str, option: Option, now: float) -> LoadOrder:
+        self.counts.evictions += bool(option.evicted)
+        self.counts.cold_loads += option.is_cold
+        self.counts.warm_loads += not option.is_cold
+        return self._chooser.begin_load(adapter, option, now)
 
     # Book-keeping
 
@@ -787,7 +452,7 @@
     def _bind(self, waiting: _Waiting, engine: Engine, now: float) -> None:
         waiting.bound_to = engine.name
         slot = engine.slots_by_adapter[waiting.ask.adapter]
-        slot.uses += 1
+        engine.use_slot(slot)
         slot.used_at = now
 
     def _unbind(self, server: str, adapter: str = "") -> None:
@@ -798,7 +463,7 @@
                 continue
             slot = self._slot_of(waiting)
             if slot is not None:
-                slot.uses = max(0, slot.uses - 1)
+                self.pool.engines_by_name[server].release_slot(slot)
             waiting.bound_to = ""
 
     def _drop_lost_bindings(self, engine: Engine) -> None:
@@ -816,7 +481,7 @@
         del self._waiting_by_id[ask.request_id]
         slot = engine.slots_by_adapter.get(ask.adapter)
         if slot is not None:
-            slot.uses += 1
+            engine.use_slot(slot)
             slot.used_at = now
         engine.note_use(ask.prompt_tokens, now)
         self._placed_by_id[ask.request_id] = _Placed(ask, engine.name, version, now)
@@ -835,7 +500,7 @@
         engine.note_end()
         slot = engine.slots_by_adapter.get(placed.ask.adapter)
         if slot is not None:
-            slot.uses = max(0, slot.uses - 1)
+            engine.release_slot(slot)
             if slot.uses == 0:
                 self._note_release(now)
         return placed
@@ -859,7 +524,7 @@
             if slot is not None and slot.state is SlotState.RESIDENT:
                 # The load took longer than expected, or the adapter is gone;
                 # the next report tells.
-                slot.state = SlotState.LOADING
+                engine.set_state(slot, SlotState.LOADING)
                 slot.ready_at = now + NOT_READY_DELAY_S
 
     def _refuse(
--- a/sequoiafall/engine_pool.py
+++ b/sequoiafall/engine_pool.py
@@ -4,7 +4,7 @@
 
 import enum
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
 from .backend_registry import BackendEntry
@@ -115,12 +115,51 @@
     models: frozenset[str] = frozenset()
 
 
+class SlotIndex:
+    """What the slots of all engines of a pool come to.
+
+    Attributes
+    ----------
+    changed : set of str
+        Engines of which a slot, or its use, has changed since the reader of
+        this set last looked.
+    moving : set of str
+        Engines that may have an adapter on its way.
+    """
+
+    __slots__ = ("_holders_by_adapter", "changed", "moving")
+
+    def __init__(self) -> None:
+        self._holders_by_adapter: dict[str, dict[str, Engine]] = {}
+        self.changed: set[str] = set()
+        self.moving: set[str] = set()
+
+    def holders(self, adapter: str) -> Collection[Engine]:
+        """Return the engines with a slot for an adapter, in whatever state."""
+        return self._holders_by_adapter.get(adapter, {}).values()
+
+    def add(self, adapter: str, engine: Engine) -> None:
+        """Note that an engine has a slot for an adapter."""
+        self._holders_by_adapter.setdefault(adapter, {})[engine.name] = engine
+        self.changed.add(engine.name)
+        self.moving.add(engine.name)
+
+    def discard(self, adapter: str, engine: Engine) -> None:
+        """Note that an engine has no slot for an adapter any more."""
+        holders = self._holders_by_adapter.get(adapter, {})
+        holders.pop(engine.name, None)
+        if not holders:
+            self._holders_by_adapter.pop(adapter, None)
+        self.changed.add(engine.name)
+
+
 @dataclass(slots=True)
 class Engine:
     """One engine with its slots and its estimated backlog."""
 
     entry: BackendEntry
     adapter_slots: int
+    index: SlotIndex = field(default_factory=SlotIndex)
     slots_by_adapter: dict[str, EngineSlot] = field(default_factory=dict)
     warm: OrderedDict[tuple[str, int], None] = field(default_factory=OrderedDict)
     running: int = 0
@@ -143,6 +182,33 @@
         """Identity of the engine."""
         return self.entry.name
 
+    def put_slot(self, slot: EngineSlot) -> None:
+        """Take a slot for an adapter."""
+        self.slots_by_adapter[slot.adapter] = slot
+        self.index.add(slot.adapter, self)
+
+    def drop_slot(self, adapter: str) -> None:
+        """Give up the slot of an adapter."""
+        del self.slots_by_adapter[adapter]
+        self.index.discard(adapter, self)
+
+    def set_state(self, slot: EngineSlot, state: SlotState) -> None:
+        """Change the state of one of the slots."""
+        slot.state = state
+        self.index.changed.add(self.name)
+        if state is not SlotState.RESIDENT:
+            self.index.moving.add(self.name)
+
+    def use_slot(self, slot: EngineSlot) -> None:
+        """Count one more request that needs a slot."""
+        slot.uses += 1
+        self.index.changed.add(self.name)
+
+    def release_slot(self, slot: EngineSlot) -> None:
+        """Count one request less that needs a slot."""
+        slot.uses = max(0, slot.uses - 1)
+        self.index.changed.add(self.name)
+
     def takes_work(self, now: float) -> bool:
         """Whether requests may be sent to the engine."""
         if self.model_state is not ModelState.PRESENT:
@@ -174,7 +240,7 @@
         for slot in self.slots_by_adapter.values():
             is_over = not slot.is_ordered and now >= slot.ready_at
             if slot.state is SlotState.LOADING and is_over:
-                slot.state = SlotState.RESIDENT
+                self.set_state(slot, SlotState.RESIDENT)
                 slot.changed_at = now
                 self.remember(slot.adapter, slot.version)
 
@@ -200,6 +266,8 @@
 
     def failing(self, now: float) -> float:
         """Return the share of failures; it fades, so that the engine is tried again."""
+        if not self.failure_share:
+            return 0.0
         age_s = max(0.0, now - self.failed_at)
         return self.failure_share * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
 
@@ -226,7 +294,8 @@
 
     def clear(self) -> None:
         """Forget everything that a restart of the engine has dropped."""
-        self.slots_by_adapter.clear()
+        for adapter in list(self.slots_by_adapter):
+            self.drop_slot(adapter)
         self.warm.clear()
         self.running = 0
         self.busy_until = 0.0
@@ -255,15 +324,16 @@
             held = report.resident.get(name)
             if held is not None:
                 if held != slot.version or slot.state is not SlotState.RESIDENT:
-                    slot.state, slot.version = SlotState.RESIDENT, held
+                    slot.version = held
+                    self.set_state(slot, SlotState.RESIDENT)
                     slot.changed_at = now
                     self.remember(name, held)
             elif name in report.incoming:
                 if slot.state is SlotState.UNKNOWN:
-                    slot.state = SlotState.LOADING
+                    self.set_state(slot, SlotState.LOADING)
                 slot.ready_at = max(slot.ready_at, now)
             elif report.sequence > slot.sequence:
-                del self.slots_by_adapter[name]
+                self.drop_slot(name)
         if is_settled:
             self.is_known = True
             self._adopt(report, now)
@@ -283,38 +353,40 @@
     def _adopt(self, report: EngineReport, now: float) -> None:
         for name, version in report.resident.items():
             if name not in self.slots_by_adapter:
-                self.slots_by_adapter[name] = EngineSlot(
-                    name, version, SlotState.RESIDENT, now, now
-                )
+                self.put_slot(EngineSlot(name, version, SlotState.RESIDENT, now, now))
                 self.remember(name, version)
         for name, version in report.incoming.items():
             if name not in self.slots_by_adapter:
-                self.slots_by_adapter[name] = EngineSlot(
-                    name, version, SlotState.LOADING, now, now
-                )
+                self.put_slot(EngineSlot(name, version, SlotState.LOADING, now, now))
 
 
 class EnginePool:
     """The engines of one service."""
 
-    __slots__ = ("adapter_slots", "engines_by_name")
+    __slots__ = ("adapter_slots", "engines_by_name", "slots")
 
     def __init__(self, adapter_slots: int = 0) -> None:
         self.adapter_slots = adapter_slots
         self.engines_by_name: dict[str, Engine] = {}
+        self.slots = SlotIndex()
 
     def set_entries(self, entries: Iterable[BackendEntry]) -> list[str]:
         """Take over the announced engines and return the names of those that left."""
         present = {entry.name: entry for entry in entries}
         left = [name for name in self.engines_by_name if name not in present]
         for name in left:
-            del self.engines_by_name[name]
+            self.engines_by_name.pop(name).clear()
+            self.slots.changed.add(name)
         for name, entry in present.items():
             engine = self.engines_by_name.get(name)
             if engine is None:
-                self.engines_by_name[name] = Engine(entry, self.adapter_slots)
+                engine = Engine(entry, self.adapter_slots, self.slots)
+                self.engines_by_name[name] = engine
+                self.slots.changed.add(name)
                 continue
-            engine.adapter_slots = self.adapter_slots
+            if engine.adapter_slots != self.adapter_slots:
+                engine.adapter_slots = self.adapter_slots
+                self.slots.changed.add(name)
             moved = entry.address != engine.entry.address
             reborn = entry.born and engine.born and entry.born != engine.born
             if moved or reborn:
@@ -323,6 +395,15 @@
             engine.entry = entry
         return left
 
+    def finish_loads(self, now: float) -> None:
+        """Take the loads whose expected time has passed for ended."""
+        for name in list(self.slots.moving):
+            engine = self.engines_by_name.get(name)
+            if engine is not None:
+                engine.finish_loads(now)
+            if engine is None or not engine.in_transit():
+                self.slots.moving.discard(name)
+
     def transfers(self, now: float) -> int:
         """Return the adapters on their way from the store to any engine.
 
@@ -330,8 +411,9 @@
         """
         return sum(
             1
-            for engine in self.engines_by_name.values()
-            for slot in engine.slots_by_adapter.values()
+            for name in self.slots.moving
+            if name in self.engines_by_name
+            for slot in self.engines_by_name[name].slots_by_adapter.values()
             if slot.from_store
             and slot.state is SlotState.LOADING
             and not (slot.is_ordered and now - slot.changed_at > ORDER_ANSWER_S)
--- a/sequoiafall/order_worker.py
+++ b/sequoiafall/order_worker.py
@@ -6,9 +6,9 @@
 from collections.abc import Callable
 
 from .backend_registry import BackendEntry
-from .engine_planner import LoadOrder
 from .engine_pool import EngineReport
 from .log import log_event
+from .place_ask import LoadOrder
 from .serving_ports import EngineControl, EngineOrder, OrderAnswer
 
 # An engine's reports are about 0.1 s old; a sequence read sooner may be old.
--- a/tests/test_engine_planner.py
+++ b/tests/test_engine_planner.py
@@ -6,18 +6,10 @@
 from parameterized import parameterized
 
 from sequoiafall.backend_registry import BackendEntry
-from sequoiafall.engine_planner import (
-    COLD_LOAD_S,
-    FAILED_LOAD_PAUSE_S,
-    LOAD_MARGIN_S,
-    MAX_TRANSFERS,
-    Ask,
-    EnginePlanner,
-    GrantPlace,
-    LoadOrder,
-    RefusePlace,
-)
+from sequoiafall.engine_choice import COLD_LOAD_S, MAX_TRANSFERS
+from sequoiafall.engine_planner import FAILED_LOAD_PAUSE_S, LOAD_MARGIN_S, EnginePlanner
 from sequoiafall.engine_pool import EngineReport, SlotState
+from sequoiafall.place_ask import Ask, GrantPlace, LoadOrder, RefusePlace
 from sequoiafall.refusal import Reason
 
 SLOTS = 6
@@ -342,6 +334,62 @@
         self.assertGreater(len(driver.granted), 100)
 
 
+class ChangingEnginesTest(unittest.TestCase):
+    """Engines come, leave, restart and are listed anew while requests arrive."""
+
+    def test_idle_engine_that_left_gets_no_load(self):
+        """An empty engine is taken away between two requests."""
+        driver = Driver(engines=3)
+        driver.ask("r1", "a1")
+        driver.run(0.4)
+        driver.apply(driver.planner.set_entries(driver.entries[:1], SLOTS, driver.now))
+        driver.ask("r2", "a2")
+        driver.run(0.4)
+        self.assertEqual(driver.granted["r2"].server, "e0")
+
+    @parameterized.expand([(seed,) for seed in range(8)])
+    def test_index_agrees_with_the_engines(self, seed):
+        rng = random.Random(seed)
+        driver = Driver(engines=5, slots=3)
+        pool = driver.planner.pool
+        for step in range(400):
+            match rng.randrange(8):
+                case 0:
+                    kept = [row for row in driver.entries if rng.random() < 0.8]
+                    entries = kept or driver.entries
+                    driver.apply(driver.planner.set_entries(entries, 3, driver.now))
+                case 1:
+                    name = rng.choice(driver.entries).name
+                    changes = {"born": rng.choice([0, 7, 8])}
+                    report = driver.report(name, **changes)
+                    driver.apply(driver.planner.on_report(name, report, driver.now))
+                case 2:
+                    driver.report_all()
+                case 3:
+                    driver.planner.set_version(f"a{rng.randrange(6)}", rng.randrange(4))
+                case 4 if driver.granted:
+                    outcome = rng.choice(["ok", "not_run", "broken", "unreachable"])
+                    driver.end(rng.choice(list(driver.granted)), outcome)
+                case _:
+                    driver.ask(f"r{step}", f"a{rng.randrange(12)}")
+            driver.run(rng.random() * 0.1)
+            self._check(pool)
+
+    def _check(self, pool):
+        by_adapter = {}
+        for name, engine in pool.engines_by_name.items():
+            for adapter, slot in engine.slots_by_adapter.items():
+                by_adapter.setdefault(adapter, set()).add(name)
+                if slot.state is not SlotState.RESIDENT:
+                    self.assertIn(name, pool.slots.moving)
+        adapters = set(by_adapter) | {f"a{n}" for n in range(12)}
+        found = {
+            adapter: {engine.name for engine in pool.slots.holders(adapter)}
+            for adapter in adapters
+        }
+        self.assertEqual({key: row for key, row in found.items() if row}, by_adapter)
+
+
 class WaitingTest(unittest.TestCase):
     """Who waits is served in time or told soon when to come back."""
 
