End the term when the leader's own work fails

Cause: a fault in a task of the leader (tick, reports, orders) was logged as leader_task_failed and the instance went on leading without that task; a fault in a call from the fleet ended the process.

Change: LeaderDuties catches a fault of its own work at its entry points and in its tasks, logs leader_failed with the innermost places of the trace, and gives the lease up; the next leader starts from what engines report. Background tasks of the fleet log their faults.

Tests that failed first: test_leader_whose_own_work_fails_gives_the_term_up.

--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -586,17 +586,14 @@
         return row.version if is_own else None
 
     def _begin_term(self) -> None:
-        self.duties = LeaderDuties(
-            self.settings,
-            self.tenure,
-            self.registry,
-            self._control,
-            lambda: self._lose_lease("an engine has seen a newer token"),
+        # A fault in the duties gives the lease up, and `self.duties` with it.
+        self.duties = duties = LeaderDuties(
+            self.settings, self.tenure, self.registry, self._control, self._lose_lease
         )
         if self.catalog is not None:
-            self.duties.set_catalog(self.catalog)
+            duties.set_catalog(self.catalog)
         for adapter, version in self.versions_by_adapter.items():
-            self.duties.set_adapter_version(adapter, version)
+            duties.set_adapter_version(adapter, version)
         poll = ttypes.FleetPoll(
             member=self._member(),
             term=self.tenure.token,
@@ -612,7 +609,7 @@
             members_revision=0,
         )
         self._pending_tokens.clear()
-        self.duties.on_poll(poll)
+        duties.on_poll(poll)
         for member in self.members:
             if member.instance != self.settings.instance:
                 self._keep(self._announce(member.peer_address, poll))
@@ -694,7 +691,12 @@
     def _keep(self, work: Any) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._background.add(task)
-        task.add_done_callback(self._background.discard)
+        task.add_done_callback(self._on_background_done)
+
+    def _on_background_done(self, task: asyncio.Task[Any]) -> None:
+        self._background.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log_warning("background_failed", error=repr(task.exception()))
 
     async def _ask_peers(self) -> None:
         """Ask other instances who leads, while the store does not answer."""
--- a/sequoiafall/fleet_leader.py
+++ b/sequoiafall/fleet_leader.py
@@ -3,24 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+import contextlib
+import traceback
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from pathlib import Path
 from typing import Any
 
 from .backend_registry import BackendEntry, BackendRegistry
 from .boot_clock import boot_time
 from .catalog import Catalog, Service
-from .engine_planner import (
-    Action,
-    Ask,
-    EnginePlanner,
-    GrantPlace,
-    LoadOrder,
-    RefusePlace,
-)
+from .engine_planner import EnginePlanner
 from .lease import Tenure
 from .log import log_event, log_warning
 from .order_worker import OrderWorker
+from .place_ask import Action, Ask, GrantPlace, LoadOrder, RefusePlace
 from .refusal import Reason
 from .serving_ports import EngineControl, NodeSettings
 from .token_bucket import TokenLimits
@@ -44,6 +41,8 @@
 GATHER_S = 0.25
 # A member that waits for an answer is asked to come back at this time at least.
 LIMIT_RETRY_MIN_S = 0.1
+# Innermost lines of a fault's trace in the log.
+MAX_TRACE_PLACES = 4
 
 
 @dataclass(slots=True)
@@ -70,8 +69,8 @@
         Backend servers.
     control : EngineControl
         Orders and reports.
-    on_fenced : callable
-        Called when an engine has seen the token of a newer leader.
+    step_down : callable
+        Called with the reason why this instance must not lead any more.
     """
 
     def __init__(
@@ -80,14 +79,14 @@
         tenure: Tenure,
         registry: BackendRegistry,
         control: EngineControl,
-        on_fenced: Callable[[], None],
+        step_down: Callable[[str], None],
     ) -> None:
         now = boot_time()
         self._settings = settings
         self._tenure = tenure
         self._registry = registry
         self._control = control
-        self._on_fenced = on_fenced
+        self._step_down = step_down
         self.term = tenure.token
         self.limits = TokenLimits(now)
         self.planners_by_service: dict[str, EnginePlanner] = {}
@@ -114,7 +113,28 @@
     def _on_task_done(self, task: asyncio.Task[Any]) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            log_warning("leader_task_failed", error=repr(task.exception()))
+            self._on_fault(task.exception())
+
+    def _on_fault(self, error: BaseException | None) -> None:
+        """End the term: the next leader starts from what engines report."""
+        trace = traceback.extract_tb(error.__traceback__) if error else []
+        places = [f"{Path(row.filename).name}:{row.lineno}" for row in trace]
+        log_warning(
+            "leader_failed",
+            term=self.term,
+            error=repr(error),
+            at=",".join(places[-MAX_TRACE_PLACES:]),
+        )
+        if not self._has_ended:
+            self._has_ended = True
+            self._step_down("a fault of the leader's own work")
+
+    @contextlib.contextmanager
+    def _guarded(self) -> Iterator[None]:
+        try:
+            yield
+        except Exception as error:
+            self._on_fault(error)
 
     async def stop(self) -> None:
         """End the term; waiting requests are told to ask the next leader."""
@@ -131,12 +151,15 @@
 
     def set_catalog(self, catalog: Catalog) -> None:
         """Take over a configuration."""
-        now = boot_time()
-        limits = {row.name: row.limit for row in catalog.organisations_by_name.values()}
-        self.limits.set_limits(limits, now)
-        for service in catalog.services_by_name.values():
-            if service.is_engine:
-                self._set_service(service, now)
+        with self._guarded():
+            now = boot_time()
+            limits = {
+                row.name: row.limit for row in catalog.organisations_by_name.values()
+            }
+            self.limits.set_limits(limits, now)
+            for service in catalog.services_by_name.values():
+                if service.is_engine:
+                    self._set_service(service, now)
 
     def _set_service(self, service: Service, now: float) -> None:
         planner = self.planners_by_service.setdefault(
@@ -151,36 +174,39 @@
 
     def on_backends_changed(self) -> None:
         """Take over the announced backend servers."""
-        now = boot_time()
-        for name, planner in self.planners_by_service.items():
-            entries = list(self._registry.all_of(name))
-            slots = planner.pool.adapter_slots
-            self._apply(planner, planner.set_entries(entries, slots, now))
+        with self._guarded():
+            now = boot_time()
+            for name, planner in self.planners_by_service.items():
+                entries = list(self._registry.all_of(name))
+                slots = planner.pool.adapter_slots
+                self._apply(planner, planner.set_entries(entries, slots, now))
 
     def set_adapter_version(self, adapter: str, version: int) -> None:
         """Take over a declared version."""
-        for planner in self.planners_by_service.values():
-            planner.set_version(adapter, version)
+        with self._guarded():
+            for planner in self.planners_by_service.values():
+                planner.set_version(adapter, version)
 
     # Members
 
     def on_poll(self, poll: Any) -> None:
         """Note a member and what it used."""
-        now = boot_time()
-        name = poll.member.instance
-        is_first = poll.term != self.term or name not in self.members_by_instance
-        self._note_member(poll.member, now)
-        if is_first:
-            self._adopt_member(poll, now)
-            log_event(
-                "member_joined",
-                instance=name,
-                term=self.term,
-                held=len(poll.held),
-                members=len(self.members_by_instance),
-            )
-        for organisation, tokens in poll.tokens_by_organisation.items():
-            self.limits.charge(organisation, tokens, now)
+        with self._guarded():
+            now = boot_time()
+            name = poll.member.instance
+            is_first = poll.term != self.term or name not in self.members_by_instance
+            self._note_member(poll.member, now)
+            if is_first:
+                self._adopt_member(poll, now)
+                log_event(
+                    "member_joined",
+                    instance=name,
+                    term=self.term,
+                    held=len(poll.held),
+                    members=len(self.members_by_instance),
+                )
+            for organisation, tokens in poll.tokens_by_organisation.items():
+                self.limits.charge(organisation, tokens, now)
 
     def _note_member(self, member: Any, now: float) -> None:
         record = self.members_by_instance.get(member.instance)
@@ -302,7 +328,8 @@
         )
         answer = asyncio.get_running_loop().create_future()
         self._answers_by_request[ask.request_id] = answer
-        self._apply(planner, planner.submit(ask, now))
+        with self._guarded():
+            self._apply(planner, planner.submit(ask, now))
         try:
             result = await answer
         except asyncio.CancelledError:
@@ -316,12 +343,13 @@
 
     def on_ends(self, ends: Any) -> None:
         """Take back places."""
-        now = boot_time()
-        for end in ends.ended:
-            planner = self.planners_by_service.get(end.pool)
-            if planner is not None:
-                actions = planner.end(end.request_id, end.outcome, now)
-                self._apply(planner, actions)
+        with self._guarded():
+            now = boot_time()
+            for end in ends.ended:
+                planner = self.planners_by_service.get(end.pool)
+                if planner is not None:
+                    actions = planner.end(end.request_id, end.outcome, now)
+                    self._apply(planner, actions)
 
     def _apply(self, planner: EnginePlanner, actions: list[Action]) -> None:
         for action in actions:
@@ -388,7 +416,7 @@
                 self._models_by_service.get(entry.service, ""),
                 self._settings.instance,
                 self._order_token,
-                self._on_fenced,
+                lambda: self._step_down("an engine has seen a newer token"),
             )
             self._workers_by_server[entry.name] = worker
         worker.entry = entry
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -7,6 +7,7 @@
 from sequoiafall.platform import names
 
 from .events import until
+from .gateway_case import capture_log
 from .platform_case import KEY, PlatformCase, configuration
 
 
@@ -211,6 +212,27 @@
             statuses.append(answer[0])
             self.assertLess(len(statuses), 40)
 
+    @parameterized.expand([("tick",), ("set_entries",)])
+    async def test_leader_whose_own_work_fails_gives_the_term_up(self, method):
+        """A fault of the planner must not leave a leader that decides nothing."""
+        nodes = await self.start_fleet()
+        leader = self.leader
+        term = leader.fleet.tenure.token
+        planner = leader.fleet.duties.planners_by_service["assist"]
+
+        def fail(*_args):
+            raise KeyError("e9")
+
+        with capture_log() as lines:
+            setattr(planner, method, fail)
+            self.announce(self.engines["e1"], slots=32)
+            await until(lambda: self.leader and self.leader.fleet.tenure.token > term)
+        self.assertTrue([line for line in lines if "leader_failed" in line], lines)
+        await until(self._engines_known)
+        for node in nodes:
+            status, _, _ = await self.call(node, "/draft/x", adapter="a1")
+            self.assertEqual(status, 200)
+
     async def test_leader_that_is_turned_away_is_replaced(self):
         """The store serves the others, and the operator changes something."""
         nodes = await self.start_fleet(3)
