--- a/tests/test_caller_session.py
+++ b/tests/test_caller_session.py
@@ -39,7 +39,12 @@
             self.assertNotIn(secret, text)
         if os.environ.get("UPDATE_GOLDEN"):
             GOLDEN.write_text(text)
-        self.assertEqual(text, GOLDEN.read_text())
+        # Who else called the service would explain a fault that was used up.
+        received = [
+            f"{call['method']} {call['path']} {call['headers']}"
+            for call in self.service.recorded
+        ]
+        self.assertEqual(text, GOLDEN.read_text(), "\n".join(received))
 
     async def orders_and_answers(self):
         """Do what a caller does when all is well."""
