Use failing engines while most of them fail, and end a silence by a report

Cause: three failures in a row took an engine out for 0.5 to 4 s. An engine whose reports failed stayed out for up to 4 s after the first good report.

Change: failing engines are avoided only while most are well, and the price of failures counts above the pool's median. Silence of reports is kept apart from failed requests and ends with the next report.

Tests that failed first: test_engines_that_all_fail_a_part_are_used, test_engine_that_reports_again_gets_work.

--- a/sequoiafall/engine_choice.py
+++ b/sequoiafall/engine_choice.py
@@ -114,8 +114,8 @@
         """Take over the newest version of an adapter; it never goes back."""
         known = self._versions_by_adapter.get(adapter, 0)
         self._versions_by_adapter[adapter] = max(known, version)
-        for engine in self._pool.slots.holders(adapter):
-            self._pool.slots.changed.add(engine.name)
+        for engine in self._pool.index.holders(adapter):
+            self._pool.index.changed.add(engine.name)
 
     def version_of(self, adapter: str) -> int:
         """Return the newest declared version of an adapter, 1 if none is."""
@@ -134,6 +134,7 @@
     def begin_round(self, now: float) -> None:
         """Bring up to date what passes with time; at the start of each pass."""
         self._pool.finish_loads(now)
+        self._pool.weigh_failures(now)
         self._transfers = self._pool.transfers(now)
 
     # Decisions
@@ -150,7 +151,7 @@
         if not adapter:
             return 0.0
         version = self.version_of(adapter)
-        for engine in self._pool.slots.holders(adapter):
+        for engine in self._pool.index.holders(adapter):
             if engine.slots_by_adapter[adapter].version == version:
                 return 0.0
         engines = self._pool.engines_by_name.values()
@@ -197,7 +198,7 @@
         self, ask: Ask, version: int, most_backlog_s: float, now: float
     ) -> Option | None:
         best: Option | None = None
-        for engine in self._pool.slots.holders(ask.adapter):
+        for engine in self._pool.index.holders(ask.adapter):
             if not engine.takes_work(now) or engine.name in ask.excluded:
                 continue
             slot = engine.slots_by_adapter[ask.adapter]
@@ -256,7 +257,7 @@
         version = self.version_of(adapter)
         replicas = sum(
             1
-            for engine in self._pool.slots.holders(adapter)
+            for engine in self._pool.index.holders(adapter)
             if engine.takes_work(now)
             and engine.slots_by_adapter[adapter].version == version
         )
@@ -281,7 +282,9 @@
                 continue
             if now < self._paused_loads.get((engine.name, adapter), 0.0):
                 continue
-            cost_s = engine.backlog_s(now) + FAILURE_PRICE_S * engine.failing(now)
+            cost_s = engine.backlog_s(now) + FAILURE_PRICE_S * engine.excess_failing(
+                now
+            )
             evicted = ""
             if victim is not None:
                 evicted = victim.adapter
@@ -325,7 +328,7 @@
         """Return the engines that can be told to load an adapter, and the victims."""
         engines_by_name = self._pool.engines_by_name
         victims_by_name = self._victims_by_name
-        changed = self._pool.slots.changed
+        changed = self._pool.index.changed
         for name in changed:
             victims_by_name.pop(name, None)
             engine = engines_by_name.get(name)
@@ -364,5 +367,5 @@
 
 def _engine_cost_s(engine: Engine, ask: Ask, now: float) -> float:
     zone_s = 0.0 if engine.entry.zone == ask.zone else ZONE_PRICE_S
-    failure_s = FAILURE_PRICE_S * engine.failing(now)
+    failure_s = FAILURE_PRICE_S * engine.excess_failing(now)
     return engine.backlog_s(now) + zone_s + failure_s + RUNNING_PRICE_S * engine.running
--- a/sequoiafall/engine_planner.py
+++ b/sequoiafall/engine_planner.py
@@ -209,7 +209,7 @@
         if engine is None:
             return []
         if report is None:
-            engine.note_failure(now, is_unreachable=True)
+            engine.note_silence(now)
             return []
         if engine.observe(report, now):
             self._unbind(name)
--- a/sequoiafall/engine_pool.py
+++ b/sequoiafall/engine_pool.py
@@ -6,6 +6,7 @@
 from collections import OrderedDict
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
+from statistics import median_low
 
 from .backend_registry import BackendEntry
 
@@ -115,8 +116,8 @@
     models: frozenset[str] = frozenset()
 
 
-class SlotIndex:
-    """What the slots of all engines of a pool come to.
+class PoolIndex:
+    """What the engines of a pool come to as a whole.
 
     Attributes
     ----------
@@ -125,14 +126,26 @@
         this set last looked.
     moving : set of str
         Engines that may have an adapter on its way.
+    uses_failing : bool
+        Whether engines that fail requests are used nevertheless, as most do.
+    usual_failing : float
+        Median share of failures; an engine is worse only by what is above it.
     """
 
-    __slots__ = ("_holders_by_adapter", "changed", "moving")
+    __slots__ = (
+        "_holders_by_adapter",
+        "changed",
+        "moving",
+        "uses_failing",
+        "usual_failing",
+    )
 
     def __init__(self) -> None:
         self._holders_by_adapter: dict[str, dict[str, Engine]] = {}
         self.changed: set[str] = set()
         self.moving: set[str] = set()
+        self.uses_failing = False
+        self.usual_failing = 0.0
 
     def holders(self, adapter: str) -> Collection[Engine]:
         """Return the engines with a slot for an adapter, in whatever state."""
@@ -159,7 +172,7 @@
 
     entry: BackendEntry
     adapter_slots: int
-    index: SlotIndex = field(default_factory=SlotIndex)
+    index: PoolIndex = field(default_factory=PoolIndex)
     slots_by_adapter: dict[str, EngineSlot] = field(default_factory=dict)
     warm: OrderedDict[tuple[str, int], None] = field(default_factory=OrderedDict)
     running: int = 0
@@ -168,6 +181,8 @@
     failures: int = 0
     failed_at: float = 0.0
     avoided_until: float = 0.0
+    silences: int = 0
+    silent_until: float = 0.0
     stalled_until: float = 0.0
     ordered_at: float = 0.0
     pending_orders: int = 0
@@ -213,7 +228,9 @@
         """Whether requests may be sent to the engine."""
         if self.model_state is not ModelState.PRESENT:
             return False
-        return not self.entry.is_leaving and now >= self.avoided_until
+        if self.entry.is_leaving or now < self.silent_until:
+            return False
+        return now >= self.avoided_until or self.index.uses_failing
 
     def takes_orders(self, now: float) -> bool:
         """Whether the engine can be told to load an adapter."""
@@ -288,6 +305,16 @@
             pause_s = min(AVOID_LIMIT_S, AVOID_S * 2.0 ** (self.failures - 1))
             self.avoided_until = max(self.avoided_until, now + pause_s)
 
+    def excess_failing(self, now: float) -> float:
+        """Return the share of failures above the median of the pool."""
+        return max(0.0, self.failing(now) - self.index.usual_failing)
+
+    def note_silence(self, now: float) -> None:
+        """Count a report that could not be had; the next one ends the silence."""
+        pause_s = min(AVOID_LIMIT_S, AVOID_S * 2.0**self.silences)
+        self.silences += 1
+        self.silent_until = max(self.silent_until, now + pause_s)
+
     def is_settled(self, now: float) -> bool:
         """Whether a report shows the effect of all orders."""
         return not self.pending_orders and self.ordered_at <= now - REPORT_LAG_S
@@ -311,6 +338,7 @@
             Whether the engine has started anew.
         """
         self.reported_at = now
+        self.silences, self.silent_until = 0, 0.0
         restarted = bool(report.born and self.born and report.born != self.born)
         if restarted:
             self.clear()
@@ -363,12 +391,12 @@
 class EnginePool:
     """The engines of one service."""
 
-    __slots__ = ("adapter_slots", "engines_by_name", "slots")
+    __slots__ = ("adapter_slots", "engines_by_name", "index")
 
     def __init__(self, adapter_slots: int = 0) -> None:
         self.adapter_slots = adapter_slots
         self.engines_by_name: dict[str, Engine] = {}
-        self.slots = SlotIndex()
+        self.index = PoolIndex()
 
     def set_entries(self, entries: Iterable[BackendEntry]) -> list[str]:
         """Take over the announced engines and return the names of those that left."""
@@ -376,17 +404,17 @@
         left = [name for name in self.engines_by_name if name not in present]
         for name in left:
             self.engines_by_name.pop(name).clear()
-            self.slots.changed.add(name)
+            self.index.changed.add(name)
         for name, entry in present.items():
             engine = self.engines_by_name.get(name)
             if engine is None:
-                engine = Engine(entry, self.adapter_slots, self.slots)
+                engine = Engine(entry, self.adapter_slots, self.index)
                 self.engines_by_name[name] = engine
-                self.slots.changed.add(name)
+                self.index.changed.add(name)
                 continue
             if engine.adapter_slots != self.adapter_slots:
                 engine.adapter_slots = self.adapter_slots
-                self.slots.changed.add(name)
+                self.index.changed.add(name)
             moved = entry.address != engine.entry.address
             reborn = entry.born and engine.born and entry.born != engine.born
             if moved or reborn:
@@ -395,14 +423,29 @@
             engine.entry = entry
         return left
 
+    def weigh_failures(self, now: float) -> None:
+        """Compare the failures of all engines.
+
+        While most of them fail requests, avoiding them would leave nothing.
+        """
+        engines = [
+            engine
+            for engine in self.engines_by_name.values()
+            if not engine.entry.is_leaving and now >= engine.silent_until
+        ]
+        avoided = sum(1 for engine in engines if now < engine.avoided_until)
+        self.index.uses_failing = 2 * avoided > len(engines)
+        shares = [engine.failing(now) for engine in engines]
+        self.index.usual_failing = median_low(shares) if any(shares) else 0.0
+
     def finish_loads(self, now: float) -> None:
         """Take the loads whose expected time has passed for ended."""
-        for name in list(self.slots.moving):
+        for name in list(self.index.moving):
             engine = self.engines_by_name.get(name)
             if engine is not None:
                 engine.finish_loads(now)
             if engine is None or not engine.in_transit():
-                self.slots.moving.discard(name)
+                self.index.moving.discard(name)
 
     def transfers(self, now: float) -> int:
         """Return the adapters on their way from the store to any engine.
@@ -411,7 +454,7 @@
         """
         return sum(
             1
-            for name in self.slots.moving
+            for name in self.index.moving
             if name in self.engines_by_name
             for slot in self.engines_by_name[name].slots_by_adapter.values()
             if slot.from_store
--- a/tests/test_engine_planner.py
+++ b/tests/test_engine_planner.py
@@ -195,6 +195,46 @@
             driver.ask(f"s{number}", "")
         self.assertEqual({row.server for row in driver.granted.values()}, {"e0", "e1"})
 
+    def test_engines_that_all_fail_a_part_are_used(self):
+        """Every engine fails half of its requests: half are better than none."""
+        rng = random.Random(7)
+        driver = Driver(engines=6)
+        for number in range(120):
+            driver.ask(f"r{number}", f"a{number % 12}")
+            driver.run(0.03)
+            for request_id in list(driver.granted)[:-8]:
+                outcome = rng.choice(["failed", "broken", "ok"])
+                driver.end(request_id, outcome)
+                del driver.granted[request_id]
+        self.assertEqual(driver.refused, {})
+        self.assertLess(len(driver.orders), 40)
+
+    def test_failing_engines_are_avoided_while_most_are_well(self):
+        driver = Driver(engines=5, zones=("a",))
+        bad = {"e0", "e1"}
+        for number in range(60):
+            driver.ask(f"r{number}", "")
+            server = driver.granted[f"r{number}"].server
+            driver.end(f"r{number}", "failed" if server in bad else "ok")
+            driver.run(0.05)
+        servers = [row.server for row in list(driver.granted.values())[20:]]
+        self.assertEqual(bad & set(servers), set())
+
+    def test_engine_that_reports_again_gets_work(self):
+        """An engine was cut off for seconds; its first report ends that."""
+        driver = Driver(engines=1)
+        driver.ask("r1", "a1")
+        driver.run(0.4)
+        driver.end("r1")
+        for _ in range(6):
+            driver.apply(driver.planner.on_report("e0", None, driver.now))
+            driver.run(0.25)
+        driver.ask("r2", "a1")
+        self.assertNotIn("r2", driver.granted)
+        driver.report_all()
+        driver.run(0.01)
+        self.assertIn("r2", driver.granted)
+
     def test_leaving_engine_gets_nothing(self):
         driver = Driver(engines=2)
         driver.ask("r1", "a1")
@@ -381,10 +421,10 @@
             for adapter, slot in engine.slots_by_adapter.items():
                 by_adapter.setdefault(adapter, set()).add(name)
                 if slot.state is not SlotState.RESIDENT:
-                    self.assertIn(name, pool.slots.moving)
+                    self.assertIn(name, pool.index.moving)
         adapters = set(by_adapter) | {f"a{n}" for n in range(12)}
         found = {
-            adapter: {engine.name for engine in pool.slots.holders(adapter)}
+            adapter: {engine.name for engine in pool.index.holders(adapter)}
             for adapter in adapters
         }
         self.assertEqual({key: row for key, row in found.items() if row}, by_adapter)
