Log why an engine was chosen, and time waits, store calls and the loop

Cause: place_granted named the engine and not what else was weighed, and the metrics had no waits, no calls of the store by result and no lag of the loop.

Change: GrantPlace carries a Choice (state of the adapter, estimate, the two next best engines with theirs); the line adds the organisation and the level of its limit. Histograms of waits by state of the adapter, of store calls and of the loop's lag; store calls by result; terms and changes of leader counted. The state of the whole pool is logged with refusals only.

Tests: ExplainedTest.

--- a/sequoiafall/engine_choice.py
+++ b/sequoiafall/engine_choice.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from heapq import nsmallest
 
 from .engine_pool import (
     PREFILL_TOKENS_PER_S,
@@ -11,7 +12,7 @@
     EngineSlot,
     SlotState,
 )
-from .place_ask import Ask, LoadOrder
+from .place_ask import AdapterState, Ask, Choice, LoadOrder
 from .placement import REPLICA_HYSTERESIS, DecayedCounts
 from .placement_policy import PlacementPolicy
 
@@ -40,6 +41,8 @@
 REPLICA_PAUSE_S = 0.3
 # Loads that callers wait for keep this many of the transfers.
 RESERVED_TRANSFERS = 2
+# Further engines that the log names beside the chosen one.
+NEXT_BEST = 2
 
 
 @dataclass(slots=True)
@@ -61,6 +64,8 @@
         Adapter that makes room for the load.
     is_cold : bool
         Whether the weights come from the weight store.
+    next_best : tuple of (str, float)
+        The two next best engines with their estimates.
     """
 
     engine: Engine
@@ -69,6 +74,17 @@
     cost_s: float
     evicted: str = ""
     is_cold: bool = False
+    next_best: tuple[tuple[str, float], ...] = ()
+
+    def choice(self, adapter: str) -> Choice:
+        """Return why this engine was chosen."""
+        state = AdapterState.IN_STORE if self.is_cold else AdapterState.IN_MEMORY
+        if not adapter:
+            state = AdapterState.NONE
+        elif self.slot is not None:
+            is_loading = self.start_s > 0.0
+            state = AdapterState.LOADING if is_loading else AdapterState.RESIDENT
+        return Choice(state, self.cost_s, self.next_best)
 
 
 class EngineChooser:
@@ -171,33 +187,34 @@
             Time in seconds.
         """
         if not ask.adapter:
-            options = [
-                Option(engine, None, 0.0, _engine_cost_s(engine, ask, now))
-                for engine in self._pool.engines_by_name.values()
-                if engine.takes_work(now)
-                and engine.running < engine.entry.slots
-                and engine.name not in ask.excluded
-                and engine.backlog_s(now) <= most_backlog_s
-            ]
-            return min(options, key=lambda option: option.cost_s, default=None)
+            return _least(
+                [
+                    Option(engine, None, 0.0, _engine_cost_s(engine, ask, now))
+                    for engine in self._pool.engines_by_name.values()
+                    if engine.takes_work(now)
+                    and engine.running < engine.entry.slots
+                    and engine.name not in ask.excluded
+                    and engine.backlog_s(now) <= most_backlog_s
+                ]
+            )
         version = self.version_of(ask.adapter)
-        best = self._best_holder(ask, version, most_backlog_s, now)
+        options = self._holders(ask, version, most_backlog_s, now)
+        best = min(options, key=_cost_s, default=None)
         # Loading it once more costs at least this much.
-        if best is not None and best.cost_s <= WARM_LOAD_S:
-            return best
-        may_fetch = self._transfers < self.most_transfers()
-        for engine, victim in self._loadable(now):
-            if engine.backlog_s(now) > most_backlog_s:
-                continue
-            option = self._load_option(engine, victim, ask, version, now, may_fetch)
-            if option is not None and (best is None or option.cost_s < best.cost_s):
-                best = option
-        return best
+        if best is None or best.cost_s > WARM_LOAD_S:
+            may_fetch = self._transfers < self.most_transfers()
+            for engine, victim in self._loadable(now):
+                if engine.backlog_s(now) > most_backlog_s:
+                    continue
+                option = self._load_option(engine, victim, ask, version, now, may_fetch)
+                if option is not None:
+                    options.append(option)
+        return _least(options)
 
-    def _best_holder(
+    def _holders(
         self, ask: Ask, version: int, most_backlog_s: float, now: float
-    ) -> Option | None:
-        best: Option | None = None
+    ) -> list[Option]:
+        options: list[Option] = []
         for engine in self._pool.index.holders(ask.adapter):
             if not engine.takes_work(now) or engine.name in ask.excluded:
                 continue
@@ -210,9 +227,8 @@
             wait_s = 0.0
             if slot.state is SlotState.LOADING:
                 wait_s = max(0.001, slot.ready_at - now)
-            if best is None or cost_s + wait_s < best.cost_s:
-                best = Option(engine, slot, wait_s, cost_s + wait_s)
-        return best
+            options.append(Option(engine, slot, wait_s, cost_s + wait_s))
+        return options
 
     def _load_option(
         self,
@@ -365,6 +381,19 @@
         )
 
 
+def _cost_s(option: Option) -> float:
+    return option.cost_s
+
+
+def _least(options: list[Option]) -> Option | None:
+    """Return the option of least cost, with the two next best for the log."""
+    if not options:
+        return None
+    best, *others = nsmallest(1 + NEXT_BEST, options, key=_cost_s)
+    best.next_best = tuple((row.engine.name, row.cost_s) for row in others)
+    return best
+
+
 def _engine_cost_s(engine: Engine, ask: Ask, now: float) -> float:
     zone_s = 0.0 if engine.entry.zone == ask.zone else ZONE_PRICE_S
     failure_s = FAILURE_PRICE_S * engine.excess_failing(now)
--- a/sequoiafall/engine_planner.py
+++ b/sequoiafall/engine_planner.py
@@ -20,7 +20,15 @@
     ModelState,
     SlotState,
 )
-from .place_ask import Action, Ask, GrantPlace, LoadOrder, RefusePlace
+from .place_ask import (
+    UNCHOSEN,
+    Action,
+    Ask,
+    Choice,
+    GrantPlace,
+    LoadOrder,
+    RefusePlace,
+)
 from .placement_policy import PlacementPolicy
 from .refusal import Reason
 
@@ -56,6 +64,7 @@
     on_time_until: float
     refuse_at: float
     bound_to: str = ""
+    choice: Choice = UNCHOSEN
 
 
 @dataclass(slots=True)
@@ -400,6 +409,7 @@
                 del self._waiting_by_id[waiting.ask.request_id]
                 return [self._refuse(waiting, Reason.OVERLOADED, now, "no free slot")]
             return []
+        waiting.choice = option.choice(waiting.ask.adapter)
         if option.slot is not None and option.start_s <= 0.0:
             return [self._grant(waiting, option.engine, option.slot.version, now)]
         if option.slot is None and not waiting.ask.adapter:
@@ -486,8 +496,9 @@
         engine.note_use(ask.prompt_tokens, now)
         self._placed_by_id[ask.request_id] = _Placed(ask, engine.name, version, now)
         self.counts.granted += 1
+        waited_s = now - waiting.arrived_at
         return GrantPlace(
-            ask.request_id, engine.name, version, now - waiting.arrived_at
+            ask.request_id, engine.name, version, waited_s, waiting.choice
         )
 
     def _release(self, request_id: str, now: float) -> _Placed | None:
@@ -536,4 +547,5 @@
         queue_s = len(self._waiting_by_id) * self._release_interval_s
         least_s = min(most_s, max(MIN_RETRY_AFTER_S, queue_s))
         retry_after_s = self._random.uniform(least_s, most_s) if most_s > 0.05 else 0.0
-        return RefusePlace(ask.request_id, reason, retry_after_s, detail)
+        waited_s = now - waiting.arrived_at
+        return RefusePlace(ask.request_id, reason, retry_after_s, detail, waited_s)
--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -32,7 +32,9 @@
     Tenure,
 )
 from .log import log_event, log_warning
+from .measured_store import MeasuredRowStore
 from .mirror import Mirror
+from .node_metrics import NodeMetrics
 from .platform_client import Unknown
 from .row_store import HistoryLost, Rejected, RowStore, StoreRow, newest
 from .serving_ports import EngineControl, NodeSettings, RowDecoder
@@ -92,6 +94,8 @@
         Decodes its rows.
     control : EngineControl
         Orders to engines.
+    metrics : NodeMetrics
+        Gets calls of the store, changes of leader and waits for places.
     """
 
     def __init__(
@@ -101,12 +105,14 @@
         store: RowStore,
         decoder: RowDecoder,
         control: EngineControl,
+        metrics: NodeMetrics,
         **kwargs: Any,
     ) -> None:
         super().__init__(**kwargs)
         self.settings = settings
         self._secret = secret
-        self._store = store
+        self._metrics = metrics
+        self._store: RowStore = MeasuredRowStore(store, metrics)
         self._decoder = decoder
         self._control = control
         self.incarnation = int(boot_time() * 1e3) * 1000 + random.randrange(1000)
@@ -495,6 +501,7 @@
         if self._leader is not None and self._leader.address == address:
             return
         old, self._leader = self._leader, None
+        self._metrics.leader_changes += bool(address)
         self._leader_term = 0
         self._leader_revision = 0
         self._members_revision = 0
@@ -587,8 +594,14 @@
 
     def _begin_term(self) -> None:
         # A fault in the duties gives the lease up, and `self.duties` with it.
+        self._metrics.terms_begun += 1
         self.duties = duties = LeaderDuties(
-            self.settings, self.tenure, self.registry, self._control, self._lose_lease
+            self.settings,
+            self.tenure,
+            self.registry,
+            self._control,
+            self._metrics,
+            self._lose_lease,
         )
         if self.catalog is not None:
             duties.set_catalog(self.catalog)
--- a/sequoiafall/fleet_leader.py
+++ b/sequoiafall/fleet_leader.py
@@ -16,6 +16,7 @@
 from .engine_planner import EnginePlanner
 from .lease import Tenure
 from .log import log_event, log_warning
+from .node_metrics import NodeMetrics
 from .order_worker import OrderWorker
 from .place_ask import Action, Ask, GrantPlace, LoadOrder, RefusePlace
 from .refusal import Reason
@@ -69,6 +70,8 @@
         Backend servers.
     control : EngineControl
         Orders and reports.
+    metrics : NodeMetrics
+        Gets the waits for places.
     step_down : callable
         Called with the reason why this instance must not lead any more.
     """
@@ -79,6 +82,7 @@
         tenure: Tenure,
         registry: BackendRegistry,
         control: EngineControl,
+        metrics: NodeMetrics,
         step_down: Callable[[str], None],
     ) -> None:
         now = boot_time()
@@ -86,6 +90,7 @@
         self._tenure = tenure
         self._registry = registry
         self._control = control
+        self._metrics = metrics
         self._step_down = step_down
         self.term = tenure.token
         self.limits = TokenLimits(now)
@@ -94,6 +99,7 @@
         self.members_revision = 0
         self._workers_by_server: dict[str, OrderWorker] = {}
         self._answers_by_request: dict[str, asyncio.Future[Any]] = {}
+        self._organisations_by_request: dict[str, str] = {}
         self._recent_by_organisation: dict[str, float] = {}
         self._models_by_service: dict[str, str] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -328,6 +334,7 @@
         )
         answer = asyncio.get_running_loop().create_future()
         self._answers_by_request[ask.request_id] = answer
+        self._organisations_by_request[ask.request_id] = ask.organisation
         with self._guarded():
             self._apply(planner, planner.submit(ask, now))
         try:
@@ -339,6 +346,7 @@
         finally:
             if self._answers_by_request.get(ask.request_id) is answer:
                 del self._answers_by_request[ask.request_id]
+                del self._organisations_by_request[ask.request_id]
         return result
 
     def on_ends(self, ends: Any) -> None:
@@ -367,6 +375,7 @@
         if answer is None or answer.done() or entry is None:
             planner.end(grant.request_id, "cancelled", boot_time())
             return
+        now = boot_time()
         log_event(
             "place_granted",
             request_id=grant.request_id,
@@ -374,8 +383,13 @@
             version=grant.version,
             waited_ms=int(grant.waited_s * 1e3),
             term=self.term,
-            **planner.describe_engine(grant.server, boot_time()),
-            **planner.describe(boot_time()),
+            **grant.choice.describe(),
+            **planner.describe_engine(grant.server, now),
+            waiting=planner.waiting_count,
+            **self._limit_fields(grant.request_id, now),
+        )
+        self._metrics.place_wait_seconds.observe(
+            grant.choice.adapter.value, grant.waited_s
         )
         answer.set_result(
             ttypes.EngineAnswer(
@@ -389,6 +403,13 @@
             )
         )
 
+    def _limit_fields(self, request_id: str, now: float) -> dict[str, object]:
+        organisation = self._organisations_by_request.get(request_id, "")
+        if not organisation:
+            return {}
+        level = int(self.limits.level(organisation, now))
+        return {"organisation": organisation, "level_tokens": level}
+
     def _on_refused(self, planner: EnginePlanner, refusal: RefusePlace) -> None:
         answer = self._answers_by_request.get(refusal.request_id)
         log_event(
@@ -399,7 +420,9 @@
             retry_after_ms=int(refusal.retry_after_s * 1e3),
             term=self.term,
             **planner.describe(boot_time()),
+            **self._limit_fields(refusal.request_id, boot_time()),
         )
+        self._metrics.place_wait_seconds.observe("refused", refusal.waited_s)
         if answer is not None and not answer.done():
             answer.set_result(
                 _refusal(refusal.reason, refusal.retry_after_s, refusal.detail, False)
--- a/sequoiafall/node.py
+++ b/sequoiafall/node.py
@@ -38,6 +38,9 @@
 # Fewer instances than this in a caller's zone are filled up from other zones.
 MIN_NEAR_ADDRESSES = 2
 
+# The delay of the event loop is measured this often.
+LOOP_CHECK_INTERVAL_S = 0.5
+
 
 class Node(Service):
     """Serves callers on one instance and takes part in the fleet.
@@ -78,7 +81,7 @@
         self._control = control
         self._applications = applications
         self.metrics = NodeMetrics()
-        self.fleet = Fleet(settings, secret, store, decoder, control)
+        self.fleet = Fleet(settings, secret, store, decoder, control, self.metrics)
         generator = random.Random()
         places = PlaceSource(self.fleet, control, generator)
         self.forwarder = Forwarder(
@@ -104,6 +107,7 @@
         metrics.router.add_get("/metrics", self._on_metrics)
         address = f"{self.settings.address}:{self.settings.metrics_port}"
         await self._listen(metrics, address)
+        self.add_future(self._watch_loop())
         log_event(
             "started",
             instance=self.settings.instance,
@@ -185,10 +189,20 @@
             "log_lines_dropped": dropped_lines(),
             "retries": self.forwarder.retries(),
             "configuration_age_seconds": boot_time() - fleet.configuration_seen_at,
+            "leader_changes": self.metrics.leader_changes,
+            "terms_begun": self.metrics.terms_begun,
             **self._leader_gauges(),
         }
         return self.metrics.respond(request)
 
+    async def _watch_loop(self) -> None:
+        """Measure how late the event loop runs what is due."""
+        loop = asyncio.get_running_loop()
+        while not self.should_stop:
+            due = loop.time() + LOOP_CHECK_INTERVAL_S
+            await asyncio.sleep(LOOP_CHECK_INTERVAL_S)
+            self.metrics.loop_lag_seconds.observe("all", max(0.0, loop.time() - due))
+
     def _leader_gauges(self) -> dict[str, float]:
         duties = self.fleet.duties
         if duties is None:
@@ -196,12 +210,15 @@
         gauges: dict[str, float] = {}
         for planner in duties.planners_by_service.values():
             counts = planner.counts
-            gauges["places_granted"] = counts.granted
-            gauges["places_refused"] = sum(counts.refused_by_reason.values())
-            gauges["loads_from_store"] = counts.cold_loads
-            gauges["loads_from_memory"] = counts.warm_loads
-            gauges["loads_failed"] = counts.failed_loads
-            gauges["waiting"] = planner.waiting_count
+            for name, value in (
+                ("places_granted", counts.granted),
+                ("places_refused", sum(counts.refused_by_reason.values())),
+                ("loads_from_store", counts.cold_loads),
+                ("loads_from_memory", counts.warm_loads),
+                ("loads_failed", counts.failed_loads),
+                ("waiting", planner.waiting_count),
+            ):
+                gauges[name] = gauges.get(name, 0.0) + value
         return gauges
 
     def _on_reload(self) -> None:
--- a/sequoiafall/node_metrics.py
+++ b/sequoiafall/node_metrics.py
@@ -21,6 +21,9 @@
     def __init__(self) -> None:
         self.requests_by_end: Counter[tuple[str, str]] = Counter()
         self.attempts_by_outcome: Counter[tuple[str, str]] = Counter()
+        self.store_calls_by_result: Counter[tuple[str, str]] = Counter()
+        self.leader_changes = 0
+        self.terms_begun = 0
         self.gauges_by_name: dict[str, float] = {}
         self.registry = Registry()
         self._requests = MetricCounter(
@@ -33,6 +36,11 @@
             "Sends to backend servers by service and outcome",
             registry=self.registry,
         )
+        self._store_calls = MetricCounter(
+            "sequoiafall_node_store_calls_total",
+            "Calls of the platform's store by call and result",
+            registry=self.registry,
+        )
         self._state = Gauge(
             "sequoiafall_node_state",
             "State of the instance by name",
@@ -43,6 +51,21 @@
             "Time from a request to the first byte of its answer",
             self.registry,
         )
+        self.place_wait_seconds = SecondsByKind(
+            "sequoiafall_node_place_wait_seconds",
+            "Time a request waited at the leader, by state of its adapter or refused",
+            self.registry,
+        )
+        self.store_call_seconds = SecondsByKind(
+            "sequoiafall_node_store_call_seconds",
+            "Time of calls of the platform's store by call",
+            self.registry,
+        )
+        self.loop_lag_seconds = SecondsByKind(
+            "sequoiafall_node_loop_lag_seconds",
+            "How late the event loop ran what was due",
+            self.registry,
+        )
 
     def respond(self, request: web.Request) -> web.Response:
         """Return the metrics as text."""
@@ -53,6 +76,8 @@
         ):
             label = service if index < MAX_LABELS else "other"
             self._attempts.set({"service": label, "outcome": outcome}, count)
+        for (call, result), count in self.store_calls_by_result.items():
+            self._store_calls.set({"call": call, "result": result}, count)
         for name, value in self.gauges_by_name.items():
             self._state.set({"name": name}, value)
         content, headers = render(self.registry, request.headers.getall("Accept", []))
--- a/sequoiafall/place_ask.py
+++ b/sequoiafall/place_ask.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from dataclasses import dataclass
 
 from .refusal import Reason
@@ -41,14 +42,68 @@
     excluded: frozenset[str] = frozenset()
 
 
+class AdapterState(enum.Enum):
+    """Where an adapter was when its request got an engine."""
+
+    NONE = "none"
+    RESIDENT = "resident"
+    LOADING = "loading"
+    IN_MEMORY = "in memory"
+    IN_STORE = "in store"
+
+
+@dataclass(slots=True, frozen=True)
+class Choice:
+    """Why a request got its engine, for the log and the metrics.
+
+    Parameters
+    ----------
+    adapter : AdapterState
+        Where the adapter was at the engine.
+    cost_s : float
+        Estimated time with all prices, in seconds.
+    next_best : tuple of (str, float)
+        The two next best engines with their estimates.
+    """
+
+    adapter: AdapterState
+    cost_s: float
+    next_best: tuple[tuple[str, float], ...] = ()
+
+    def describe(self) -> dict[str, object]:
+        """Return the fields of a log line."""
+        others = (f"{name}:{int(cost_s * 1e3)}" for name, cost_s in self.next_best)
+        return {
+            "adapter_state": self.adapter.value,
+            "estimate_ms": int(self.cost_s * 1e3),
+            "next_best_ms": ",".join(others),
+        }
+
+
+UNCHOSEN = Choice(AdapterState.NONE, 0.0)
+
+
 @dataclass(slots=True, frozen=True)
 class GrantPlace:
-    """Tells a gateway to send the request to an engine now."""
+    """Tells a gateway to send the request to an engine now.
+
+    Parameters
+    ----------
+    request_id, server : str
+        The request and its engine.
+    version : int
+        Version of the adapter that the engine holds.
+    waited_s : float
+        Seconds since the request came to the planner.
+    choice : Choice
+        Why this engine.
+    """
 
     request_id: str
     server: str
     version: int
     waited_s: float
+    choice: Choice
 
 
 @dataclass(slots=True, frozen=True)
@@ -59,6 +114,7 @@
     reason: Reason
     retry_after_s: float
     detail: str
+    waited_s: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -93,6 +93,46 @@
             self.assertEqual(response.status, 200)
 
 
+class ExplainedTest(PlatformCase):
+    """Logs and metrics say what decided about a request."""
+
+    async def test_grant_names_its_inputs(self):
+        node, _ = await self.start_fleet()
+        with capture_log() as lines:
+            await self.call(node, "/draft/x", adapter="a1", request_id="why-1")
+            await self.call(node, "/draft/x", adapter="a1", request_id="why-2")
+        first, second = (
+            next(
+                line for line in lines if "place_granted" in line and request_id in line
+            )
+            for request_id in ("why-1", "why-2")
+        )
+        self.assertIn('adapter_state="in store"', first)
+        self.assertRegex(first, r"next_best_ms=\"?e[12]:\d+")
+        self.assertIn("adapter_state=resident", second)
+        for field in ("estimate_ms", "report_age_ms", "term", "level_tokens"):
+            self.assertRegex(first, rf"\b{field}=\d+")
+        self.assertIn("organisation=org-1", first)
+
+    async def test_metrics_by_cause(self):
+        nodes = await self.start_fleet()
+        for number in range(3):
+            await self.call(nodes[0], "/draft/x", adapter=f"a{number}")
+        settings = self.leader.settings
+        url = f"http://{settings.address}:{settings.metrics_port}/metrics"
+        async with self.session.get(url) as response:
+            text = await response.text()
+        for expected in (
+            r'place_wait_seconds_count\{kind="in store"\} 3',
+            r'store_calls_total\{call="replace",result="ok"\} [1-9]',
+            r'store_call_seconds_count\{kind="scan"\} [1-9]',
+            r'state\{name="terms_begun"\} 1',
+            r'state\{name="leader_changes"\}',
+            r'state\{name="loads_from_store"\} 3',
+        ):
+            self.assertRegex(text, "sequoiafall_node_" + expected)
+
+
 class FaultyBackendTest(PlatformCase):
     """Backend servers that fail, shed, cut and mix up answers."""
 
