Take over settings that change while an instance runs

Cause: SIGHUP was logged and nothing else, and a file that changed without a signal was not noticed, though the platform says that both happen.

Change: the instance reads its file anew after a signal or a new time stamp, takes over hints, grace period, lifetimes, retry budget and core share, and logs what changed and what needs a restart; a file that cannot be read leaves the settings as they are. NodeSettings has a module of its own.

Tests: test_changed_file_is_noticed_and_taken_over, ReloadTest.

--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -35,9 +35,10 @@
 from .measured_store import MeasuredRowStore
 from .mirror import Mirror
 from .node_metrics import NodeMetrics
+from .node_settings import NodeSettings
 from .platform_client import Unknown
 from .row_store import HistoryLost, Rejected, RowStore, StoreRow, newest
-from .serving_ports import EngineControl, NodeSettings, RowDecoder
+from .serving_ports import EngineControl, RowDecoder
 from .token_bucket import RecentUse
 from .transport import Kind, WireClient, WireServer
 from .wire.gen import ttypes
--- a/sequoiafall/fleet_leader.py
+++ b/sequoiafall/fleet_leader.py
@@ -17,10 +17,11 @@
 from .lease import Tenure
 from .log import log_event, log_warning
 from .node_metrics import NodeMetrics
+from .node_settings import NodeSettings
 from .order_worker import OrderWorker
 from .place_ask import Action, Ask, GrantPlace, LoadOrder, RefusePlace
 from .refusal import Reason
-from .serving_ports import EngineControl, NodeSettings
+from .serving_ports import EngineControl
 from .token_bucket import TokenLimits
 from .wire.gen import ttypes
 
--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -24,11 +24,12 @@
 from .fleet import Fleet
 from .log import log_event, log_warning
 from .node_metrics import NodeMetrics
+from .node_settings import NodeSettings
 from .place_source import GatewayPlace, PlaceNeed, PlaceSource
 from .plain_routing import PlainRouting
 from .refusal import Ran, Reason, Refusal
 from .retry import RetryBudget
-from .serving_ports import AnswerKind, Attempt, CallerRequest, Dialect, NodeSettings
+from .serving_ports import AnswerKind, Attempt, CallerRequest, Dialect
 
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 # Time by which an answer has to be decided before the caller or the operator's
--- a/sequoiafall/node.py
+++ b/sequoiafall/node.py
@@ -9,15 +9,17 @@
 
 from aiohttp import web
 from mode import Service
+from returns.result import Failure
 
 from .boot_clock import boot_time
 from .fleet import Fleet
 from .forwarding import Forwarder
 from .log import dropped_lines, log_event, log_warning
 from .node_metrics import NodeMetrics
+from .node_settings import NodeSettings, SettingsSource
 from .place_source import PlaceSource
 from .row_store import RowStore
-from .serving_ports import Dialect, EngineControl, NodeSettings, RowDecoder
+from .serving_ports import Dialect, EngineControl, RowDecoder
 
 # Headers and bodies that callers may send; the operator's limits are below.
 MAX_HEADER_BYTES = 16 * 1024
@@ -37,9 +39,9 @@
 MAX_ADDRESSES = 64
 # Fewer instances than this in a caller's zone are filled up from other zones.
 MIN_NEAR_ADDRESSES = 2
-
-# The delay of the event loop is measured this often.
-LOOP_CHECK_INTERVAL_S = 0.5
+# The delay of the event loop is measured, and the settings are looked at, this
+# often.
+WATCH_INTERVAL_S = 0.5
 
 
 class Node(Service):
@@ -62,6 +64,8 @@
     applications : object
         Has ``ready(node)`` and ``directory(node)``, which return the platform's
         web applications.
+    source : SettingsSource or None, default=None
+        Where settings that changed are read anew.
     """
 
     def __init__(
@@ -73,6 +77,7 @@
         control: EngineControl,
         dialect: Dialect,
         applications: Any,
+        source: SettingsSource | None = None,
         **kwargs: Any,
     ) -> None:
         super().__init__(**kwargs)
@@ -80,6 +85,7 @@
         self._store = store
         self._control = control
         self._applications = applications
+        self._source = source
         self.metrics = NodeMetrics()
         self.fleet = Fleet(settings, secret, store, decoder, control, self.metrics)
         generator = random.Random()
@@ -107,7 +113,7 @@
         metrics.router.add_get("/metrics", self._on_metrics)
         address = f"{self.settings.address}:{self.settings.metrics_port}"
         await self._listen(metrics, address)
-        self.add_future(self._watch_loop())
+        self.add_future(self._watch())
         log_event(
             "started",
             instance=self.settings.instance,
@@ -195,13 +201,15 @@
         }
         return self.metrics.respond(request)
 
-    async def _watch_loop(self) -> None:
-        """Measure how late the event loop runs what is due."""
+    async def _watch(self) -> None:
+        """Measure how late the event loop runs what is due; look at the settings."""
         loop = asyncio.get_running_loop()
         while not self.should_stop:
-            due = loop.time() + LOOP_CHECK_INTERVAL_S
-            await asyncio.sleep(LOOP_CHECK_INTERVAL_S)
+            due = loop.time() + WATCH_INTERVAL_S
+            await asyncio.sleep(WATCH_INTERVAL_S)
             self.metrics.loop_lag_seconds.observe("all", max(0.0, loop.time() - due))
+            if self._source is not None and self._source.has_changed():
+                self._on_reload()
 
     def _leader_gauges(self) -> dict[str, float]:
         duties = self.fleet.duties
@@ -222,6 +230,19 @@
         return gauges
 
     def _on_reload(self) -> None:
-        # Addresses and bounds of a running process do not change; the next
-        # start reads the file again.
-        log_event("reload", instance=self.settings.instance)
+        """Read the settings anew, after a signal or a change of the file."""
+        if self._source is None:
+            log_event("reload", instance=self.settings.instance)
+            return
+        result = self._source.read()
+        if isinstance(result, Failure):
+            findings = "; ".join(str(finding) for finding in result.failure())
+            log_warning("settings_unreadable", findings=findings)
+            return
+        changed, left = self.settings.adopt(result.unwrap())
+        log_event(
+            "reload",
+            instance=self.settings.instance,
+            changed=",".join(changed),
+            needs_restart=",".join(left),
+        )
--- a/sequoiafall/platform/node_file.py
+++ b/sequoiafall/platform/node_file.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
@@ -9,7 +10,7 @@
 from returns.result import Failure, Result, Success
 from ruamel.yaml import YAML, YAMLError
 
-from ..serving_ports import NodeSettings
+from ..node_settings import NodeSettings, SettingsSource
 from ..settings import Finding
 
 
@@ -51,6 +52,37 @@
         self.findings.append(Finding(f"{self._place}: {path}", expected, found))
 
 
+class NodeFile(SettingsSource):
+    """The settings file of a running process, which may change unannounced.
+
+    Parameters
+    ----------
+    path : str
+        Path of the file.
+    """
+
+    def __init__(self, path: str) -> None:
+        self._path = path
+        self._stamp = self._read_stamp()
+
+    def has_changed(self) -> bool:
+        """Whether the file was written since the last `read`."""
+        return self._read_stamp() != self._stamp
+
+    def read(self) -> Result[NodeSettings, list[Finding]]:
+        """Read the settings."""
+        self._stamp = self._read_stamp()
+        return read_node_file(self._path)
+
+    def _read_stamp(self) -> tuple[int, int, int]:
+        try:
+            found = os.stat(self._path)
+        except OSError:
+            # A file that is being replaced; `read` reports one that stays away.
+            return (0, 0, 0)
+        return (found.st_mtime_ns, found.st_size, found.st_ino)
+
+
 def read_node_file(path: str) -> Result[NodeSettings, list[Finding]]:
     """Read the settings file; all findings are reported together."""
     if not path:
--- a/sequoiafall/platform/program.py
+++ b/sequoiafall/platform/program.py
@@ -14,7 +14,7 @@
 from .applications import PlatformApplications
 from .dialect import PlatformDialect
 from .engines import PlatformEngines
-from .node_file import read_node_file
+from .node_file import NodeFile
 from .rows import PlatformRows
 from .store import PlatformRowStore
 
@@ -25,7 +25,9 @@
 
 def main() -> None:
     """Run one instance until a signal stops it; exit with 2 on bad settings."""
-    read = read_node_file(os.environ.get(names.SETTINGS_VARIABLE, ""))
+    path = os.environ.get(names.SETTINGS_VARIABLE, "")
+    source = NodeFile(path)
+    read = source.read()
     findings = read.failure() if isinstance(read, Failure) else []
     secret = os.environ.get(SECRET_VARIABLE, "").encode()
     if len(secret) < MIN_SECRET_BYTES:
@@ -44,6 +46,7 @@
         PlatformEngines(),
         PlatformDialect(),
         PlatformApplications(),
+        source,
     )
     run_service(node, logs_to_standard_output=True)
 
--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -9,13 +9,13 @@
 from aiohttp import web
 
 from sequoiafall.node import Node
+from sequoiafall.node_settings import NodeSettings
 from sequoiafall.platform import names
 from sequoiafall.platform.applications import PlatformApplications
 from sequoiafall.platform.dialect import PlatformDialect
 from sequoiafall.platform.engines import PlatformEngines
 from sequoiafall.platform.rows import PlatformRows
 from sequoiafall.platform.store import PlatformRowStore
-from sequoiafall.serving_ports import NodeSettings
 from sequoiafall.standins.adapter_engine import AdapterEngine
 from sequoiafall.standins.row_server import RowServer
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -12,7 +12,7 @@
 from sequoiafall.catalog import Repeat
 from sequoiafall.platform import names
 from sequoiafall.platform.dialect import PlatformDialect
-from sequoiafall.platform.node_file import read_node_file
+from sequoiafall.platform.node_file import NodeFile, read_node_file
 from sequoiafall.platform.rows import PlatformRows
 from sequoiafall.row_store import StoreRow
 from sequoiafall.serving_ports import AnswerKind, Attempt
@@ -79,6 +79,28 @@
         places = [finding.place.partition(": ")[2] for finding in findings]
         self.assertEqual(sorted(places), ["internal_ports", "platform.address", "zone"])
 
+    def test_changed_file_is_noticed_and_taken_over(self):
+        """The platform changes the file with a signal or without one."""
+        with tempfile.TemporaryDirectory() as directory:
+            path = Path(directory) / "node.yaml"
+            path.write_text(NODE_FILE)
+            source = NodeFile(str(path))
+            settings = source.read().unwrap()
+            self.assertFalse(source.has_changed())
+            text = NODE_FILE.replace("10.1.0.25:8229", "10.9.0.1:8229")
+            path.write_text(text.replace("grace_s: 8", "grace_s: 12"))
+            self.assertTrue(source.has_changed())
+            changed, left = settings.adopt(source.read().unwrap())
+            self.assertEqual((changed, left), (["peer_hints", "grace_s"], []))
+            self.assertEqual(settings.peer_hints, ("10.9.0.1",))
+            path.write_text(NODE_FILE.replace('"z1"', '"z2"'))
+            _, left = settings.adopt(source.read().unwrap())
+            self.assertEqual((settings.zone, left), ("z1", ["zone"]))
+            path.unlink()
+            self.assertTrue(source.has_changed())
+            self.assertIsInstance(source.read(), Failure)
+            self.assertFalse(source.has_changed())
+
     @parameterized.expand(
         [("empty", ""), ("list", "- a"), ("not yaml", "a: [b"), ("binary", "\x00")]
     )
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -1,10 +1,14 @@
 """Tests of whole nodes against stand-ins of the users' platform."""
 
 import asyncio
+import copy
 
 from parameterized import parameterized
+from returns.result import Failure, Success
 
+from sequoiafall.node_settings import SettingsSource
 from sequoiafall.platform import names
+from sequoiafall.settings import Finding
 
 from .events import until
 from .gateway_case import capture_log
@@ -133,6 +137,42 @@
             self.assertRegex(text, "sequoiafall_node_" + expected)
 
 
+class ReloadTest(PlatformCase):
+    """Settings that change while the instance serves."""
+
+    class Source(SettingsSource):
+        """Settings that a test replaces."""
+
+        def __init__(self, result):
+            self.result = result
+            self.is_new = True
+
+        def has_changed(self):
+            """Whether the test has set something."""
+            return self.is_new
+
+        def read(self):
+            """Return what the test has set."""
+            self.is_new = False
+            return self.result
+
+    async def test_change_without_a_signal(self):
+        node, _ = await self.start_fleet()
+        other = copy.copy(node.settings)
+        other.grace_s, other.zone = 3.0, "z9"
+        with capture_log() as lines:
+            node._source = self.Source(Success(other))
+            await until(lambda: node.settings.grace_s == 3.0)
+            status, _, _ = await self.call(node, "/draft/x", adapter="a1")
+            self.assertEqual(status, 200)
+            self.assertEqual(node.settings.zone, "z1")
+            node._source = self.Source(Failure([Finding("file: zone", "a value")]))
+            await until(lambda: any("settings_unreadable" in line for line in lines))
+        self.assertTrue(any("needs_restart=zone" in line for line in lines), lines)
+        self.assertEqual(node.settings.grace_s, 3.0)
+        node.settings.grace_s = 1.0
+
+
 class FaultyBackendTest(PlatformCase):
     """Backend servers that fail, shed, cut and mix up answers."""
 
