Refuse at once while no leader can be elected, and probe for the store

After the return of the store a hanging call hid it for up to 0.9 s.

Change: once a reading of the lease has failed and no leader answers, such requests are refused at once, to come back after a quarter to half of their time. While the store did not answer, the lease is read again every 0.3 s beside the call that hangs.

Tests that failed first: NoLeaderTest, test_store_that_is_back_is_noticed_before_a_lost_call_ends.

--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -14,7 +14,7 @@
 
 import xxhash
 from mode import Service
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from .backend_registry import BackendRegistry
 from .boot_clock import boot_time
@@ -36,7 +36,7 @@
 from .mirror import Mirror
 from .node_metrics import NodeMetrics
 from .node_settings import NodeSettings
-from .platform_client import Unknown
+from .platform_client import Unavailable, Unknown
 from .row_store import HistoryLost, Rejected, RowStore, StoreRow, newest
 from .serving_ports import EngineControl, RowDecoder
 from .token_bucket import RecentUse
@@ -60,6 +60,12 @@
 # store is not read by all of them at once.
 RANK_DELAY_S = 0.02
 RANK_DELAY_MAX_S = 1.5
+# After a failed reading of the lease, no election is expected for this long.
+LEASE_BLOCKED_S = 1.5
+# While the store did not answer before, the lease is read again after this time,
+# which is longer than a slow store takes, by up to this many calls at once.
+LEASE_PROBE_S = 0.3
+LEASE_PROBES = 3
 # Spread of candidates, so that their writes do not collide.
 ELECTION_JITTER_S = 0.15
 # A feed of changes waits this long at the store. A connection that went silent
@@ -146,6 +152,7 @@
         self._leader_failed = False
         self._should_poll = False
         self._lost_at = boot_time()
+        self._lease_failed_at = -LEASE_BLOCKED_S
         self._rank_delay_s = 0.0
         self._last_term = 0
         self._lost_logged = True
@@ -217,6 +224,12 @@
         silence_s = LEADER_SILENCE_POLLS * self._poll_interval_s()
         return boot_time() - self._heard_at < silence_s
 
+    @property
+    def is_election_blocked(self) -> bool:
+        """Whether there is no leader, and the store does not give the lease."""
+        age_s = boot_time() - self._lease_failed_at
+        return age_s < LEASE_BLOCKED_S and not self.has_leader
+
     def ready_members(self) -> list[Any]:
         """Return the instances that callers may use, this one among them."""
         members = self.duties.live_members() if self.duties is not None else []
@@ -518,12 +531,14 @@
 
     async def _stand(self) -> None:
         """Take one step of an election."""
-        result = await self._store.read(LEASE_TABLE, LEASE_KEY)
+        result = await self._read_lease()
         if not isinstance(result, Success):
+            self._lease_failed_at = boot_time()
             self._on_store(False, str(result.failure()))
             if not self.has_leader:
                 await self._ask_peers()
             return
+        self._lease_failed_at = -LEASE_BLOCKED_S
         self._on_store(True, "")
         row = result.unwrap()
         now = boot_time()
@@ -537,6 +552,34 @@
             if step is LeaseStep.FOLLOW:
                 await self._poll_leader()
 
+    async def _read_lease(self) -> Result[StoreRow | None, Unavailable]:
+        """Read the lease row; after a failure, ask again before an answer is due.
+
+        A call that was sent while the store was away is never answered, and would
+        hide for the rest of its time that the store is back.
+        """
+        first = self._read_task()
+        if boot_time() - self._lease_failed_at >= LEASE_BLOCKED_S:
+            return await first
+        tasks = {first}
+        while True:
+            timeout_s = LEASE_PROBE_S if len(tasks) < LEASE_PROBES else None
+            done, _ = await asyncio.wait(
+                tasks, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
+            )
+            if done:
+                break
+            tasks.add(self._read_task())
+        for task in tasks - done:
+            task.cancel()
+        answered = [task.result() for task in done]
+        reached = [row for row in answered if isinstance(row, Success)]
+        return reached[0] if reached else answered[0]
+
+    def _read_task(self) -> asyncio.Task[Result[StoreRow | None, Unavailable]]:
+        read = self._store.read(LEASE_TABLE, LEASE_KEY)
+        return asyncio.get_running_loop().create_task(read)
+
     def _jitter_s(self) -> float:
         # Larger instances stand first, because the leader does the most work.
         return ELECTION_JITTER_S / max(0.3, self.settings.core_share)
--- a/sequoiafall/place_source.py
+++ b/sequoiafall/place_source.py
@@ -24,6 +24,10 @@
 LEADER_POLL_S = 0.05
 # Callers that were refused for want of a leader come back after an election.
 LEADER_RETRY_S = 0.8
+# While the store does not answer candidates, an election cannot end soon. Callers
+# come back after this part of their time, when most outages are over.
+BLOCKED_RETRY_SHARES = (0.25, 0.5)
+BLOCKED_RETRY_MAX_S = 4.0
 # Share of an organisation's burst that all gateways may spend without a leader.
 LONE_BURST_SHARE = 0.5
 # Time over the caller's limit until an unanswered question counts as lost.
@@ -131,6 +135,8 @@
             place = await self._take_alone(need, excluded)
             if place is not None:
                 return place
+            if self._fleet.is_election_blocked:
+                return self._no_election(need)
             if boot_time() >= min(waited_until, need.until):
                 return self._no_leader()
             await asyncio.sleep(LEADER_POLL_S)
@@ -293,3 +299,12 @@
             retry_after_s=retry_after_s,
             detail="no leader answers and no engine holds the adapter",
         )
+
+    def _no_election(self, need: PlaceNeed) -> Refusal:
+        share = self._generator.uniform(*BLOCKED_RETRY_SHARES)
+        left_s = max(0.0, need.until - boot_time())
+        return Refusal(
+            Reason.OWNER_UNAVAILABLE,
+            retry_after_s=min(BLOCKED_RETRY_MAX_S, share * left_s),
+            detail="no leader can be elected while the store does not answer",
+        )
--- /dev/null
+++ b/tests/test_place_source.py
@@ -0,0 +1,65 @@
+"""Tests of how a gateway gets places while there is no leader."""
+
+import random
+import time
+import unittest
+from types import SimpleNamespace
+
+from parameterized import parameterized
+
+from sequoiafall.boot_clock import boot_time
+from sequoiafall.place_source import BLOCKED_RETRY_MAX_S, PlaceNeed, PlaceSource
+from sequoiafall.refusal import Reason
+
+
+class FakeRegistry:
+    """No engines."""
+
+    def of_service(self, _service):
+        """Return the engines."""
+        return []
+
+
+class FakeFleet:
+    """A fleet without a leader."""
+
+    has_leader = False
+
+    def __init__(self, is_election_blocked):
+        self.is_election_blocked = is_election_blocked
+        self.registry = FakeRegistry()
+        self.versions_by_adapter = {}
+
+
+class NoLeaderTest(unittest.IsolatedAsyncioTestCase):
+    """All instances start anew while the store is away: nobody can lead."""
+
+    async def _refuse(self, is_blocked, left_s, seed=1):
+        fleet = FakeFleet(is_blocked)
+        source = PlaceSource(fleet, None, random.Random(seed))
+        now = boot_time()
+        request = SimpleNamespace(request_id="r1", adapter="a1")
+        need = PlaceNeed(request, "assist", None, 0, 1, now + 0.8, now + left_s)
+        started_at = time.monotonic()
+        refusal = await source.take(need, frozenset())
+        return refusal, time.monotonic() - started_at
+
+    @parameterized.expand([(4.0,), (15.0,)])
+    async def test_hopeless_request_is_refused_at_once(self, left_s):
+        refusal, waited_s = await self._refuse(True, left_s)
+        self.assertIs(refusal.reason, Reason.OWNER_UNAVAILABLE)
+        self.assertLess(waited_s, 0.1)
+        # The caller comes back once, with enough time left for its answer.
+        self.assertGreaterEqual(refusal.retry_after_s, min(left_s, 8.0) * 0.24)
+        self.assertLessEqual(refusal.retry_after_s, min(left_s * 0.5, 4.0))
+
+    async def test_refused_callers_do_not_come_back_together(self):
+        times = [(await self._refuse(True, 4.0, seed))[0] for seed in range(20)]
+        seconds = sorted(refusal.retry_after_s for refusal in times)
+        self.assertGreater(seconds[-1] - seconds[0], 0.5)
+        self.assertLessEqual(seconds[-1], BLOCKED_RETRY_MAX_S)
+
+    async def test_request_waits_for_an_election_that_may_end(self):
+        refusal, waited_s = await self._refuse(False, 4.0)
+        self.assertGreater(waited_s, 0.9)
+        self.assertIs(refusal.reason, Reason.OWNER_UNAVAILABLE)
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -346,6 +346,19 @@
             status, _, _ = await self.call(node, "/order/x")
             self.assertEqual(status, 200)
 
+    async def test_store_that_is_back_is_noticed_before_a_lost_call_ends(self):
+        """A call that was sent during an outage is never answered."""
+        self.configure()
+        self.store.delay_s = 30.0
+        node = await self.start_node()
+        await until(lambda: node.fleet.is_election_blocked)
+        await asyncio.sleep(0.15)
+        self.store.delay_s = 0.0
+        failures = node._store.failures
+        await until(lambda: node.fleet.tenure.leads)
+        # The call that hangs has not even reached its time limit.
+        self.assertEqual(node._store.failures, failures)
+
     async def test_lost_history_is_read_anew(self):
         nodes = await self.start_fleet(2)
         self.store.put(
