Let the largest instances lead, and read fewer reports without a leader

Meanwhile each of 118 gateways read the reports of 70 engines every 0.4 s (178,433 probes).

Change: members say what part of a large leader's core and link they have; the largest stand first, small ones let them go first by up to 0.5 s, and a small leader gives the lease up to a much larger member after 3 s. All gateways together read at most 2,000 reports a second alone.

--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import xxhash
@@ -68,6 +68,14 @@
 LEASE_PROBES = 3
 # Spread of candidates, so that their writes do not collide.
 ELECTION_JITTER_S = 0.15
+# The leader does the most work, so small instances let larger ones go first by up
+# to this time, which is two steps of an election.
+SMALL_HANDICAP_S = 0.5
+# A leader gives the lease up to an instance that is larger by this factor and has
+# been a member for this long; it does not stand itself for a while then.
+HAND_OVER_FACTOR = 2.0
+HAND_OVER_AFTER_S = 3.0
+HAND_OVER_PAUSE_S = 3.0
 # A feed of changes waits this long at the store. A connection that went silent
 # is noticed only at the end of the wait.
 FEED_WAIT_S = 1.0
@@ -153,6 +161,8 @@
         self._should_poll = False
         self._lost_at = boot_time()
         self._lease_failed_at = -LEASE_BLOCKED_S
+        self._stand_from = 0.0
+        self._larger_since = 0.0
         self._rank_delay_s = 0.0
         self._last_term = 0
         self._lost_logged = True
@@ -368,6 +378,7 @@
             peer_address=self._peer_address(),
             ready=self.catalog is not None,
             leaving=self.is_leaving,
+            capacity_percent=round(100 * self.settings.capacity),
         )
 
     async def _follow_leader(self) -> None:
@@ -378,6 +389,8 @@
             try:
                 if self.tenure.leads:
                     await self._renew()
+                    if self._should_hand_over():
+                        await self._hand_over()
                     await asyncio.sleep(RENEW_S)
                     continue
                 if self._leader_term or self._should_poll:
@@ -401,14 +414,14 @@
         if self._lost_at:
             return
         self._lost_at = boot_time()
-        names = [row.instance for row in self.members]
-        seed = str(self._last_term)
-        names.sort(key=lambda name: xxhash.xxh64_intdigest(f"{seed} {name}".encode()))
+        names = ranked_members(self.members, self._last_term)
         own = self.settings.instance
         rank = names.index(own) if own in names else 0
         self._rank_delay_s = min(RANK_DELAY_MAX_S, rank * RANK_DELAY_S)
 
     def _is_my_turn(self) -> bool:
+        if boot_time() < self._stand_from:
+            return False
         return boot_time() - self._lost_at >= self._rank_delay_s
 
     async def _poll_leader(self) -> None:
@@ -545,7 +558,9 @@
         step, record = self._watch.observe(row, self._leader_refuses, now)
         if step is LeaseStep.TAKE:
             if record is None or record.instance != self.settings.instance:
-                await asyncio.sleep(random.uniform(0.0, self._jitter_s()))
+                handicap_s = SMALL_HANDICAP_S * (1.0 - self.settings.capacity)
+                jitter_s = random.uniform(0.0, ELECTION_JITTER_S)
+                await asyncio.sleep(handicap_s + jitter_s)
             await self._take(row, record)
         elif record is not None and not self.has_leader:
             await self._set_leader(record.address, "lease row")
@@ -580,10 +595,6 @@
         read = self._store.read(LEASE_TABLE, LEASE_KEY)
         return asyncio.get_running_loop().create_task(read)
 
-    def _jitter_s(self) -> float:
-        # Larger instances stand first, because the leader does the most work.
-        return ELECTION_JITTER_S / max(0.3, self.settings.core_share)
-
     async def _take(self, row: StoreRow | None, before: LeaseRecord | None) -> None:
         record = LeaseRecord(
             self.settings.instance, self.incarnation, self._peer_address()
@@ -718,7 +729,24 @@
             f"the row names {record_now.instance}" if record_now else "the row is gone"
         )
 
-    async def _resign(self) -> None:
+    def _should_hand_over(self) -> bool:
+        """Whether a much larger instance has been there for a while."""
+        if self.duties is None or not self.tenure.leads:
+            return False
+        own = 100 * self.settings.capacity
+        sizes = [row.capacity_percent for row in self.duties.live_members()]
+        if max(sizes, default=0) < HAND_OVER_FACTOR * own:
+            self._larger_since = 0.0
+            return False
+        self._larger_since = self._larger_since or boot_time()
+        return boot_time() - self._larger_since >= HAND_OVER_AFTER_S
+
+    async def _hand_over(self) -> None:
+        self._larger_since = 0.0
+        self._stand_from = boot_time() + HAND_OVER_PAUSE_S
+        await self._resign("a larger instance can lead")
+
+    async def _resign(self, reason: str = "leaving") -> None:
         record = LeaseRecord(
             self.settings.instance,
             self.incarnation,
@@ -726,7 +754,7 @@
             resigned=True,
         )
         version = self.tenure.version
-        self._lose_lease("leaving")
+        self._lose_lease(reason)
         result = await self._store.replace(
             LEASE_TABLE, LEASE_KEY, record.encode(), version
         )
@@ -943,6 +971,21 @@
                 )
 
 
+def ranked_members(members: Sequence[Any], term: int) -> list[str]:
+    """Return instances in the order in which they stand: the largest first.
+
+    Among equals the order changes with each term.
+    """
+    ordered = sorted(
+        members,
+        key=lambda row: (
+            -row.capacity_percent,
+            xxhash.xxh64_intdigest(f"{term} {row.instance}".encode()),
+        ),
+    )
+    return [row.instance for row in ordered]
+
+
 def _rows_to_wire(rows: list[StoreRow]) -> list[Any]:
     return [
         ttypes.MirroredRow(
--- a/sequoiafall/fleet_leader.py
+++ b/sequoiafall/fleet_leader.py
@@ -534,6 +534,7 @@
         peer_address=member.peer_address,
         ready=False,
         leaving=True,
+        capacity_percent=member.capacity_percent,
     )
 
 
--- a/sequoiafall/node_settings.py
+++ b/sequoiafall/node_settings.py
@@ -9,6 +9,12 @@
 
 from .settings import Finding
 
+# Core and link of the leader before 70 engines and 118 instances, with room for
+# the instances that join a new leader at once: 0.25 of a core and 4 Mbit/s when
+# nothing changes, by the slopes of docs/CAPACITY.md.
+LEADER_CORE_SHARE = 0.6
+LEADER_LINK_MBPS = 40.0
+
 # Settings that a running instance takes over; the others need a restart.
 RELOADABLE = (
     "peer_hints",
@@ -17,6 +23,7 @@
     "retry_share",
     "retry_extra",
     "core_share",
+    "link_mbps",
 )
 
 
@@ -47,6 +54,8 @@
         Whether engines check fencing tokens.
     core_share : float
         Share of a core that the instance has.
+    link_mbps : float
+        Bandwidth of its link in Mbit/s.
     is_first_start : bool
         Whether the whole system starts for the first time.
     """
@@ -67,8 +76,15 @@
     retry_extra: float = 100.0
     is_fenced: bool = True
     core_share: float = 1.0
+    link_mbps: float = 1000.0
     is_first_start: bool = False
 
+    @property
+    def capacity(self) -> float:
+        """Share of what the leader of a large fleet needs, at most 1."""
+        core = self.core_share / LEADER_CORE_SHARE
+        return min(1.0, core, self.link_mbps / LEADER_LINK_MBPS)
+
     def adopt(self, other: NodeSettings) -> tuple[list[str], list[str]]:
         """Take over what may change while the process runs.
 
--- a/sequoiafall/place_source.py
+++ b/sequoiafall/place_source.py
@@ -19,6 +19,9 @@
 
 # Without a leader a gateway reads the engines' reports itself, at most this often.
 LONE_REPORT_LIFE_S = 0.4
+# All gateways together read at most so many reports a second; nothing is loaded
+# meanwhile, so that older ones still tell which adapters are where.
+LONE_REPORTS_PER_S = 2000.0
 # A request whose adapter no engine holds waits this long for a new leader.
 LEADER_WAIT_S = 1.0
 LEADER_POLL_S = 0.05
@@ -272,7 +275,10 @@
         return best
 
     async def _read_reports(self, service: str) -> None:
-        if boot_time() - self._reports_at < LONE_REPORT_LIFE_S:
+        engines = len(self._fleet.registry.of_service(service))
+        reports = engines * max(1, len(self._fleet.members))
+        life_s = max(LONE_REPORT_LIFE_S, reports / LONE_REPORTS_PER_S)
+        if boot_time() - self._reports_at < life_s:
             return
         if self._reading is None or self._reading.done():
             self._reading = asyncio.get_running_loop().create_task(
--- a/sequoiafall/wire/gen/ttypes.py
+++ b/sequoiafall/wire/gen/ttypes.py
@@ -3713,6 +3713,7 @@
      - peer_address
      - ready
      - leaving
+     - capacity_percent
 
     """
 
@@ -3724,10 +3725,11 @@
         'peer_address',
         'ready',
         'leaving',
+        'capacity_percent',
     )
 
 
-    def __init__(self, instance=None, incarnation=None, zone=None, front_address=None, peer_address=None, ready=None, leaving=None,):
+    def __init__(self, instance=None, incarnation=None, zone=None, front_address=None, peer_address=None, ready=None, leaving=None, capacity_percent=None,):
         self.instance = instance
         self.incarnation = incarnation
         self.zone = zone
@@ -3735,6 +3737,7 @@
         self.peer_address = peer_address
         self.ready = ready
         self.leaving = leaving
+        self.capacity_percent = capacity_percent
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3780,6 +3783,11 @@
                     self.leaving = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.capacity_percent = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3818,6 +3826,10 @@
             oprot.writeFieldBegin('leaving', TType.BOOL, 7)
             oprot.writeBool(self.leaving)
             oprot.writeFieldEnd()
+        if self.capacity_percent is not None:
+            oprot.writeFieldBegin('capacity_percent', TType.I32, 8)
+            oprot.writeI32(self.capacity_percent)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5359,6 +5371,7 @@
     (5, TType.STRING, 'peer_address', 'UTF8', None, ),  # 5
     (6, TType.BOOL, 'ready', None, None, ),  # 6
     (7, TType.BOOL, 'leaving', None, None, ),  # 7
+    (8, TType.I32, 'capacity_percent', None, None, ),  # 8
 )
 all_structs.append(MirroredRow)
 MirroredRow.thrift_spec = (
--- a/sequoiafall/wire/sequoiafall.thrift
+++ b/sequoiafall/wire/sequoiafall.thrift
@@ -277,6 +277,7 @@
   5: string peer_address
   6: bool ready
   7: bool leaving
+  8: i32 capacity_percent
 }
 
 // A row as the store holds it; `version` comes from the store's one counter.
--- a/tests/test_place_source.py
+++ b/tests/test_place_source.py
@@ -7,17 +7,37 @@
 
 from parameterized import parameterized
 
+from sequoiafall.backend_registry import BackendEntry
 from sequoiafall.boot_clock import boot_time
+from sequoiafall.engine_pool import EngineReport
 from sequoiafall.place_source import BLOCKED_RETRY_MAX_S, PlaceNeed, PlaceSource
 from sequoiafall.refusal import Reason
 
 
 class FakeRegistry:
-    """No engines."""
+    """Engines that hold nothing."""
+
+    def __init__(self, engines=0):
+        self.entries = [
+            BackendEntry(f"e{n}", "assist", f"10.0.0.{n}:80", "z1", 64, False)
+            for n in range(engines)
+        ]
 
     def of_service(self, _service):
         """Return the engines."""
-        return []
+        return self.entries
+
+
+class CountingControl:
+    """Counts the reports that are read."""
+
+    def __init__(self):
+        self.reports = 0
+
+    async def report(self, _entry):
+        """Return an engine without adapters."""
+        self.reports += 1
+        return EngineReport(1, {}, {}, 0, 0)
 
 
 class FakeFleet:
@@ -28,6 +48,7 @@
     def __init__(self, is_election_blocked):
         self.is_election_blocked = is_election_blocked
         self.registry = FakeRegistry()
+        self.members = []
         self.versions_by_adapter = {}
 
 
@@ -59,6 +80,23 @@
         self.assertGreater(seconds[-1] - seconds[0], 0.5)
         self.assertLessEqual(seconds[-1], BLOCKED_RETRY_MAX_S)
 
+    @parameterized.expand([("small", 6, 13, 12, 24), ("large", 70, 118, 70, 70)])
+    async def test_reports_read_without_a_leader_are_bounded(
+        self, _name, engines, members, least, most
+    ):
+        """118 instances before 70 engines read no 20,000 reports a second."""
+        fleet = FakeFleet(False)
+        fleet.registry = FakeRegistry(engines)
+        fleet.members = [None] * members
+        control = CountingControl()
+        source = PlaceSource(fleet, control, random.Random(1))
+        now = boot_time()
+        request = SimpleNamespace(request_id="r1", adapter="a1")
+        need = PlaceNeed(request, "assist", None, 0, 1, now + 0.8, now + 4.0)
+        await source.take(need, frozenset())
+        self.assertGreaterEqual(control.reports, least)
+        self.assertLessEqual(control.reports, most)
+
     async def test_request_waits_for_an_election_that_may_end(self):
         refusal, waited_s = await self._refuse(False, 4.0)
         self.assertGreater(waited_s, 0.9)
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -2,11 +2,15 @@
 
 import asyncio
 import copy
+import unittest
+from types import SimpleNamespace
 
 from parameterized import parameterized
 from returns.result import Failure, Success
 
-from sequoiafall.node_settings import SettingsSource
+from sequoiafall.boot_clock import boot_time
+from sequoiafall.fleet import ranked_members
+from sequoiafall.node_settings import NodeSettings, SettingsSource
 from sequoiafall.platform import names
 from sequoiafall.settings import Finding
 
@@ -137,6 +141,40 @@
             self.assertRegex(text, "sequoiafall_node_" + expected)
 
 
+class StoppingTest(PlatformCase):
+    """A stopping instance takes nothing that it cannot end."""
+
+    @parameterized.expand(
+        [
+            ("short stream", "/draft/x", "1000,20", 2.5, 200),
+            ("long stream", "/draft/x", "1000,200", 2.5, 503),
+            ("stream of unknown length", "/draft/x", "", 2.5, 503),
+            ("stream early", "/draft/x", "1000,200", 6.5, 200),
+            ("call", "/order/x", "", 2.5, 200),
+            ("late call", "/order/x", "", 0.5, 503),
+        ]
+    )
+    async def test_request_late_in_the_grace_period(
+        self, _name, path, tokens, left_s, expected
+    ):
+        """A request comes on a connection that was kept for seconds."""
+        node, _ = await self.start_fleet()
+        await until(lambda: node.fleet.registry.of_service("desk"))
+        node.forwarder.ends_at = boot_time() + left_s
+        node.fleet.is_leaving = True
+        headers = {names.TOKENS: tokens} if tokens else {}
+        if path.startswith("/draft"):
+            headers[names.MODEL] = "base/a1"
+        status, body, answered = await self.call(
+            node, path, request_id="late", **headers
+        )
+        self.assertEqual(status, expected, body)
+        self.assertEqual(answered["Connection"], "close")
+        if expected == 503:
+            self.assertEqual(self.runs("late"), 0)
+            self.assertIn("Retry-After", answered)
+
+
 class ReloadTest(PlatformCase):
     """Settings that change while the instance serves."""
 
@@ -271,6 +309,44 @@
         self.assertIn(2, [e.resident.get("a1") for e in self.engines.values()])
 
 
+class RankTest(unittest.TestCase):
+    """Who stands for the lease first."""
+
+    def _members(self, sizes):
+        return [
+            SimpleNamespace(instance=f"n{number}", capacity_percent=size)
+            for number, size in enumerate(sizes)
+        ]
+
+    def test_largest_first_and_equals_by_term(self):
+        members = self._members([12, 100, 12, 100, 100])
+        orders = [ranked_members(members, term) for term in range(20)]
+        for order in orders:
+            self.assertEqual(set(order[:3]), {"n1", "n3", "n4"})
+        self.assertGreater(len({order[0] for order in orders}), 1)
+        self.assertEqual(ranked_members(members[::-1], 3), ranked_members(members, 3))
+
+    @parameterized.expand(
+        [(1.0, 1000.0, 1.0), (0.36, 1000.0, 0.6), (0.36, 5.0, 0.125), (2.0, 20.0, 0.5)]
+    )
+    def test_capacity(self, core_share, link_mbps, expected):
+        settings = NodeSettings(
+            "n",
+            "z",
+            "a",
+            "f",
+            "r",
+            "d",
+            1,
+            2,
+            (),
+            "s",
+            core_share=core_share,
+            link_mbps=link_mbps,
+        )
+        self.assertAlmostEqual(settings.capacity, expected)
+
+
 class LeaderTest(PlatformCase):
     """Leaders that end, and stores that turn some instances away."""
 
@@ -278,6 +354,23 @@
         nodes = await self.start_fleet(3)
         self.assertEqual(sum(node.fleet.tenure.leads for node in nodes), 1)
 
+    async def test_small_leader_hands_over_to_a_larger_instance(self):
+        """The first instances after a loss of power may be the smallest."""
+        self.configure()
+        for name in ("e1", "e2"):
+            await self.start_backend(name)
+        for number in (1, 2):
+            await self.start_node(number, link_mbps=5.0)
+        await until(lambda: self.leader is not None)
+        await self.start_node(3)
+        with capture_log() as lines:
+            await until(lambda: self.nodes[2].fleet.tenure.leads)
+            await until(self._engines_known)
+        self.assertTrue(any("larger instance" in line for line in lines), lines)
+        for node in self.nodes:
+            status, _, _ = await self.call(node, "/draft/x", adapter="a1")
+            self.assertEqual(status, 200)
+
     async def test_leader_that_stops_hands_over(self):
         nodes = await self.start_fleet(3)
         leader = self.leader
@@ -354,10 +447,11 @@
         await until(lambda: node.fleet.is_election_blocked)
         await asyncio.sleep(0.15)
         self.store.delay_s = 0.0
-        failures = node._store.failures
+        counts = node.metrics.store_calls_by_result
+        failures = counts["read", "unavailable"]
         await until(lambda: node.fleet.tenure.leads)
         # The call that hangs has not even reached its time limit.
-        self.assertEqual(node._store.failures, failures)
+        self.assertEqual(counts["read", "unavailable"], failures)
 
     async def test_lost_history_is_read_anew(self):
         nodes = await self.start_fleet(2)
