Refuse at a stopping instance what it cannot end

Change: a stopping instance refuses at once, with 503 and a closed connection, what needs longer than it has left: a second for a call; 1.2 s and 20 ms for each token for a stream.

--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 import random
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
@@ -49,6 +50,16 @@
 # Retry time of refusals that do not come with one.
 RETRY_AFTER_S = 0.4
 CONFIGURATION_RETRY_S = 0.5
+# What a request needs of the time that a stopping instance has left: a call; a
+# stream until its first event, with a load on the way, and for each token, which
+# is two steps of a full batch.
+CALL_NEEDS_S = 1.0
+STREAM_START_NEEDS_S = 1.2
+TOKEN_NEEDS_S = 0.02
+# Tokens of an answer whose caller does not say how long it is.
+USUAL_OUTPUT_TOKENS = 100
+# Another instance can serve what a stopping one refuses.
+DRAINING_RETRY_S = 0.05
 
 
 @dataclass(slots=True)
@@ -156,6 +167,8 @@
         self._settings = settings
         self._budgets_by_service: dict[str, RetryBudget] = {}
         self.open_requests = 0
+        # When the process ends, once it is being stopped.
+        self.ends_at = math.inf
         self._idle = asyncio.Event()
 
     async def handle(self, web_request: web.Request) -> web.StreamResponse:
@@ -257,6 +270,13 @@
     async def _serve(self, exchange: Exchange) -> web.StreamResponse:
         catalog = self._fleet.catalog
         service = catalog.services_by_name.get(exchange.service) if catalog else None
+        if self._ends_too_soon(exchange, service is not None and service.is_engine):
+            refusal = Refusal(
+                Reason.DRAINING,
+                retry_after_s=DRAINING_RETRY_S,
+                detail="this instance ends before the answer would",
+            )
+            return self._finish_refusal(exchange, refusal)
         self._budget(exchange.service).on_request()
         try:
             async with asyncio.timeout(max(0.0, exchange.until - boot_time())):
@@ -269,6 +289,15 @@
             self._log_end(exchange, "cancelled", 0, "the caller left")
             raise
 
+    def _ends_too_soon(self, exchange: Exchange, is_stream: bool) -> bool:
+        left_s = self.ends_at - boot_time()
+        if not is_stream:
+            return left_s < CALL_NEEDS_S
+        tokens = exchange.request.output_tokens
+        if tokens is None:
+            tokens = USUAL_OUTPUT_TOKENS
+        return left_s < STREAM_START_NEEDS_S + TOKEN_NEEDS_S * tokens
+
     def _time_out(self, exchange: Exchange) -> web.StreamResponse:
         if exchange.stream is not None:
             return self._break_off(exchange, "time is over")
--- a/sequoiafall/node.py
+++ b/sequoiafall/node.py
@@ -131,6 +131,7 @@
         await self.fleet.leave()
         grace_s = max(0.0, self.settings.grace_s - STOP_MARGIN_S)
         accept_until = started_at + grace_s * ACCEPT_SHARE
+        self.forwarder.ends_at = boot_time() + grace_s
         await asyncio.sleep(max(0.0, accept_until - loop.time()))
         if self._front is not None:
             await self._front.stop()
