Send joining members the tables that they lack, and drop a lost leader

Change: a first poll says the newest version of each table, and tables that agree are left out. A leader that has been silent for a second is not given to callers until somebody leads again.

--- a/bench/leader.py
+++ b/bench/leader.py
@@ -58,7 +58,7 @@
     member = ttypes.FleetMember(
         "node-1", 1, "z1", "10.0.0.1:1", "10.0.0.1:2", True, False, 100
     )
-    poll = ttypes.FleetPoll(member, 7, 3, {"org": 200}, [], [], {}, False, 5)
+    poll = ttypes.FleetPoll(member, 7, 3, {"org": 200}, [], [], {}, False, 5, {})
     reply = ttypes.FleetPollReply(
         True, 7, 3, [], [], [], True, {"op": 9, "servers": 8}, "10.0.0.2:2", 9, 5
     )
--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -60,6 +60,8 @@
 # store is not read by all of them at once.
 RANK_DELAY_S = 0.02
 RANK_DELAY_MAX_S = 1.5
+# A leader that fell silent is not given to callers after this time.
+GONE_AFTER_S = 1.0
 # After a failed reading of the lease, no election is expected for this long.
 LEASE_BLOCKED_S = 1.5
 # While the store did not answer before, the lease is read again after this time,
@@ -162,6 +164,7 @@
         self._lost_at = boot_time()
         self._lease_failed_at = -LEASE_BLOCKED_S
         self._stand_from = 0.0
+        self._lost_leader = ""
         self._larger_since = 0.0
         self._rank_delay_s = 0.0
         self._last_term = 0
@@ -247,11 +250,23 @@
             members = self.members
         members = [row for row in members if row.ready]
         own = self.settings.instance
+        lost = self._lost_leader if self._is_leader_gone() else ""
         members = [row for row in members if row.instance != own]
+        members = [row for row in members if row.peer_address != lost]
         if not self.is_leaving and self.catalog is not None:
             members.append(self._member())
         return members
 
+    def _is_leader_gone(self) -> bool:
+        """Whether the leader fell silent and nobody has followed it yet.
+
+        Only a leader tells which instances have gone; without one, callers would
+        be sent to the lost leader for as long as that lasts.
+        """
+        if self.has_leader or not self._lost_at:
+            return False
+        return boot_time() - self._lost_at > GONE_AFTER_S
+
     def note_use(self, organisation: str, tokens: int) -> None:
         """Note tokens that this gateway admitted on its own."""
         now = boot_time()
@@ -309,15 +324,19 @@
             return self._reply_of_member()
         self._mirror.apply(_rows_from_wire(poll.rows))
         duties.on_poll(poll)
-        revision = poll.revision if poll.term == duties.term else 0
+        is_first = poll.term != duties.term
+        rows = self._mirror.since_revision(0 if is_first else poll.revision)
+        if is_first:
+            # Instances that join a new leader hold most tables already; all rows
+            # for each of 118 would take 12 MB of the leader's link.
+            own, known = self._mirror.newest_by_table(), poll.newest_by_table or {}
+            rows = [row for row in rows if known.get(row.table) != own[row.table]]
         return ttypes.FleetPollReply(
             leads=True,
             term=duties.term,
             revision=self._mirror.revision,
-            rows=_rows_to_wire(self._mirror.since_revision(revision)),
-            members=duties.members_since(
-                poll.members_revision if poll.term == duties.term else 0
-            ),
+            rows=_rows_to_wire(rows),
+            members=duties.members_since(0 if is_first else poll.members_revision),
             members_revision=duties.members_revision,
             over_limit=duties.limits.over_limit(boot_time()),
             reaches_store=self.reaches_store and self.tenure.state == "leading",
@@ -450,6 +469,7 @@
             else {},
             announces=False,
             members_revision=self._members_revision,
+            newest_by_table=self._mirror.newest_by_table() if is_first else {},
         )
         result = await client.call(poll, POLL_TIMEOUT_S)
         if isinstance(result, Failure):
@@ -481,6 +501,8 @@
             self._pending_tokens[name] = self._pending_tokens.get(name, 0) + count
 
     async def _on_leader_silent(self, detail: str) -> None:
+        if self._leader is not None and self._leader_term:
+            self._lost_leader = self._leader.address
         if not self._lost_logged:
             self._lost_logged = True
             log_warning(
@@ -505,6 +527,7 @@
                 members=len(reply.members),
             )
         self._lost_logged = False
+        self._lost_leader = ""
         self._leader_term = self._last_term = reply.term
         self._leader_revision = reply.revision
         self._leader_newest = reply.newest_by_table
@@ -675,6 +698,7 @@
             },
             announces=True,
             members_revision=0,
+            newest_by_table={},
         )
         self._pending_tokens.clear()
         duties.on_poll(poll)
--- a/sequoiafall/wire/gen/ttypes.py
+++ b/sequoiafall/wire/gen/ttypes.py
@@ -4111,6 +4111,7 @@
      - recent_tokens_by_organisation
      - announces
      - members_revision
+     - newest_by_table
 
     """
 
@@ -4124,10 +4125,11 @@
         'recent_tokens_by_organisation',
         'announces',
         'members_revision',
+        'newest_by_table',
     )
 
 
-    def __init__(self, member=None, term=None, revision=None, tokens_by_organisation=None, rows=None, held=None, recent_tokens_by_organisation=None, announces=None, members_revision=None,):
+    def __init__(self, member=None, term=None, revision=None, tokens_by_organisation=None, rows=None, held=None, recent_tokens_by_organisation=None, announces=None, members_revision=None, newest_by_table=None,):
         self.member = member
         self.term = term
         self.revision = revision
@@ -4137,6 +4139,7 @@
         self.recent_tokens_by_organisation = recent_tokens_by_organisation
         self.announces = announces
         self.members_revision = members_revision
+        self.newest_by_table = newest_by_table
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4217,6 +4220,17 @@
                     self.members_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.MAP:
+                    self.newest_by_table = {}
+                    (_ktype146, _vtype147, _size145) = iprot.readMapBegin()
+                    for _i149 in range(_size145):
+                        _key150 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val151 = iprot.readI64()
+                        self.newest_by_table[_key150] = _val151
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4242,31 +4256,31 @@
         if self.tokens_by_organisation is not None:
             oprot.writeFieldBegin('tokens_by_organisation', TType.MAP, 4)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.tokens_by_organisation))
-            for kiter145, viter146 in self.tokens_by_organisation.items():
-                oprot.writeString(kiter145.encode('utf-8') if sys.version_info[0] == 2 else kiter145)
-                oprot.writeI64(viter146)
+            for kiter152, viter153 in self.tokens_by_organisation.items():
+                oprot.writeString(kiter152.encode('utf-8') if sys.version_info[0] == 2 else kiter152)
+                oprot.writeI64(viter153)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter147 in self.rows:
-                iter147.write(oprot)
+            for iter154 in self.rows:
+                iter154.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter148 in self.held:
-                iter148.write(oprot)
+            for iter155 in self.held:
+                iter155.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.recent_tokens_by_organisation is not None:
             oprot.writeFieldBegin('recent_tokens_by_organisation', TType.MAP, 7)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.recent_tokens_by_organisation))
-            for kiter149, viter150 in self.recent_tokens_by_organisation.items():
-                oprot.writeString(kiter149.encode('utf-8') if sys.version_info[0] == 2 else kiter149)
-                oprot.writeI64(viter150)
+            for kiter156, viter157 in self.recent_tokens_by_organisation.items():
+                oprot.writeString(kiter156.encode('utf-8') if sys.version_info[0] == 2 else kiter156)
+                oprot.writeI64(viter157)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.announces is not None:
@@ -4277,6 +4291,14 @@
             oprot.writeFieldBegin('members_revision', TType.I64, 9)
             oprot.writeI64(self.members_revision)
             oprot.writeFieldEnd()
+        if self.newest_by_table is not None:
+            oprot.writeFieldBegin('newest_by_table', TType.MAP, 10)
+            oprot.writeMapBegin(TType.STRING, TType.I64, len(self.newest_by_table))
+            for kiter158, viter159 in self.newest_by_table.items():
+                oprot.writeString(kiter158.encode('utf-8') if sys.version_info[0] == 2 else kiter158)
+                oprot.writeI64(viter159)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4374,32 +4396,32 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype154, _size151) = iprot.readListBegin()
-                    for _i155 in range(_size151):
-                        _elem156 = MirroredRow()
-                        _elem156.read(iprot)
-                        self.rows.append(_elem156)
+                    (_etype163, _size160) = iprot.readListBegin()
+                    for _i164 in range(_size160):
+                        _elem165 = MirroredRow()
+                        _elem165.read(iprot)
+                        self.rows.append(_elem165)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype160, _size157) = iprot.readListBegin()
-                    for _i161 in range(_size157):
-                        _elem162 = FleetMember()
-                        _elem162.read(iprot)
-                        self.members.append(_elem162)
+                    (_etype169, _size166) = iprot.readListBegin()
+                    for _i170 in range(_size166):
+                        _elem171 = FleetMember()
+                        _elem171.read(iprot)
+                        self.members.append(_elem171)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.over_limit = []
-                    (_etype166, _size163) = iprot.readListBegin()
-                    for _i167 in range(_size163):
-                        _elem168 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.over_limit.append(_elem168)
+                    (_etype175, _size172) = iprot.readListBegin()
+                    for _i176 in range(_size172):
+                        _elem177 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.over_limit.append(_elem177)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4411,11 +4433,11 @@
             elif fid == 8:
                 if ftype == TType.MAP:
                     self.newest_by_table = {}
-                    (_ktype170, _vtype171, _size169) = iprot.readMapBegin()
-                    for _i173 in range(_size169):
-                        _key174 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val175 = iprot.readI64()
-                        self.newest_by_table[_key174] = _val175
+                    (_ktype179, _vtype180, _size178) = iprot.readMapBegin()
+                    for _i182 in range(_size178):
+                        _key183 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val184 = iprot.readI64()
+                        self.newest_by_table[_key183] = _val184
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -4459,22 +4481,22 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter176 in self.rows:
-                iter176.write(oprot)
+            for iter185 in self.rows:
+                iter185.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter177 in self.members:
-                iter177.write(oprot)
+            for iter186 in self.members:
+                iter186.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.over_limit is not None:
             oprot.writeFieldBegin('over_limit', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.over_limit))
-            for iter178 in self.over_limit:
-                oprot.writeString(iter178.encode('utf-8') if sys.version_info[0] == 2 else iter178)
+            for iter187 in self.over_limit:
+                oprot.writeString(iter187.encode('utf-8') if sys.version_info[0] == 2 else iter187)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reaches_store is not None:
@@ -4484,9 +4506,9 @@
         if self.newest_by_table is not None:
             oprot.writeFieldBegin('newest_by_table', TType.MAP, 8)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.newest_by_table))
-            for kiter179, viter180 in self.newest_by_table.items():
-                oprot.writeString(kiter179.encode('utf-8') if sys.version_info[0] == 2 else kiter179)
-                oprot.writeI64(viter180)
+            for kiter188, viter189 in self.newest_by_table.items():
+                oprot.writeString(kiter188.encode('utf-8') if sys.version_info[0] == 2 else kiter188)
+                oprot.writeI64(viter189)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.leader_address is not None:
@@ -4642,10 +4664,10 @@
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.excluded = []
-                    (_etype184, _size181) = iprot.readListBegin()
-                    for _i185 in range(_size181):
-                        _elem186 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded.append(_elem186)
+                    (_etype193, _size190) = iprot.readListBegin()
+                    for _i194 in range(_size190):
+                        _elem195 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem195)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4717,8 +4739,8 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 13)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter187 in self.excluded:
-                oprot.writeString(iter187.encode('utf-8') if sys.version_info[0] == 2 else iter187)
+            for iter196 in self.excluded:
+                oprot.writeString(iter196.encode('utf-8') if sys.version_info[0] == 2 else iter196)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.charged is not None:
@@ -5037,11 +5059,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.ended = []
-                    (_etype191, _size188) = iprot.readListBegin()
-                    for _i192 in range(_size188):
-                        _elem193 = EngineEnd()
-                        _elem193.read(iprot)
-                        self.ended.append(_elem193)
+                    (_etype200, _size197) = iprot.readListBegin()
+                    for _i201 in range(_size197):
+                        _elem202 = EngineEnd()
+                        _elem202.read(iprot)
+                        self.ended.append(_elem202)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5062,8 +5084,8 @@
         if self.ended is not None:
             oprot.writeFieldBegin('ended', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.ended))
-            for iter194 in self.ended:
-                iter194.write(oprot)
+            for iter203 in self.ended:
+                iter203.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5404,6 +5426,7 @@
     (7, TType.MAP, 'recent_tokens_by_organisation', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 7
     (8, TType.BOOL, 'announces', None, None, ),  # 8
     (9, TType.I64, 'members_revision', None, None, ),  # 9
+    (10, TType.MAP, 'newest_by_table', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 10
 )
 all_structs.append(FleetPollReply)
 FleetPollReply.thrift_spec = (
--- a/sequoiafall/wire/sequoiafall.thrift
+++ b/sequoiafall/wire/sequoiafall.thrift
@@ -313,6 +313,7 @@
   7: map<string, i64> recent_tokens_by_organisation
   8: bool announces
   9: i64 members_revision
+  10: map<string, i64> newest_by_table
 }
 
 // `members` are those that changed after the poll's `members_revision`; one that
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -13,6 +13,7 @@
 from sequoiafall.node_settings import NodeSettings, SettingsSource
 from sequoiafall.platform import names
 from sequoiafall.settings import Finding
+from sequoiafall.wire.gen import ttypes
 
 from .events import until
 from .gateway_case import capture_log
@@ -406,6 +407,54 @@
             status, _, _ = await self.call(node, "/draft/x", adapter="a1")
             self.assertEqual(status, 200)
 
+    async def test_lost_leader_is_not_given_to_callers(self):
+        """The leader's instance is taken away while nobody can be elected."""
+        nodes = await self.start_fleet(3)
+        await until(lambda: all(len(n.addresses_for("z1")) == 3 for n in nodes))
+        leader = self.leader
+        lost = leader.settings.front_address
+        self.store.refuses = {"*"}
+        await leader.fleet._server.stop()
+        for node in nodes:
+            if node is not leader:
+                await until(lambda node=node: lost not in node.addresses_for("z1"))
+                self.assertEqual(len(node.addresses_for("z1")), 2)
+
+    async def test_member_gets_only_tables_that_it_lacks(self):
+        """118 instances that join a new leader at once must not choke its link."""
+        nodes = await self.start_fleet(2)
+        leader = self.leader
+        member = next(node for node in nodes if node is not leader)
+        await until(lambda: member.fleet.catalog is not None)
+        table = names.CONFIGURATION_TABLE
+        await until(
+            lambda: (
+                member.fleet._mirror.newest_by_table().get(table)
+                == leader.fleet._mirror.newest_by_table()[table]
+            )
+        )
+
+        def tables(newest_by_table):
+            poll = ttypes.FleetPoll(
+                member=member.fleet._member(),
+                term=0,
+                revision=0,
+                tokens_by_organisation={},
+                rows=[],
+                held=[],
+                recent_tokens_by_organisation={},
+                announces=False,
+                members_revision=0,
+                newest_by_table=newest_by_table,
+            )
+            reply = leader.fleet._on_poll(poll, "peer")
+            return {row.table for row in reply.rows}
+
+        self.assertIn(table, tables({}))
+        self.assertIn(table, tables({table: 0}))
+        newest = member.fleet._mirror.newest_by_table()
+        self.assertNotIn(table, tables(newest))
+
     async def test_leader_that_is_turned_away_is_replaced(self):
         """The store serves the others, and the operator changes something."""
         nodes = await self.start_fleet(3)
