Keep the calls for the lease in a module of their own

Change: LeaseKeeper reads, takes, renews and gives up the row; no behaviour changed but for small instances, which let larger ones go first by 0.45 s in place of 0.5 s. Tests: test_platform_nodes, test_soak, test_lease pass.

--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -9,34 +9,24 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from typing import Any
 
 import xxhash
 from mode import Service
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Success
 
 from .boot_clock import boot_time
 from .catalog import Catalog
 from .fleet_leader import LeaderDuties, poll_interval_s
 from .fleet_tables import FEED_INTERVAL_S, FleetTables
-from .lease import (
-    FENCED_TAKEOVER_S,
-    LEASE_KEY,
-    LEASE_TABLE,
-    RENEW_S,
-    TAKEOVER_S,
-    LeaseRecord,
-    LeaseStep,
-    LeaseWatch,
-    Tenure,
-)
+from .lease import RENEW_S, LeaseStep
+from .lease_keeper import LeaseKeeper
 from .log import log_event, log_warning
 from .measured_store import MeasuredRowStore
 from .node_metrics import NodeMetrics
 from .node_settings import NodeSettings
-from .platform_client import Unavailable, Unknown
-from .row_store import Rejected, RowStore, StoreRow
+from .row_store import RowStore, StoreRow
 from .serving_ports import EngineControl, RowDecoder
 from .token_bucket import RecentUse
 from .transport import Kind, WireClient, WireServer
@@ -61,25 +51,17 @@
 RANK_DELAY_MAX_S = 1.5
 # A leader that fell silent is not given to callers after this time.
 GONE_AFTER_S = 1.0
-# After a failed reading of the lease, no election is expected for this long.
-LEASE_BLOCKED_S = 1.5
-# While the store did not answer before, the lease is read again after this time,
-# which is longer than a slow store takes, by up to this many calls at once.
-LEASE_PROBE_S = 0.3
-LEASE_PROBES = 3
 # Spread of candidates, so that their writes do not collide.
 ELECTION_JITTER_S = 0.15
 # The leader does the most work, so small instances let larger ones go first by up
-# to this time, which is two steps of an election.
-SMALL_HANDICAP_S = 0.5
+# to this time: three steps of an election.
+SMALL_HANDICAP_S = 3.0 * ELECTION_INTERVAL_S
 # A leader gives the lease up to an instance that is larger by this factor and has
 # been a member for this long; it does not stand itself for a while then.
 HAND_OVER_FACTOR = 2.0
 HAND_OVER_AFTER_S = 3.0
 HAND_OVER_PAUSE_S = 3.0
 
-OnCatalog = Callable[[Catalog], None]
-
 
 class Fleet(Service):
     """Membership, lease, configuration and backend servers of one instance.
@@ -118,7 +100,14 @@
         self._decoder = decoder
         self._control = control
         self.incarnation = int(boot_time() * 1e3) * 1000 + random.randrange(1000)
-        self.tenure = Tenure()
+        self._keeper = LeaseKeeper(
+            settings,
+            self.incarnation,
+            self._peer_address(),
+            self._store,
+            self._on_store,
+        )
+        self.tenure = self._keeper.tenure
         self.duties: LeaderDuties | None = None
         self.recent_use = RecentUse()
         self.over_limit: frozenset[str] = frozenset()
@@ -136,8 +125,6 @@
             lambda: self.duties,
         )
         self.registry = self.tables.registry
-        takeover_s = FENCED_TAKEOVER_S if settings.is_fenced else TAKEOVER_S
-        self._watch = LeaseWatch(settings.instance, self.incarnation, takeover_s)
         self._leader: WireClient | None = None
         self._leader_term = 0
         self._leader_revision = 0
@@ -150,7 +137,6 @@
         self._leader_failed = False
         self._should_poll = False
         self._lost_at = boot_time()
-        self._lease_failed_at = -LEASE_BLOCKED_S
         self._stand_from = 0.0
         self._lost_leader = ""
         self._larger_since = 0.0
@@ -236,8 +222,7 @@
     @property
     def is_election_blocked(self) -> bool:
         """Whether there is no leader, and the store does not give the lease."""
-        age_s = boot_time() - self._lease_failed_at
-        return age_s < LEASE_BLOCKED_S and not self.has_leader
+        return self._keeper.is_unreadable and not self.has_leader
 
     def ready_members(self) -> list[Any]:
         """Return the instances that callers may use, this one among them."""
@@ -536,7 +521,7 @@
         self._heard_at = boot_time()
         self._leader_failed = False
         if reply.reaches_store:
-            self._watch.on_leader(reply.lease_version, self._heard_at)
+            self._keeper.on_leader(reply.lease_version, self._heard_at)
         self._leader_refuses = False
         if not is_same_term:
             self.members_by_instance.clear()
@@ -566,109 +551,25 @@
 
     async def _stand(self) -> None:
         """Take one step of an election."""
-        result = await self._read_lease()
-        if not isinstance(result, Success):
-            self._lease_failed_at = boot_time()
-            self._on_store(False, str(result.failure()))
+        reading = await self._keeper.observe(self._leader_refuses)
+        if reading is None:
             if not self.has_leader:
                 await self._ask_peers()
             return
-        self._lease_failed_at = -LEASE_BLOCKED_S
-        self._on_store(True, "")
-        row = result.unwrap()
-        now = boot_time()
-        step, record = self._watch.observe(row, self._leader_refuses, now)
+        step, row, record = reading
         if step is LeaseStep.TAKE:
             if record is None or record.instance != self.settings.instance:
                 handicap_s = SMALL_HANDICAP_S * (1.0 - self.settings.capacity)
                 jitter_s = random.uniform(0.0, ELECTION_JITTER_S)
                 await asyncio.sleep(handicap_s + jitter_s)
-            await self._take(row, record)
+            if await self._keeper.take(row, record):
+                await self._set_leader("", "leads")
+                self._begin_term()
         elif record is not None and not self.has_leader:
             await self._set_leader(record.address, "lease row")
             if step is LeaseStep.FOLLOW:
                 await self._poll_leader()
 
-    async def _read_lease(self) -> Result[StoreRow | None, Unavailable]:
-        """Read the lease row; after a failure, ask again before an answer is due.
-
-        A call that was sent while the store was away is never answered, and would
-        hide for the rest of its time that the store is back.
-        """
-        first = self._read_task()
-        if boot_time() - self._lease_failed_at >= LEASE_BLOCKED_S:
-            return await first
-        tasks = {first}
-        while True:
-            timeout_s = LEASE_PROBE_S if len(tasks) < LEASE_PROBES else None
-            done, _ = await asyncio.wait(
-                tasks, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
-            )
-            if done:
-                break
-            tasks.add(self._read_task())
-        for task in tasks - done:
-            task.cancel()
-        answered = [task.result() for task in done]
-        reached = [row for row in answered if isinstance(row, Success)]
-        return reached[0] if reached else answered[0]
-
-    def _read_task(self) -> asyncio.Task[Result[StoreRow | None, Unavailable]]:
-        read = self._store.read(LEASE_TABLE, LEASE_KEY)
-        return asyncio.get_running_loop().create_task(read)
-
-    async def _take(self, row: StoreRow | None, before: LeaseRecord | None) -> None:
-        record = LeaseRecord(
-            self.settings.instance, self.incarnation, self._peer_address()
-        )
-        sent_at = boot_time()
-        version = row.version if row is not None else 0
-        taken = await self._write_lease(record, version)
-        if taken is None:
-            return
-        self.tenure.on_taken(taken, sent_at)
-        log_event(
-            "lease_taken",
-            term=taken,
-            predecessor=before.instance if before else "",
-            row_version=version,
-            unchanged_ms=int((sent_at - self._watch.seen_at) * 1e3),
-        )
-        await self._set_leader("", "leads")
-        self._watch.reset()
-        self._begin_term()
-
-    async def _write_lease(self, record: LeaseRecord, version: int) -> int | None:
-        """Write the lease row and return its version if it is ours afterwards."""
-        result = await self._store.replace(
-            LEASE_TABLE, LEASE_KEY, record.encode(), version
-        )
-        if isinstance(result, Success):
-            self._on_store(True, "")
-            return result.unwrap()
-        failure = result.failure()
-        if isinstance(failure, Rejected):
-            return self._own_version(failure.row)
-        self._on_store(False, str(failure))
-        if not isinstance(failure, Unknown):
-            return None
-        # The answer was lost: the row tells whether the write took effect.
-        read = await self._store.read(LEASE_TABLE, LEASE_KEY)
-        if not isinstance(read, Success):
-            return None
-        row = read.unwrap()
-        return self._own_version(row) if row and row.version != version else None
-
-    def _own_version(self, row: StoreRow | None) -> int | None:
-        record = LeaseRecord.from_row(row)
-        if row is None or record is None or record.resigned:
-            return None
-        is_own = (
-            record.instance == self.settings.instance
-            and record.incarnation == self.incarnation
-        )
-        return row.version if is_own else None
-
     def _begin_term(self) -> None:
         # A fault in the duties gives the lease up, and `self.duties` with it.
         self._metrics.terms_begun += 1
@@ -713,44 +614,11 @@
         await client.close()
 
     async def _renew(self) -> None:
-        now = boot_time()
-        self.tenure.check(now)
         if self.duties is not None:
             self.duties.keep_alive(self._member())
-        record = LeaseRecord(
-            self.settings.instance,
-            self.incarnation,
-            self._peer_address(),
-            renewals=self.tenure.version,
-        )
-        version = self.tenure.version
-        result = await self._store.replace(
-            LEASE_TABLE, LEASE_KEY, record.encode(), version
-        )
-        if isinstance(result, Success):
-            self._on_store(True, "")
-            self.tenure.on_renewed(result.unwrap(), now)
-            return
-        failure = result.failure()
-        row: StoreRow | None = None
-        if isinstance(failure, Rejected):
-            row = failure.row
-        else:
-            self._on_store(False, str(failure))
-            read = await self._store.read(LEASE_TABLE, LEASE_KEY)
-            if not isinstance(read, Success):
-                return
-            row = read.unwrap()
-            if row is not None and row.version == version:
-                return
-        own = self._own_version(row)
-        if own is not None:
-            self.tenure.on_renewed(own, now)
-            return
-        record_now = LeaseRecord.from_row(row)
-        self._lose_lease(
-            f"the row names {record_now.instance}" if record_now else "the row is gone"
-        )
+        lost = await self._keeper.renew()
+        if lost:
+            self._lose_lease(lost)
 
     def _should_hand_over(self) -> bool:
         """Whether a much larger instance has been there for a while."""
@@ -770,25 +638,15 @@
         await self._resign("a larger instance can lead")
 
     async def _resign(self, reason: str = "leaving") -> None:
-        record = LeaseRecord(
-            self.settings.instance,
-            self.incarnation,
-            self._peer_address(),
-            resigned=True,
-        )
         version = self.tenure.version
         self._lose_lease(reason)
-        result = await self._store.replace(
-            LEASE_TABLE, LEASE_KEY, record.encode(), version
-        )
-        log_event("lease_given_up", ok=isinstance(result, Success))
+        await self._keeper.give_up(version)
 
     def _lose_lease(self, reason: str) -> None:
         if not self.tenure.leads:
             return
         log_warning("lease_lost", term=self.tenure.token, reason=reason)
-        self.tenure.on_lost()
-        self._watch.reset()
+        self._keeper.on_lost()
         duties, self.duties = self.duties, None
         if duties is not None:
             self.members_by_instance = {
