Share the files and the end of commands that write reports

Cause: the experiment repeated how the replay writes plots and how it stops. Tests: test_experiment, test_replay pass.

--- a/sequoiafall/day_report.py
+++ b/sequoiafall/day_report.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-import base64
-import html
-import io
 from collections import defaultdict
 from collections.abc import Callable, Sequence
 from pathlib import Path
@@ -13,6 +10,7 @@
 import msgspec
 
 from .day_session import DayRequest, DaySession
+from .reports import png_of, write_image
 
 # Length of the windows of which the two worst count.
 WINDOW_S = 2.0
@@ -25,7 +23,6 @@
 # the users' sheets give them.
 PART_WEIGHTS = (0.55, 0.25, 0.2)
 PLOT_SIZE_INCHES = (12.0, 8.0)
-DOTS_PER_INCH = 100
 
 
 class DayFigures(msgspec.Struct):
@@ -203,16 +200,7 @@
             return
         if path.suffix not in (".png", ".html"):
             raise ValueError(f"{path}: expected .json, .png or .html")
-        image = self._plots()
-        if path.suffix == ".png":
-            path.write_bytes(image)
-            return
-        encoded = base64.b64encode(image).decode()
-        path.write_text(
-            "<!doctype html><meta charset='utf-8'><title>Experiment</title>"
-            f"<pre>{html.escape(self.text())}</pre>"
-            f"<img alt='plots' src='data:image/png;base64,{encoded}'>\n"
-        )
+        write_image(path, self._plots(), "Experiment", self.text())
 
     def _plots(self) -> bytes:
         # Imported here because it takes longer than a short day.
@@ -246,10 +234,9 @@
             windows.set_title(f"{day}: credit by window, first seed")
             windows.set_xlabel("s")
             windows.legend(fontsize=8)
-        buffer = io.BytesIO()
-        figure.savefig(buffer, format="png", dpi=DOTS_PER_INCH)
+        image = png_of(figure)
         pyplot.close(figure)
-        return buffer.getvalue()
+        return image
 
 
 def read_report(path: Path) -> DayReport:
--- a/sequoiafall/day_session.py
+++ b/sequoiafall/day_session.py
@@ -330,18 +330,8 @@
                 self._refuse(request, wait_s)
                 return
         request.is_over_limit = False
-        ask = Ask(
-            request.request_id,
-            request.organisation,
-            "gateway",
-            request.zone,
-            request.adapter,
-            request.prompt_tokens,
-            kind.rank,
-            request.arrived_at + kind.on_time_s - self._now,
-            left_s,
-            request.excluded,
-        )
+        on_time_s = request.arrived_at + kind.on_time_s - self._now
+        ask = _ask_of(request, on_time_s, left_s)
         self._apply(self._planner.submit(ask, self._now))
         self._at(request.arrived_at + kind.give_up_s, self._on_caller_left, request)
 
@@ -383,17 +373,7 @@
             if engine.up_at <= self._now:
                 self._apply(planner.on_report(engine.name, engine.report(), self._now))
         for request, server, version in self._held_by_id.values():
-            ask = Ask(
-                request.request_id,
-                request.organisation,
-                "gateway",
-                request.zone,
-                request.adapter,
-                request.prompt_tokens,
-                request.kind.rank,
-                0.0,
-                0.0,
-            )
+            ask = _ask_of(request, 0.0, 0.0)
             planner.adopt(ask, server, version, self._now)
         asks, self._asks_without_leader = self._asks_without_leader, []
         for request in asks:
@@ -566,6 +546,21 @@
                 self._try_elsewhere(held[0], engine.name, "broken")
 
 
+def _ask_of(request: DayRequest, on_time_s: float, left_s: float) -> Ask:
+    return Ask(
+        request.request_id,
+        request.organisation,
+        "gateway",
+        request.zone,
+        request.adapter,
+        request.prompt_tokens,
+        request.kind.rank,
+        on_time_s,
+        left_s,
+        request.excluded,
+    )
+
+
 def _popularity(kind: RequestKind) -> list[float]:
     """Return the cumulated weights of the adapters."""
     return list(
--- a/sequoiafall/experiment.py
+++ b/sequoiafall/experiment.py
@@ -15,16 +15,15 @@
 from .day_report import DayFigures, DayReport, read_report
 from .day_session import DaySession
 from .placement_policy import POLICIES_BY_NAME
+from .reports import bad_input
 
-EXIT_BAD_INPUT = 2
 MAX_SEEDS = 1000
 
 app = typer.Typer(add_completion=False, help="Try out how requests are placed.")
 
 
 def _stop(message: str) -> typer.Exit:
-    typer.echo(f"sequoiafall-experiment: {message}", err=True)
-    return typer.Exit(EXIT_BAD_INPUT)
+    return bad_input("sequoiafall-experiment", message)
 
 
 def play(day: Day, policy: str, seed: int) -> DayFigures:
--- a/sequoiafall/replay.py
+++ b/sequoiafall/replay.py
@@ -19,6 +19,7 @@
 )
 from .replay_report import Report, read_json, text_summary, write_json, write_plots
 from .replay_session import POLICIES_BY_NAME, replay
+from .reports import bad_input
 from .traces import (
     WORKLOADS_BY_NAME,
     Scenario,
@@ -31,15 +32,13 @@
 )
 
 EXIT_MISSED = 1
-EXIT_BAD_INPUT = 2
 PROGRESS_WIDTH = 40
 
 app = typer.Typer(add_completion=False, help="Replay traces in virtual time.")
 
 
 def _stop(message: str) -> typer.Exit:
-    typer.echo(f"sequoiafall-replay: {message}", err=True)
-    return typer.Exit(EXIT_BAD_INPUT)
+    return bad_input("sequoiafall-replay", message)
 
 
 def _progress(duration_s: float) -> Callable[[float], None] | None:
--- a/sequoiafall/replay_report.py
+++ b/sequoiafall/replay_report.py
@@ -1,8 +1,5 @@
 """Reports of replays: text, JSON, and plots as PNG or HTML."""
 
-import base64
-import html
-import io
 from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
@@ -10,9 +7,9 @@
 import msgspec
 
 from .replay_outcomes import Figures, Outcome
+from .reports import png_of, write_image
 
 PLOT_SIZE_INCHES = (12.0, 8.0)
-DOTS_PER_INCH = 100
 
 
 class Report(msgspec.Struct):
@@ -93,24 +90,9 @@
     return figure
 
 
-def _plot_png(report: Report) -> bytes:
-    buffer = io.BytesIO()
-    _plot(report).savefig(buffer, format="png", dpi=DOTS_PER_INCH)
-    return buffer.getvalue()
-
-
 def write_plots(report: Report, summary: str, path: Path) -> None:
     """Write the plots as PNG, or with the summary as HTML, by the suffix."""
-    image = _plot_png(report)
-    if path.suffix == ".png":
-        path.write_bytes(image)
-        return
-    encoded = base64.b64encode(image).decode()
-    path.write_text(
-        "<!doctype html><meta charset='utf-8'><title>Replay</title>"
-        f"<pre>{html.escape(summary)}</pre>"
-        f"<img alt='plots' src='data:image/png;base64,{encoded}'>\n"
-    )
+    write_image(path, png_of(_plot(report)), "Replay", summary)
 
 
 def write_json(report: Report, path: Path) -> None:
--- /dev/null
+++ b/sequoiafall/reports.py
@@ -0,0 +1,46 @@
+"""What commands that write reports share: their files, and how they stop."""
+
+from __future__ import annotations
+
+import base64
+import html
+import io
+from pathlib import Path
+from typing import Any
+
+import typer
+
+EXIT_BAD_INPUT = 2
+DOTS_PER_INCH = 100
+
+
+def bad_input(program: str, message: str) -> typer.Exit:
+    """Print what is wrong with the input and return the end of the program."""
+    typer.echo(f"{program}: {message}", err=True)
+    return typer.Exit(EXIT_BAD_INPUT)
+
+
+def png_of(figure: Any) -> bytes:
+    """Return a figure of matplotlib as PNG."""
+    buffer = io.BytesIO()
+    figure.savefig(buffer, format="png", dpi=DOTS_PER_INCH)
+    return buffer.getvalue()
+
+
+def write_image(path: Path, image: bytes, title: str, summary: str) -> None:
+    """Write plots as PNG, or with the summary as HTML, by the suffix.
+
+    Raises
+    ------
+    OSError
+        If the file cannot be written.
+    """
+    if path.suffix == ".png":
+        path.write_bytes(image)
+        return
+    encoded = base64.b64encode(image).decode()
+    path.write_text(
+        f"<!doctype html><meta charset='utf-8'><title>{html.escape(title)}</title>"
+        f"<pre>{html.escape(summary)}</pre>"
+        f"<img alt='plots' src='data:image/png;base64,{encoded}'>\n"
+    )
