--- a/bench/replays.py
+++ b/bench/replays.py
@@ -16,7 +16,9 @@
     compute_figures,
     measured,
 )
-from sequoiafall.replay_session import POLICIES_BY_NAME, ReplayResult, replay
+from sequoiafall.replay_policy import POLICIES_BY_NAME
+from sequoiafall.replay_result import ReplayResult
+from sequoiafall.replay_session import replay
 from sequoiafall.traces import (
     HARDER_WORKLOADS,
     WORKLOADS,
--- a/sequoiafall/replay.py
+++ b/sequoiafall/replay.py
@@ -17,8 +17,9 @@
     read_outcomes,
     write_outcomes,
 )
+from .replay_policy import POLICIES_BY_NAME
 from .replay_report import Report, read_json, text_summary, write_json, write_plots
-from .replay_session import POLICIES_BY_NAME, replay
+from .replay_session import replay
 from .reports import bad_input
 from .traces import (
     WORKLOADS_BY_NAME,
--- a/sequoiafall/replay_outcomes.py
+++ b/sequoiafall/replay_outcomes.py
@@ -6,7 +6,9 @@
 
 import msgspec
 
-from .replay_session import ReplayPolicy, ReplayResult, RequestRecord, own_share, replay
+from .replay_policy import ReplayPolicy
+from .replay_result import ReplayResult, RequestRecord
+from .replay_session import own_share, replay
 from .traces import Trace
 
 STALL_TARGET_S = 1.0
--- a/sequoiafall/replay_session.py
+++ b/sequoiafall/replay_session.py
@@ -4,7 +4,7 @@
 import itertools
 from collections import Counter
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from typing import Any
 
 from msgspec.structs import replace as replace_fields
@@ -26,8 +26,9 @@
 )
 from .pool_state import Action, EvictAdapter, GrantPlace, LoadAdapter, RefusePlace
 from .refusal import Reason
+from .replay_policy import ReplayPolicy
 from .replay_quota import Bucket, GrantQuota, NoQuota, QuotaPolicy, StaticSplit
-from .routing import LeastWorkLeft, RandomRouting, RoutingPolicy
+from .replay_result import ReplayResult, RequestRecord
 from .scheduler import PoolScheduler
 from .table import BackendServer
 from .traces import Event, EventKind, Trace
@@ -42,115 +43,6 @@
 """Time after the last event in which running requests may end."""
 
 
-@dataclass(slots=True, frozen=True)
-class ReplayPolicy:
-    """What decides in a replay; the defaults are the policies of the product.
-
-    Parameters
-    ----------
-    name : str
-        Shown in reports.
-    routing : callable or None
-        Makes the routing policy from the seed of the trace.
-    eviction : str, default="frequency"
-        ``frequency``, ``lru`` or ``clairvoyant``.
-    quota : str, default="grants"
-        ``grants``, ``split`` or ``none``.
-    is_fair : bool, default=True
-        Whether organisations are told apart; otherwise first come, first served.
-    prepares_drains : bool, default=True
-        Whether replacements are loaded before a server is drained.
-    scheduler_options : dict
-        Further arguments of `PoolScheduler`.
-    """
-
-    name: str = "sequoiafall"
-    routing: Callable[[int], RoutingPolicy] | None = None
-    eviction: str = "frequency"
-    quota: str = "grants"
-    is_fair: bool = True
-    prepares_drains: bool = True
-    scheduler_options: dict[str, Any] = field(default_factory=dict)
-
-
-POLICIES_BY_NAME = {
-    policy.name: policy
-    for policy in (
-        ReplayPolicy(),
-        ReplayPolicy(
-            "least-work-left", routing=lambda seed: LeastWorkLeft(), eviction="lru"
-        ),
-        ReplayPolicy("random", routing=RandomRouting),
-        ReplayPolicy("clairvoyant", eviction="clairvoyant"),
-        ReplayPolicy("first-come", is_fair=False, quota="none"),
-        ReplayPolicy("static-split", quota="split"),
-        ReplayPolicy("unprepared-drain", prepares_drains=False),
-    )
-}
-
-
-@dataclass(slots=True)
-class RequestRecord:
-    """What happened to a request; times are seconds of the trace, -1 if never.
-
-    Parameters
-    ----------
-    is_within_rate : bool
-        Whether a central bucket without delays would have admitted it.
-    stall_s : float
-        Time that it waited for a place, if an adapter load ended the wait.
-    """
-
-    request_id: str
-    organisation: str
-    at: float
-    is_within_rate: bool = True
-    admitted_at: float = -1.0
-    placed_at: float = -1.0
-    first_token_at: float = -1.0
-    ended_at: float = -1.0
-    stall_s: float = 0.0
-    refused: str = ""
-    resumed: int = 0
-
-    @property
-    def response_s(self) -> float:
-        """Time to the end of the answer."""
-        return self.ended_at - self.at
-
-
-@dataclass(slots=True)
-class ReplayResult:
-    """Everything measured in a replay.
-
-    Parameters
-    ----------
-    loads_over_time : list of tuple
-        Time and loads in transit at each start.
-    best_tokens, generated_tokens : float
-        Tokens that full batches would have generated, and those generated.
-    lowest_bucket_by_organisation : dict
-        Lowest level of a bucket charged with settled costs; negative if an
-        organisation received more than its rate and burst.
-    cleaned_adapter_ids : set of str
-        Requests whose adapter was resident at a server that is being cleaned.
-    """
-
-    policy: str
-    trace: str
-    seed: int
-    records_by_id: dict[str, RequestRecord] = field(default_factory=dict)
-    loads_over_time: list[tuple[float, int]] = field(default_factory=list)
-    best_tokens: float = 0.0
-    generated_tokens: float = 0.0
-    lowest_bucket_by_organisation: dict[str, float] = field(default_factory=dict)
-    cleaned_adapter_ids: set[str] = field(default_factory=set)
-    cut_off: int = 0
-    wrong_adapter: int = 0
-    evicted_in_use: int = 0
-    quota_messages: int = 0
-
-
 class _Running:
     __slots__ = (
         "event",
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -5,7 +5,8 @@
 
 from returns.result import Success
 
-from sequoiafall.controller import Controller, ControllerConfig
+from sequoiafall.controller import Controller
+from sequoiafall.controller_config import ControllerConfig
 from sequoiafall.edits import EditRequest, RowEdit
 from sequoiafall.membership import SUSPECT_AFTER
 from sequoiafall.ownership import owner_of
--- a/tests/test_operators_page.py
+++ b/tests/test_operators_page.py
@@ -6,7 +6,7 @@
 
 from parameterized import parameterized
 
-from sequoiafall import controller, gateway
+from sequoiafall import controller_config, gateway
 from sequoiafall.controller_metrics import ControllerMetrics
 from sequoiafall.gateway_metrics import GatewayMetrics
 from sequoiafall.refusal import Reason, Refusal
@@ -15,7 +15,7 @@
 
 PAGE = Path(__file__).resolve().parent.parent / "docs" / "OPERATORS.md"
 SETTINGS_BY_PROGRAM = {
-    "sequoiafall-controller": controller.SETTINGS,
+    "sequoiafall-controller": controller_config.SETTINGS,
     "sequoiafall-gateway": gateway.SETTINGS,
     "sequoiafall-platform": platform.SETTINGS,
     "sequoiafall-engine": engine.SETTINGS,
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -18,7 +18,8 @@
     outcomes_path,
     write_outcomes,
 )
-from sequoiafall.replay_session import POLICIES_BY_NAME, ReplayPolicy, replay
+from sequoiafall.replay_policy import POLICIES_BY_NAME, ReplayPolicy
+from sequoiafall.replay_session import replay
 from sequoiafall.traces import PUTNU_GALDS, Scenario, generate_trace
 
 DURATION_S = 60.0
