--- a/tests/test_operators_page.py
+++ b/tests/test_operators_page.py
@@ -55,7 +55,9 @@
     def test_no_other_variables(self):
         """A variable of a removed setting must not stay in the text."""
         known = {s.variable for all_ in SETTINGS_BY_PROGRAM.values() for s in all_}
-        client = Path(controller.__file__).with_name("operator_client.py").read_text()
+        client = (
+            Path(controller_config.__file__).with_name("operator_client.py").read_text()
+        )
         known.update(re.findall(r'envvar="(\w+)"', client))
         named = set(re.findall(r"SEQUOIAFALL_\w+", PAGE.read_text()))
         self.assertEqual(named, known)
