Bound the doubling of pauses

Cause (found by reading): a pause was 2.0 ** failures in a row before its limit; from 1,024 on, about four minutes of a silent engine that is still listed, that is an OverflowError in the leader's work, and for a plain service in a request. Pauses of loads were kept for ever.

Change: retry.back_off_s is the one place that doubles, with a bound; pauses of loads that are kept are bounded.

Tests that failed first: test_engine_that_is_silent_or_fails_for_long_is_only_avoided; test_server_that_cannot_be_reached_for_hours.

--- a/sequoiafall/engine_choice.py
+++ b/sequoiafall/engine_choice.py
@@ -41,6 +41,8 @@
 REPLICA_PAUSE_S = 0.3
 # Loads that callers wait for keep this many of the transfers.
 RESERVED_TRANSFERS = 2
+# Pauses of loads that are kept; each lasts for less than a second.
+MAX_PAUSES = 1000
 # Further engines that the log names beside the chosen one.
 NEXT_BEST = 2
 
@@ -145,6 +147,8 @@
 
     def pause_load(self, server: str, adapter: str, until: float) -> None:
         """Do not load an adapter on an engine for a while."""
+        if len(self._paused_loads) >= MAX_PAUSES:
+            self._paused_loads.clear()
         self._paused_loads[server, adapter] = until
 
     def begin_round(self, now: float) -> None:
@@ -285,6 +289,8 @@
             return None
         option = self._replica_option(adapter, version, replicas, now)
         if option is not None:
+            if len(self._replicated_at) >= MAX_PAUSES:
+                self._replicated_at.clear()
             self._replicated_at[adapter] = now
         return option
 
--- a/sequoiafall/engine_pool.py
+++ b/sequoiafall/engine_pool.py
@@ -9,6 +9,7 @@
 from statistics import median_low
 
 from .backend_registry import BackendEntry
+from .retry import back_off_s
 
 # An engine's report shows the state of some 100 ms ago; what was ordered or
 # observed within this time goes before a report.
@@ -302,8 +303,10 @@
         self.failures += 1
         self.failed_at = now
         if is_unreachable or self.failures >= 3:
-            pause_s = min(AVOID_LIMIT_S, AVOID_S * 2.0 ** (self.failures - 1))
-            self.avoided_until = max(self.avoided_until, now + pause_s)
+            self.avoided_until = max(
+                self.avoided_until,
+                now + back_off_s(AVOID_S, self.failures, AVOID_LIMIT_S),
+            )
 
     def excess_failing(self, now: float) -> float:
         """Return the share of failures above the median of the pool."""
@@ -311,9 +314,10 @@
 
     def note_silence(self, now: float) -> None:
         """Count a report that could not be had; the next one ends the silence."""
-        pause_s = min(AVOID_LIMIT_S, AVOID_S * 2.0**self.silences)
         self.silences += 1
-        self.silent_until = max(self.silent_until, now + pause_s)
+        self.silent_until = max(
+            self.silent_until, now + back_off_s(AVOID_S, self.silences, AVOID_LIMIT_S)
+        )
 
     def is_settled(self, now: float) -> bool:
         """Whether a report shows the effect of all orders."""
--- a/sequoiafall/plain_routing.py
+++ b/sequoiafall/plain_routing.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from .backend_registry import BackendEntry
+from .retry import back_off_s
 
 # Weight of the newest answer in a server's mean time and share of failures.
 SAMPLE_WEIGHT = 0.2
@@ -89,8 +90,8 @@
         record.failed_at = now
         if outcome == "unreachable":
             record.unreachable += 1
-            pause_s = PAUSE_S * 2.0 ** (record.unreachable - 1)
-            record.paused_until = now + min(PAUSE_LIMIT_S, pause_s)
+            pause_s = back_off_s(PAUSE_S, record.unreachable, PAUSE_LIMIT_S)
+            record.paused_until = now + pause_s
             return
         record.unreachable = 0
         if not failed:
--- a/sequoiafall/retry.py
+++ b/sequoiafall/retry.py
@@ -11,6 +11,23 @@
 
 FIRST_DELAY_S = 0.01
 MAX_DELAY_S = 0.5
+# Every pause is at its limit long before, and 2 ** 1024 is no float.
+MAX_DOUBLINGS = 30
+
+
+def back_off_s(first_s: float, failures: int, limit_s: float) -> float:
+    """Return a pause that doubles with each failure in a row, in seconds.
+
+    Parameters
+    ----------
+    first_s : float
+        Pause after the first failure.
+    failures : int
+        Failures in a row, 1 or more.
+    limit_s : float
+        Longest pause.
+    """
+    return min(limit_s, first_s * 2.0 ** min(failures - 1, MAX_DOUBLINGS))
 
 
 class RetryBudget:
@@ -83,5 +100,5 @@
         float
             Seconds to wait before the next attempt.
         """
-        bound = min(FIRST_DELAY_S * 2.0 ** (attempt - 1), MAX_DELAY_S)
+        bound = back_off_s(FIRST_DELAY_S, attempt, MAX_DELAY_S)
         return self._generator.uniform(0.0, bound)
--- a/tests/test_engine_planner.py
+++ b/tests/test_engine_planner.py
@@ -235,6 +235,20 @@
         driver.run(0.01)
         self.assertIn("r2", driver.granted)
 
+    def test_engine_that_is_silent_or_fails_for_long_is_only_avoided(self):
+        """An engine is listed and cut off for an hour: 2 ** 1024 has no float."""
+        driver = Driver(engines=2)
+        planner = driver.planner
+        for _ in range(2000):
+            driver.apply(planner.on_report("e0", None, driver.now))
+            planner.pool.engines_by_name["e1"].note_failure(driver.now, True)
+            driver.now += 0.25
+        driver.now += 5.0
+        driver.report_all()
+        driver.ask("r1", "a1")
+        driver.run(0.5)
+        self.assertIn("r1", driver.granted)
+
     def test_leaving_engine_gets_nothing(self):
         driver = Driver(engines=2)
         driver.ask("r1", "a1")
--- a/tests/test_plain_routing.py
+++ b/tests/test_plain_routing.py
@@ -52,6 +52,16 @@
         play(self.routing, {"s0": ("unreachable", 0.5)})
         self.assertGreater(play(self.routing, {}, start=20.0, calls=200)["s0"], 0)
 
+    def test_server_that_cannot_be_reached_for_hours(self):
+        """2 ** 1024 has no float."""
+        routing = PlainRouting("z1", random.Random(1))
+        for number in range(2000):
+            routing.on_start("s1")
+            routing.on_end("s1", "unreachable", 0.1, 100.0 + number)
+        entry = BackendEntry("s1", "desk", "10.0.0.1:80", "z1", 6, False)
+        chosen = routing.choose([entry], frozenset(), 9999.0)
+        self.assertEqual(chosen.name, "s1")
+
     def test_open_calls_spread(self):
         """Many callers come at once."""
         counts = Counter()
