--- a/sequoiafall/day_report.py
+++ b/sequoiafall/day_report.py
@@ -9,7 +9,8 @@
 
 import msgspec
 
-from .day_session import DayRequest, DaySession
+from .day_arrivals import DayRequest
+from .day_session import DaySession
 from .reports import png_of, write_image
 
 # Length of the windows of which the two worst count.
--- a/sequoiafall/day_session.py
+++ b/sequoiafall/day_session.py
@@ -4,16 +4,15 @@
 
 import heapq
 import itertools
-import math
 import random
-from bisect import bisect
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
 from .backend_registry import BackendEntry
 from .catalog import TokenLimit
-from .day import Day, Disturbance, RequestKind
+from .day import Day, Disturbance
+from .day_arrivals import DayRequest, draw_requests, zones_of
 from .engine_model import EngineModel, StepTimes, WeightStoreModel
 from .engine_planner import EnginePlanner
 from .engine_pool import EngineReport
@@ -39,77 +38,10 @@
 RESTART_S = 4.5
 # Requests that may still end after the last arrival.
 DRAIN_S = 16.0
-# Output tokens cost this many times a prompt token, in limits and credit.
-OUTPUT_WEIGHT = 10.0
 # Places at which a request is tried.
 MAX_ATTEMPTS = 2
 
 
-@dataclass(slots=True)
-class DayRequest:
-    """A request of a caller, with what became of it.
-
-    Parameters
-    ----------
-    request_id : str
-        Identity.
-    kind : RequestKind
-        Kind of request.
-    organisation, zone, adapter : str
-        Who asks, and for what.
-    prompt_tokens, output_tokens : int
-        Size.
-    arrived_at : float
-        Second of the day.
-    first_event_at, ended_at : float
-        When the caller got the first event and the last one; -1 if never.
-    refusals : int
-        How often it was refused.
-    refused_at : float
-        When that was last; -1 if never.
-    attempts : int
-        How often it was sent to an engine.
-    excluded : frozenset of str
-        Engines that failed it.
-    is_over_limit : bool
-        Whether it was refused because of its organisation's limit.
-    """
-
-    request_id: str
-    kind: RequestKind
-    organisation: str
-    zone: str
-    adapter: str
-    prompt_tokens: int
-    output_tokens: int
-    arrived_at: float
-    first_event_at: float = -1.0
-    ended_at: float = -1.0
-    refusals: int = 0
-    refused_at: float = -1.0
-    attempts: int = 0
-    is_over_limit: bool = False
-    excluded: frozenset[str] = frozenset()
-
-    @property
-    def is_served(self) -> bool:
-        """Whether the caller got the whole answer before it left."""
-        return 0.0 <= self.ended_at <= self.arrived_at + self.kind.give_up_s
-
-    @property
-    def is_on_time(self) -> bool:
-        """Whether the first event came in time."""
-        return (
-            self.is_served
-            and self.first_event_at - self.arrived_at <= self.kind.on_time_s
-        )
-
-    @property
-    def cost_tokens(self) -> float:
-        """Tokens as limits count them."""
-        return self.prompt_tokens + OUTPUT_WEIGHT * self.output_tokens
-
-
 @dataclass(slots=True)
 class _VirtualEngine:
     """An engine of the model with what it holds and the queue of its prompts."""
@@ -166,7 +98,7 @@
         sheet = day.engines
         self._times = StepTimes(sheet.step_s, sheet.step_per_request_s, 0.0)
         self._store = WeightStoreModel(sheet.cold_load_s, sheet.transfers)
-        zones = [f"zone-{number + 1}" for number in range(day.zones)]
+        zones = zones_of(day)
         self._engines_by_name: dict[str, _VirtualEngine] = {}
         self._entries: list[BackendEntry] = []
         for number in range(sheet.count):
@@ -189,7 +121,6 @@
             self._entries.append(
                 BackendEntry(name, SERVICE, row.address, zone, sheet.places, False)
             )
-        self._zones = zones
         self._requests_by_id: dict[str, DayRequest] = {}
         self._held_by_id: dict[str, tuple[DayRequest, str, int]] = {}
         self._asks_without_leader: list[DayRequest] = []
@@ -240,75 +171,10 @@
     # Arrivals
 
     def _plan_arrivals(self) -> None:
-        for index, kind in enumerate(self.day.requests):
-            generator = random.Random(f"{self.seed}-{index}-{kind.name}")
-            weights = _popularity(kind)
-            at, number = 0.0, 0
-            while True:
-                at += generator.expovariate(kind.per_s * self._strength(kind, at))
-                if at >= self.day.duration_s:
-                    break
-                number += 1
-                request = self._draw(generator, kind, weights, at, number)
-                self.requests.append(request)
-                self._requests_by_id[request.request_id] = request
-                self._at(at + WAY_S, self._ask, request)
-        self.requests.sort(key=lambda request: request.arrived_at)
-
-    def _active(self, kind: str, at: float) -> list[Disturbance]:
-        return [
-            row
-            for row in self.day.disturbances
-            if row.kind == kind and row.at <= at < row.at + row.for_s
-        ]
-
-    def _strength(self, kind: RequestKind, at: float) -> float:
-        strength = 1.0
-        for row in self._active("burst", at):
-            if row.request in ("", kind.name):
-                strength *= row.x
-        return strength
-
-    def _draw(
-        self,
-        generator: random.Random,
-        kind: RequestKind,
-        weights: Sequence[float],
-        at: float,
-        number: int,
-    ) -> DayRequest:
-        adapter = ""
-        if generator.random() >= kind.base_share:
-            rank = bisect(weights, generator.random() * weights[-1])
-            # A shift makes other adapters popular until the end of the day.
-            shifts = sum(
-                1
-                for row in self.day.disturbances
-                if row.kind == "shift" and row.at <= at
-            )
-            adapter = f"{kind.name}-{(rank + 7 * shifts) % kind.adapters}"
-        median = kind.prompt_tokens * math.exp(-0.5 * kind.spread**2)
-        prompt = generator.lognormvariate(math.log(median), kind.spread)
-        output = generator.expovariate(1.0 / kind.output_tokens)
-        return DayRequest(
-            f"{kind.name}-{number}",
-            kind,
-            self._draw_organisation(generator, at),
-            generator.choice(self._zones),
-            adapter,
-            max(1, int(prompt)),
-            max(1, int(output)),
-            at,
-        )
-
-    def _draw_organisation(self, generator: random.Random, at: float) -> str:
-        rows = self.day.organisations
-        if not rows:
-            return ""
-        weights = [row.weight for row in rows]
-        for hot in self._active("hot_organisation", at):
-            weights[0] *= hot.x
-        return generator.choices(rows, weights)[0].name
+        self.requests = draw_requests(self.day, self.seed)
+        for request in self.requests:
+            self._requests_by_id[request.request_id] = request
+            self._at(request.arrived_at + WAY_S, self._ask, request)
 
     # Gateway and caller
 
@@ -559,12 +425,3 @@
         left_s,
         request.excluded,
     )
-
-
-def _popularity(kind: RequestKind) -> list[float]:
-    """Return the cumulated weights of the adapters."""
-    return list(
-        itertools.accumulate(
-            (number + 1.0) ** -kind.skew for number in range(kind.adapters)
-        )
-    )
