Wait for a leader that was heard a moment ago, also while the store is away

The new test shows the 503 on the code before this commit.

Change: an election counts as blocked only when no leader has been heard for a second.

Test that failed first: test_leader_that_pauses_while_the_store_is_away_is_waited_for.

--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -49,6 +49,8 @@
 # store is not read by all of them at once.
 RANK_DELAY_S = 0.02
 RANK_DELAY_MAX_S = 1.5
+# A leader that fell silent may be heard again within this time, store or not.
+LEADER_BACK_S = 1.0
 # A leader that fell silent is not given to callers after this time.
 GONE_AFTER_S = 1.0
 # Spread of candidates, so that their writes do not collide.
@@ -222,7 +224,10 @@
     @property
     def is_election_blocked(self) -> bool:
         """Whether there is no leader, and the store does not give the lease."""
-        return self._keeper.is_unreadable and not self.has_leader
+        if self.has_leader or not self._keeper.is_unreadable:
+            return False
+        # A leader that was heard a moment ago may answer again.
+        return boot_time() - max(self._lost_at, self._heard_at) > LEADER_BACK_S
 
     def ready_members(self) -> list[Any]:
         """Return the instances that callers may use, this one among them."""
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -488,6 +488,21 @@
             status, _, _ = await self.call(node, "/order/x")
             self.assertEqual(status, 200)
 
+    async def test_leader_that_pauses_while_the_store_is_away_is_waited_for(self):
+        """A pause of the leader is no reason to refuse callers at once."""
+        nodes = await self.start_fleet(2)
+        leader = self.leader
+        member = next(node for node in nodes if node is not leader)
+        self.store.refuses.add("*")
+        await until(lambda: not leader.fleet.reaches_store)
+        member.fleet._heard_at = boot_time()
+        member.fleet._leader_failed = True
+        member.fleet._keeper._failed_at = boot_time()
+        self.assertFalse(member.fleet.has_leader)
+        self.assertFalse(member.fleet.is_election_blocked)
+        status, _, _ = await self.call(member, "/draft/x", adapter="a9")
+        self.assertEqual(status, 200)
+
     async def test_store_that_is_back_is_noticed_before_a_lost_call_ends(self):
         """A call that was sent during an outage is never answered."""
         self.configure()
