--- a/sequoiafall/experiment.py
+++ b/sequoiafall/experiment.py
@@ -15,7 +15,7 @@
 from .day_report import DayFigures, DayReport, read_report
 from .day_session import DaySession
 from .placement_policy import POLICIES_BY_NAME
-from .reports import bad_input
+from .reports import ReportPaths, bad_input
 
 MAX_SEEDS = 1000
 
@@ -83,9 +83,7 @@
     ] = 3,
     first_seed: Annotated[int, typer.Option(min=0, help="The first of them.")] = 1,
     jobs: Annotated[int, typer.Option(min=1, help="Processes at a time.")] = 2,
-    output: Annotated[
-        list[Path] | None, typer.Option(help="Report: .json, .png or .html.")
-    ] = None,
+    output: ReportPaths = None,
 ) -> None:
     """Play each day under each policy with each seed; print them side by side."""
     policies = policy or ["sequoiafall"]
@@ -117,9 +115,7 @@
 def compare(
     first: Annotated[Path, typer.Argument(help="JSON report.")],
     second: Annotated[Path, typer.Argument(help="JSON report.")],
-    output: Annotated[
-        list[Path] | None, typer.Option(help="Report: .json, .png or .html.")
-    ] = None,
+    output: ReportPaths = None,
 ) -> None:
     """Show two results side by side."""
     merged: list[DayFigures] = []
--- a/sequoiafall/replay.py
+++ b/sequoiafall/replay.py
@@ -20,7 +20,7 @@
 from .replay_policy import POLICIES_BY_NAME
 from .replay_report import Report, read_json, text_summary, write_json, write_plots
 from .replay_session import replay
-from .reports import bad_input
+from .reports import ReportPaths, bad_input
 from .traces import (
     WORKLOADS_BY_NAME,
     Scenario,
@@ -125,9 +125,7 @@
     trace_path: Annotated[Path, typer.Argument(metavar="TRACE")],
     policy: Annotated[str, typer.Option(help="What decides.")] = "sequoiafall",
     against: Annotated[str, typer.Option(help="Second policy to compare.")] = "",
-    output: Annotated[
-        list[Path] | None, typer.Option(help="Report: .json, .png or .html.")
-    ] = None,
+    output: ReportPaths = None,
     slowdowns: Annotated[
         bool, typer.Option(help="Compare with a machine share of its own.")
     ] = True,
@@ -155,9 +153,7 @@
 def compare(
     first: Annotated[Path, typer.Argument(help="JSON report.")],
     second: Annotated[Path, typer.Argument(help="JSON report.")],
-    output: Annotated[
-        list[Path] | None, typer.Option(help="Report: .json, .png or .html.")
-    ] = None,
+    output: ReportPaths = None,
 ) -> None:
     """Show two results side by side."""
     try:
--- a/sequoiafall/reports.py
+++ b/sequoiafall/reports.py
@@ -6,13 +6,17 @@
 import html
 import io
 from pathlib import Path
-from typing import Any
+from typing import Annotated, Any
 
 import typer
 
 EXIT_BAD_INPUT = 2
 DOTS_PER_INCH = 100
 
+ReportPaths = Annotated[
+    list[Path] | None, typer.Option(help="Report: .json, .png or .html.")
+]
+
 
 def bad_input(program: str, message: str) -> typer.Exit:
     """Print what is wrong with the input and return the end of the program."""
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -509,7 +509,8 @@
         self.store.delay_s = 30.0
         node = await self.start_node()
         await until(lambda: node.fleet.is_election_blocked)
-        await asyncio.sleep(0.15)
+        calls = self.store.calls
+        await until(lambda: self.store.calls > calls)
         self.store.delay_s = 0.0
         counts = node.metrics.store_calls_by_result
         failures = counts["read", "unavailable"]
--- a/tests/test_recording.py
+++ b/tests/test_recording.py
@@ -1,6 +1,5 @@
 """Tests of the server that the stand-ins of backend servers share."""
 
-import asyncio
 import socket
 import unittest
 
@@ -26,4 +25,3 @@
             for connection in opened:
                 connection.close()
         self.assertEqual(len(opened), CONNECTIONS)
-        await asyncio.sleep(0)
