--- a/sequoiafall/day_session.py
+++ b/sequoiafall/day_session.py
@@ -35,7 +35,6 @@
 REPORT_INTERVAL_S = 0.25
 # Age of what a report shows.
 REPORT_LAG_S = 0.1
-RESTART_S = 4.5
 # Requests that may still end after the last arrival.
 DRAIN_S = 16.0
 # Places at which a request is tried.
--- a/sequoiafall/experiment.py
+++ b/sequoiafall/experiment.py
@@ -17,6 +17,7 @@
 from .placement_policy import POLICIES_BY_NAME
 from .reports import ReportPaths, bad_input
 
+# All runs of an experiment are kept until its report is written.
 MAX_SEEDS = 1000
 
 app = typer.Typer(add_completion=False, help="Try out how requests are placed.")
--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -32,6 +32,7 @@
 from .transport import Kind, WireClient, WireServer
 from .wire.gen import ttypes
 
+# Below the 0.6 s of silence after which a leader counts as lost.
 POLL_TIMEOUT_S = 0.4
 # A leader that has not answered for this many polls is taken for lost.
 LEADER_SILENCE_POLLS = 2.4
--- a/sequoiafall/place_source.py
+++ b/sequoiafall/place_source.py
@@ -33,8 +33,6 @@
 BLOCKED_RETRY_MAX_S = 4.0
 # Share of an organisation's burst that all gateways may spend without a leader.
 LONE_BURST_SHARE = 0.5
-# Time over the caller's limit until an unanswered question counts as lost.
-ANSWER_SLACK_S = 0.3
 
 
 @dataclass(slots=True, frozen=True)
--- a/sequoiafall/platform/store.py
+++ b/sequoiafall/platform/store.py
@@ -14,6 +14,7 @@
 from ..row_store import HistoryLost, Rejected, Rows, RowStore, StoreRow
 from . import names
 
+# Below the second after which the system repeats a lost SYN.
 CONNECT_TIMEOUT_S = 0.4
 # The store answers within 5 ms; when it is slow, up to 60 times as long.
 ANSWER_TIMEOUT_S = 0.9
--- a/sequoiafall/replay_outcomes.py
+++ b/sequoiafall/replay_outcomes.py
@@ -15,8 +15,6 @@
 """Wait for a load from which a request counts as late; with 0.1 s for prefill it
 keeps the first token within the 1.1 s of the two-year size."""
 
-SLOWDOWN_TARGET = 1.5
-
 
 class Outcome(msgspec.Struct, frozen=True, kw_only=True):
     """A bound that a figure must keep.
