Give the platform's stand-in a clock, and stop it in the test of transfers

The stand-in admits 1,000 loads a second by the machine's clock; 16 calls on an idle machine are faster than that, and the last ones were refused with rate_exceeded. Change: the stand-in's clock can be given; the test stops it, and checks each of the eight slower transfers where it checked the last one only.

--- a/sequoiafall/standins/platform.py
+++ b/sequoiafall/standins/platform.py
@@ -10,7 +10,7 @@
 import bisect
 import time
 from collections import deque
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from typing import Any
 
@@ -248,6 +248,8 @@
         Where to listen; port 0 takes a free port.
     defaults : PlatformFaults or None
         Lag and rate while no fault is switched on.
+    clock : callable, default=time.monotonic
+        Returns the time in seconds.
     """
 
     def __init__(
@@ -255,9 +257,11 @@
         host: str = "127.0.0.1",
         port: int = 0,
         defaults: PlatformFaults | None = None,
+        clock: Callable[[], float] = time.monotonic,
         **options: Any,
     ) -> None:
         super().__init__(**options)
+        self._clock = clock
         self.host = host
         self.port = port
         self.table = TableStore()
@@ -271,7 +275,7 @@
         self._faults_changed = asyncio.Event()
         self._transfer_ends: list[float] = []
         self._load_tokens = 1.0
-        self._load_tokens_at = time.monotonic()
+        self._load_tokens_at = clock()
         self._runner: web.AppRunner | None = None
 
     @property
@@ -339,7 +343,7 @@
 
     def _as_of(self, request: web.Request) -> float | None:
         age_s = max(fault.stale_reads_s for fault in self._faults_of(request))
-        return time.monotonic() - age_s if age_s else None
+        return self._clock() - age_s if age_s else None
 
     async def _healthz(self, _request: web.Request) -> web.Response:
         return web.json_response({"ready": True})
@@ -374,7 +378,7 @@
         states = {str((w["value"] or {}).get("state")) for w in body["writes"]}
         await self._hold(request, "held_commits", states)
         answer = self.table.transaction(
-            body["conditions"], body["writes"], body["operation_id"], time.monotonic()
+            body["conditions"], body["writes"], body["operation_id"], self._clock()
         )
         for fault in self._faults_of(request):
             if fault.lost_replies > 0:
@@ -410,7 +414,7 @@
         return web.json_response({})
 
     async def _list_instances(self, _request: web.Request) -> web.Response:
-        as_of = time.monotonic() - self.faults.platform.instance_lag_s
+        as_of = self._clock() - self.faults.platform.instance_lag_s
         listing = next(
             (names for at, names in reversed(self._listings) if at <= as_of), []
         )
@@ -433,14 +437,14 @@
 
     def _record_listing(self) -> web.Response:
         listing = list(self._instances_by_name.values())
-        self._listings.append((time.monotonic(), listing))
+        self._listings.append((self._clock(), listing))
         return web.json_response({})
 
     async def _load(self, request: web.Request) -> web.Response:
         if self.faults.fails(request.match_info["adapter"]):
             return web.json_response({"reason": "load_failed"}, status=502)
         rate = self.faults.platform.loads_per_s
-        now = time.monotonic()
+        now = self._clock()
         earned = (now - self._load_tokens_at) * rate
         self._load_tokens = min(max(rate, 1.0), self._load_tokens + earned)
         self._load_tokens_at = now
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -1,6 +1,7 @@
 """Tests of the platform's client against the stand-in."""
 
 import asyncio
+import time
 import unittest
 
 import aiohttp
@@ -27,7 +28,10 @@
     """A caller must never take a possible effect for none, or the reverse."""
 
     async def asyncSetUp(self):
-        self.platform = PlatformStandIn(defaults=PlatformFaults(0.0, 1000.0))
+        self.clock = time.monotonic
+        self.platform = PlatformStandIn(
+            defaults=PlatformFaults(0.0, 1000.0), clock=lambda: self.clock()
+        )
         await self.platform.start()
         self.addAsyncCleanup(self.platform.stop)
         self.client = self.connect("a")
@@ -140,11 +144,15 @@
         self.assertEqual((await self.client.get_object("w/a b")).unwrap(), b"\x00\xff")
 
     async def test_loads_slow_each_other_down(self):
+        # The clock stands: a fast machine could ask for more than 1,000 loads a
+        # second, and on a slow one the first transfers would end meanwhile.
+        stopped_at = time.monotonic() + 1.0
+        self.clock = lambda: stopped_at
         transits = [
             (await self.client.admit_load("a", str(n))).unwrap() for n in range(16)
         ]
         self.assertEqual(transits[:8], [0.25] * 8)
-        self.assertGreater(transits[-1], transits[7])
+        self.assertEqual(transits[8:], [0.25 * n / 8 for n in range(9, 17)])
 
     @parameterized.expand(
         [
