Take back places whose end did not reach the leader

Cause: a gateway sent the ends of its places once. When that call failed, when no leader was known at that moment, or when a grant crossed the cancellation of its request, the leader kept the place until the end of its term, and the adapter's slot counted as in use: it could not be evicted. The comment that reports of the engines settle this was wrong. Change: ends are kept and sent again; a place ends by itself one second after its caller's time, also if an earlier leader granted it (HeldPlace names the time that is left); a late end does not free a place at another engine. Counted as places_expired and logged.

--- a/sequoiafall/engine_planner.py
+++ b/sequoiafall/engine_planner.py
@@ -49,6 +49,11 @@
 NOT_READY_DELAY_S = 0.03
 # A place that was granted this recently may not have reached its gateway yet.
 GRANT_DELIVERY_S = 0.6
+# A place whose end was not reported is taken back this long after its caller's
+# time is over: the engine has dropped the request by then.
+PLACE_MARGIN_S = 1.0
+# Places are looked through for those that have outlived their callers this often.
+EXPIRY_INTERVAL_S = 1.0
 # Requests of a pool that wait at most; more are refused at once.
 MAX_WAITING = 400
 # The waiting requests are looked at this often at most.
@@ -74,6 +79,11 @@
     version: int
     placed_at: float
 
+    @property
+    def expires_at(self) -> float:
+        """Time at which the place ends without a report."""
+        return self.placed_at + self.ask.time_left_s + PLACE_MARGIN_S
+
 
 @dataclass(slots=True)
 class PlannerCounts:
@@ -85,6 +95,7 @@
     warm_loads: int = 0
     evictions: int = 0
     failed_loads: int = 0
+    expired_places: int = 0
 
 
 class EnginePlanner:
@@ -115,6 +126,7 @@
         self._released_at = 0.0
         self._has_changed = False
         self._dispatched_at = 0.0
+        self._expired_at = 0.0
 
     # Inputs
 
@@ -189,7 +201,9 @@
             return []
         return self.end(request_id, "cancelled", now)
 
-    def end(self, request_id: str, outcome: str, now: float) -> list[Action]:
+    def end(
+        self, request_id: str, outcome: str, now: float, server: str = ""
+    ) -> list[Action]:
         """Take back a place.
 
         Parameters
@@ -201,7 +215,13 @@
             ``unreachable``.
         now : float
             Time in seconds.
+        server : str, default=""
+            Engine of the place. A report that comes late does not end a place
+            that the request got at another engine since.
         """
+        held = self._placed_by_id.get(request_id)
+        if held is not None and server and held.server != server:
+            return []
         placed = self._release(request_id, now)
         if placed is None:
             return []
@@ -301,6 +321,7 @@
 
     def tick(self, now: float) -> list[Action]:
         """Grant, refuse and load what has become due."""
+        self._expire_places(now)
         return self._dispatch(now)
 
     def next_due(self, now: float) -> float:
@@ -516,6 +537,23 @@
                 self._note_release(now)
         return placed
 
+    def _expire_places(self, now: float) -> None:
+        """Take back places whose end was lost on the way.
+
+        Each would keep its adapter's slot in use for the rest of the term.
+        """
+        if now - self._expired_at < EXPIRY_INTERVAL_S:
+            return
+        self._expired_at = now
+        expired = [
+            request_id
+            for request_id, placed in self._placed_by_id.items()
+            if now >= placed.expires_at
+        ]
+        for request_id in expired:
+            self._release(request_id, now)
+        self.counts.expired_places += len(expired)
+
     def _note_release(self, now: float) -> None:
         interval_s = min(1.0, now - self._released_at)
         self._released_at = now
--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -64,6 +64,11 @@
 HAND_OVER_FACTOR = 2.0
 HAND_OVER_AFTER_S = 3.0
 HAND_OVER_PAUSE_S = 3.0
+# Ends of places that the leader did not confirm are sent again after this time.
+ENDS_RETRY_S = 0.2
+# Ends that are kept while no leader answers; the leader takes back the places of
+# older ones when their callers' time is over.
+MAX_PENDING_ENDS = 2000
 
 
 class Fleet(Service):
@@ -295,7 +300,8 @@
         if self.duties is not None:
             self.duties.on_ends(ttypes.EngineEnds(term=self.duties.term, ended=[end]))
             return
-        self._pending_ends.append(end)
+        if len(self._pending_ends) < MAX_PENDING_ENDS:
+            self._pending_ends.append(end)
         self._ends_wake.set()
 
     # Requests of peers
@@ -526,6 +532,8 @@
         self._leader_reaches_store = reply.reaches_store
         self._heard_at = boot_time()
         self._leader_failed = False
+        if self._pending_ends:
+            self._ends_wake.set()
         if reply.reaches_store:
             self._keeper.on_leader(reply.lease_version, self._heard_at)
         self._leader_refuses = False
@@ -607,6 +615,7 @@
             newest_by_table={},
         )
         self._pending_tokens.clear()
+        self._pending_ends.clear()
         duties.on_poll(poll)
         for member in self.members:
             if member.instance != self.settings.instance:
@@ -713,17 +722,27 @@
         while not self.should_stop:
             await self._ends_wake.wait()
             self._ends_wake.clear()
-            ended, self._pending_ends = self._pending_ends, []
             client = self._leader
-            if not ended or client is None or not self._leader_term:
+            if not self._pending_ends or client is None or not self._leader_term:
                 continue
+            ended, self._pending_ends = self._pending_ends, []
             ends = ttypes.EngineEnds(term=self._leader_term, ended=ended)
             result = await client.call(ends, POLL_TIMEOUT_S)
             if isinstance(result, Failure):
-                # Ends that got lost are settled by the engines' reports.
-                log_warning(
-                    "ends_lost", count=len(ended), detail=result.failure().detail
-                )
+                self._keep_ends(ended, result.failure().detail)
+                await asyncio.sleep(ENDS_RETRY_S)
+
+    def _keep_ends(self, ended: list[Any], detail: str) -> None:
+        """Keep ends that did not reach the leader, to send them again."""
+        pending = ended + self._pending_ends
+        self._pending_ends = pending[-MAX_PENDING_ENDS:]
+        self._ends_wake.set()
+        log_warning(
+            "ends_delayed",
+            count=len(ended),
+            dropped=len(pending) - len(self._pending_ends),
+            detail=detail,
+        )
 
 
 def ranked_members(members: Sequence[Any], term: int) -> list[str]:
--- a/sequoiafall/fleet_leader.py
+++ b/sequoiafall/fleet_leader.py
@@ -250,7 +250,7 @@
                     held.prompt_tokens,
                     0,
                     0.0,
-                    0.0,
+                    held.time_left_ms / 1e3,
                 )
                 pool.adopt(ask, held.server, held.version, now)
         for organisation, tokens in poll.recent_tokens_by_organisation.items():
@@ -357,7 +357,7 @@
             for end in ends.ended:
                 planner = self.planners_by_service.get(end.pool)
                 if planner is not None:
-                    actions = planner.end(end.request_id, end.outcome, now)
+                    actions = planner.end(end.request_id, end.outcome, now, end.server)
                     self._apply(planner, actions)
 
     def _apply(self, planner: EnginePlanner, actions: list[Action]) -> None:
@@ -510,7 +510,15 @@
             self._forget_silent(now)
             due_s = 0.25
             for planner in self.planners_by_service.values():
+                expired = planner.counts.expired_places
                 self._apply(planner, planner.tick(now))
+                if planner.counts.expired_places > expired:
+                    log_warning(
+                        "places_expired",
+                        service=planner.service,
+                        count=planner.counts.expired_places - expired,
+                        term=self.term,
+                    )
                 due_s = min(due_s, planner.next_due(now))
             self._wake.clear()
             try:
--- a/sequoiafall/node.py
+++ b/sequoiafall/node.py
@@ -225,6 +225,7 @@
                 ("loads_from_store", counts.cold_loads),
                 ("loads_from_memory", counts.warm_loads),
                 ("loads_failed", counts.failed_loads),
+                ("places_expired", counts.expired_places),
                 ("waiting", planner.waiting_count),
             ):
                 gauges[name] = gauges.get(name, 0.0) + value
--- a/sequoiafall/place_source.py
+++ b/sequoiafall/place_source.py
@@ -224,6 +224,7 @@
             adapter=request.adapter,
             version=version,
             prompt_tokens=request.prompt_tokens or 0,
+            time_left_ms=max(0, int((need.until - boot_time()) * 1e3)),
         )
 
     async def _take_alone(
--- a/sequoiafall/wire/gen/ttypes.py
+++ b/sequoiafall/wire/gen/ttypes.py
@@ -3980,6 +3980,7 @@
      - adapter
      - version
      - prompt_tokens
+     - time_left_ms
 
     """
 
@@ -3990,16 +3991,18 @@
         'adapter',
         'version',
         'prompt_tokens',
+        'time_left_ms',
     )
 
 
-    def __init__(self, request_id=None, pool=None, server=None, adapter=None, version=None, prompt_tokens=None,):
+    def __init__(self, request_id=None, pool=None, server=None, adapter=None, version=None, prompt_tokens=None, time_left_ms=None,):
         self.request_id = request_id
         self.pool = pool
         self.server = server
         self.adapter = adapter
         self.version = version
         self.prompt_tokens = prompt_tokens
+        self.time_left_ms = time_left_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4040,6 +4043,11 @@
                     self.prompt_tokens = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.time_left_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4074,6 +4082,10 @@
             oprot.writeFieldBegin('prompt_tokens', TType.I32, 6)
             oprot.writeI32(self.prompt_tokens)
             oprot.writeFieldEnd()
+        if self.time_left_ms is not None:
+            oprot.writeFieldBegin('time_left_ms', TType.I32, 7)
+            oprot.writeI32(self.time_left_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5413,6 +5425,7 @@
     (4, TType.STRING, 'adapter', 'UTF8', None, ),  # 4
     (5, TType.I32, 'version', None, None, ),  # 5
     (6, TType.I32, 'prompt_tokens', None, None, ),  # 6
+    (7, TType.I32, 'time_left_ms', None, None, ),  # 7
 )
 all_structs.append(FleetPoll)
 FleetPoll.thrift_spec = (
--- a/sequoiafall/wire/sequoiafall.thrift
+++ b/sequoiafall/wire/sequoiafall.thrift
@@ -297,6 +297,8 @@
   4: string adapter
   5: i32 version
   6: i32 prompt_tokens
+  // Until the caller gives up; the place ends then, reported or not.
+  7: i32 time_left_ms
 }
 
 // `term` is the fencing token of the leader that the member follows, and
--- a/tests/test_engine_planner.py
+++ b/tests/test_engine_planner.py
@@ -75,6 +75,10 @@
         self.apply(self.planner.on_ordered(order, accepted, self.now))
 
     def ask(self, request_id, adapter="a1", **changes):
+        ask = self.make_ask(request_id, adapter, **changes)
+        self.apply(self.planner.submit(ask, self.now))
+
+    def make_ask(self, request_id, adapter="a1", **changes):
         values = {
             "request_id": request_id,
             "organisation": "org",
@@ -86,8 +90,7 @@
             "on_time_s": 0.8,
             "time_left_s": 4.0,
         }
-        actions = self.planner.submit(Ask(**{**values, **changes}), self.now)
-        self.apply(actions)
+        return Ask(**{**values, **changes})
 
     def run(self, seconds):
         until = self.now + seconds
@@ -333,6 +336,52 @@
         driver.report_all()
         self.assertNotIn("a1", engine.slots_by_adapter)
 
+    @parameterized.expand(
+        [
+            # A gateway lost its connection while its report was on the way.
+            ("granted", lambda driver: driver.ask("lost", time_left_s=4.0)),
+            # The place was granted by an earlier leader.
+            (
+                "adopted",
+                lambda driver: driver.planner.adopt(
+                    driver.make_ask("lost", time_left_s=4.0), "e0", 1, driver.now
+                ),
+            ),
+        ]
+    )
+    def test_place_whose_end_was_lost_frees_its_slot(self, _name, hold):
+        """A slot stays in use no longer than its caller can wait."""
+        driver = Driver(engines=1, slots=1)
+        driver.ask("r1")
+        driver.run(COLD_LOAD_S + LOAD_MARGIN_S + 0.01)
+        driver.end("r1")
+        hold(driver)
+        driver.run(3.9)
+        driver.ask("early", "a2")
+        driver.run(0.9)
+        self.assertIn("early", driver.refused)
+        driver.run(2.0)
+        driver.ask("late", "a2")
+        driver.run(0.5)
+        self.assertIn("late", driver.granted)
+        self.assertEqual(driver.planner.counts.expired_places, 1)
+
+    def test_late_end_leaves_the_place_at_another_engine(self):
+        """The report of a broken send can overtake the next send's place."""
+        driver = Driver(engines=2, slots=1)
+        driver.ask("r1")
+        driver.run(COLD_LOAD_S + LOAD_MARGIN_S + 0.01)
+        first = driver.granted["r1"].server
+        driver.ask("r1", excluded=frozenset({first}))
+        driver.run(COLD_LOAD_S + LOAD_MARGIN_S + 0.01)
+        second = driver.granted["r1"].server
+        self.assertNotEqual(first, second)
+        driver.apply(driver.planner.end("r1", "broken", driver.now, first))
+        engine = driver.planner.pool.engines_by_name[second]
+        self.assertEqual(engine.slots_by_adapter["a1"].uses, 1)
+        driver.apply(driver.planner.end("r1", "ok", driver.now, second))
+        self.assertEqual(engine.slots_by_adapter["a1"].uses, 0)
+
     def test_nothing_is_ordered_after_a_conflict_until_a_report(self):
         """Another leader's load is not known before the next report."""
         driver = Driver(engines=1, slots=1)
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -13,6 +13,7 @@
 from sequoiafall.node_settings import NodeSettings, SettingsSource
 from sequoiafall.platform import names
 from sequoiafall.settings import Finding
+from sequoiafall.transport import Delivery, WireError
 from sequoiafall.wire.gen import ttypes
 
 from .events import until
@@ -286,6 +287,28 @@
         self.assertFalse(any(e.crashed for e in self.engines.values()))
         self.assertGreater(sum(status == 200 for status, _, _ in answers), 0)
 
+    async def test_end_that_the_leader_missed_is_reported_again(self):
+        """Otherwise its adapter could not be evicted for the rest of the term."""
+        nodes = await self.start_fleet()
+        leader = self.leader
+        member = next(node for node in nodes if node is not leader)
+        call = member.fleet._leader.call
+        lost = []
+
+        async def lose_the_first_end(request, timeout_s):
+            if isinstance(request, ttypes.EngineEnds) and not lost:
+                lost.append(request)
+                return Failure(WireError(Delivery.UNKNOWN, "connection lost"))
+            return await call(request, timeout_s)
+
+        member.fleet._leader.call = lose_the_first_end
+        status, _, _ = await self.call(member, "/draft/x", adapter="a1")
+        self.assertEqual(status, 200)
+        await until(lambda: lost)
+        planner = leader.fleet.duties.planners_by_service["assist"]
+        engine = planner.pool.engines_by_name[lost[0].ended[0].server]
+        await until(lambda: not engine.slots_by_adapter["a1"].uses)
+
     async def test_engine_that_started_anew_is_filled_again(self):
         node, _ = await self.start_fleet()
         await self.call(node, "/draft/x", adapter="a1")
