Refuse nobody for its rate before the use of organisations is known

Change: a request that finds its bucket empty waits for the levels, 0.25 s at most; an unanswered poll is repeated after 0.05 s.

--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -36,6 +36,9 @@
 POLL_TIMEOUT_S = 0.4
 # A leader that has not answered for this many polls is taken for lost.
 LEADER_SILENCE_POLLS = 2.4
+# A poll that was not answered is repeated after this time: with many members the
+# next one would be due after the silence that a lost leader is allowed.
+MISSED_POLL_PAUSE_S = 0.05
 # Instances that no hint names stand for the lease this much later at first, so
 # that a start of many instances reads the lease row once each.
 FIRST_STAND_DELAY_S = 0.5
@@ -412,7 +415,11 @@
                     await self._poll_leader()
                 if self._has_good_leader():
                     self._lost_at = 0.0
-                    await asyncio.sleep(self._poll_interval_s())
+                    await asyncio.sleep(
+                        poll_pause_s(
+                            boot_time() - self._heard_at, self._poll_interval_s()
+                        )
+                    )
                     continue
                 self._note_lost()
                 if self._is_my_turn() and not self.is_leaving:
@@ -745,6 +752,11 @@
         )
 
 
+def poll_pause_s(silence_s: float, interval_s: float) -> float:
+    """Return the time until the next poll, after this long without an answer."""
+    return MISSED_POLL_PAUSE_S if silence_s > POLL_TIMEOUT_S else interval_s
+
+
 def ranked_members(members: Sequence[Any], term: int) -> list[str]:
     """Return instances in the order in which they stand: the largest first.
 
--- a/sequoiafall/fleet_leader.py
+++ b/sequoiafall/fleet_leader.py
@@ -105,6 +105,8 @@
         self._models_by_service: dict[str, str] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
         self._wake = asyncio.Event()
+        # Set once the members have said what they used before this term.
+        self._gathered = asyncio.Event()
         self._started_at = now
         self._has_ended = False
         self._spawn(self._tick())
@@ -146,6 +148,7 @@
     async def stop(self) -> None:
         """End the term; waiting requests are told to ask the next leader."""
         self._has_ended = True
+        self._gathered.set()
         for answer in self._answers_by_request.values():
             if not answer.done():
                 answer.set_result(_not_leading())
@@ -300,6 +303,15 @@
         charged = bool(request.charged)
         if not charged and request.organisation:
             wait_s = self.limits.take(request.organisation, request.cost_tokens, now)
+            if wait_s > 0.0 and not self._gathered.is_set():
+                # What the organisation may still spend is not known yet.
+                await self._gathered.wait()
+                if self._has_ended:
+                    return _not_leading()
+                now = boot_time()
+                wait_s = self.limits.take(
+                    request.organisation, request.cost_tokens, now
+                )
             if wait_s > 0.0:
                 log_event(
                     "place_refused",
@@ -495,12 +507,11 @@
         self._apply(planner, planner.on_report(entry.name, report, now))
 
     async def _tick(self) -> None:
-        has_gathered = False
         while True:
             now = boot_time()
-            if not has_gathered and now - self._started_at >= GATHER_S:
-                has_gathered = True
+            if not self._gathered.is_set() and now - self._started_at >= GATHER_S:
                 self.limits.assume_use(self._recent_by_organisation, now)
+                self._gathered.set()
                 log_event(
                     "term_started",
                     term=self.term,
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -8,10 +8,21 @@
 from parameterized import parameterized
 from returns.result import Failure, Success
 
+from sequoiafall.backend_registry import BackendRegistry
 from sequoiafall.boot_clock import boot_time
-from sequoiafall.fleet import ranked_members
+from sequoiafall.catalog import TokenLimit
+from sequoiafall.engine_planner import EnginePlanner
+from sequoiafall.fleet import (
+    LEADER_SILENCE_POLLS,
+    POLL_TIMEOUT_S,
+    poll_pause_s,
+    ranked_members,
+)
+from sequoiafall.fleet_leader import LeaderDuties, poll_interval_s
+from sequoiafall.node_metrics import NodeMetrics
 from sequoiafall.node_settings import NodeSettings, SettingsSource
 from sequoiafall.platform import names
+from sequoiafall.refusal import Reason
 from sequoiafall.settings import Finding
 from sequoiafall.transport import Delivery, WireError
 from sequoiafall.wire.gen import ttypes
@@ -371,6 +382,89 @@
         self.assertAlmostEqual(settings.capacity, expected)
 
 
+class LostLeaderTest(unittest.TestCase):
+    """Callers wait for places until their gateway notices that the leader is gone."""
+
+    @parameterized.expand([(2,), (15,), (118,), (500,)])
+    def test_silence_is_noticed_after_one_more_poll_at_most(self, members):
+        """With many members, polls are rare, and each missed one takes its time."""
+        interval_s = poll_interval_s(members)
+        limit_s = LEADER_SILENCE_POLLS * interval_s
+        silence_s = 0.0
+        while silence_s < limit_s:
+            silence_s += poll_pause_s(silence_s, interval_s) + POLL_TIMEOUT_S
+        self.assertLess(silence_s, limit_s + POLL_TIMEOUT_S + 0.1)
+
+
+class NewTermTest(unittest.IsolatedAsyncioTestCase):
+    """A new leader does not know yet what organisations may spend."""
+
+    def start_duties(self):
+        settings = SimpleNamespace(instance="node-1", is_fenced=True)
+        tenure = SimpleNamespace(token=7, leads=True)
+        duties = LeaderDuties(
+            settings, tenure, BackendRegistry(), None, NodeMetrics(), lambda _: None
+        )
+        self.addAsyncCleanup(duties.stop)
+        duties.limits.set_limits({"org": TokenLimit(1000.0, 9000.0)}, boot_time())
+        duties.planners_by_service["assist"] = EnginePlanner("assist")
+        return duties
+
+    def poll(self, duties, used):
+        member = ttypes.FleetMember(instance="node-2", zone="z1", leaving=False)
+        poll = ttypes.FleetPoll(
+            member=member,
+            term=duties.term,
+            held=[],
+            tokens_by_organisation={"org": 1500},
+            recent_tokens_by_organisation={"org": used},
+        )
+        duties.on_poll(poll)
+
+    def ask(self, duties):
+        request = ttypes.EngineAsk(
+            request_id="r1",
+            organisation="org",
+            pool="assist",
+            adapter="a1",
+            prompt_tokens=500,
+            cost_tokens=500,
+            rank=1,
+            on_time_ms=800,
+            time_left_ms=4000,
+            zone="z1",
+            excluded=[],
+            charged=False,
+            instance="node-2",
+        )
+        return asyncio.create_task(duties.ask(request))
+
+    @parameterized.expand(
+        [
+            # Nobody is refused for use that is reported late.
+            ("within_its_limit", 4000, Reason.NO_BACKEND_SERVER.value),
+            ("beyond_its_limit", 30000, Reason.RATE_EXCEEDED.value),
+        ]
+    )
+    async def test_nobody_is_refused_before_the_use_is_known(
+        self, _name, used, expected
+    ):
+        duties = self.start_duties()
+        self.poll(duties, used)
+        answer = self.ask(duties)
+        await asyncio.sleep(0)
+        self.assertFalse(answer.done())
+        self.assertEqual((await answer).reason, expected)
+
+    async def test_end_of_the_term_sends_waiting_requests_to_the_next_leader(self):
+        duties = self.start_duties()
+        self.poll(duties, 0)
+        answer = self.ask(duties)
+        await asyncio.sleep(0)
+        await duties.stop()
+        self.assertEqual((await answer).reason, Reason.OWNER_UNAVAILABLE.value)
+
+
 class LeaderTest(PlatformCase):
     """Leaders that end, and stores that turn some instances away."""
 
