Keep a repeated key from backend servers, and end withdrawn streams where asked

A running stream of a withdrawn key went on, also where the platform's settings ask for strict revocation. A running stream ends at its next event if the setting asks for it; new requests are refused in any case.

--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -14,6 +14,7 @@
 from yarl import URL
 
 from .boot_clock import boot_time
+from .calls import secret_refusal
 from .catalog import Organisation, Repeat, ServiceRoute
 from .engine_client import (
     BackendAnswer,
@@ -30,6 +31,7 @@
 from .plain_routing import PlainRouting
 from .refusal import Ran, Reason, Refusal
 from .retry import RetryBudget
+from .secret_scan import contains_secret
 from .serving_ports import AnswerKind, Attempt, CallerRequest, Dialect
 
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
@@ -69,8 +71,8 @@
     Parameters
     ----------
     name : str
-        ``ok``, ``cancelled``, ``not_run``, ``failed``, ``broken`` or
-        ``unreachable``.
+        ``ok``, ``cancelled``, ``not_run``, ``failed``, ``broken``, ``withdrawn``
+        or ``unreachable``.
     response : web.StreamResponse or None, default=None
         Answer for the caller, if there is a final one.
     detail : str, default=""
@@ -228,6 +230,10 @@
             if organisation is None:
                 refusal = Refusal(Reason.INVALID_KEY, detail="unknown key")
                 return self._refuse(request.request_id, refusal, started_at)
+        # Path and body are forwarded unchanged, so they must not hold the key.
+        if contains_secret(request.key, [request.target, request.body]):
+            return self._refuse(request.request_id, secret_refusal(), started_at)
+        _drop_secret(request.headers, request.key)
         elapsed_s = self._patience.elapsed_s(route.name, request.time_left_s)
         limit_s = min(request.time_left_s, route.timeout_s)
         return Exchange(
@@ -389,6 +395,9 @@
             last_event=exchange.splitter.last_id,
             since_ms=int((boot_time() - exchange.started_at) * 1e3),
         )
+        if outcome.name == "withdrawn":
+            refusal = Refusal(Reason.INVALID_KEY, detail=outcome.detail)
+            return self._finish_refusal(exchange, refusal)
         if outcome.name in ("not_run", "unreachable"):
             exchange.not_run += 1
             if outcome.name == "unreachable" or outcome.detail == "wrong server":
@@ -502,6 +511,8 @@
             if not chunk:
                 break
             scope.extend(EVENT_GAP_TIMEOUT_S)
+            if self._is_key_withdrawn(exchange):
+                return Outcome("withdrawn", detail="the key was withdrawn")
             try:
                 events = splitter.feed(chunk)
             except OversizedEventError as error:
@@ -520,6 +531,15 @@
         await exchange.stream.write_eof()
         return Outcome("ok", exchange.stream)
 
+    def _is_key_withdrawn(self, exchange: Exchange) -> bool:
+        """Whether a running stream has to end, where the platform asks for that."""
+        catalog = self._fleet.catalog
+        if not self._settings.ends_withdrawn_streams or catalog is None:
+            return False
+        if exchange.organisation is None:
+            return False
+        return catalog.find_organisation(exchange.request.key) is None
+
     async def _start_stream(self, exchange: Exchange, answer: BackendAnswer) -> None:
         stream = web.StreamResponse(status=answer.status, headers=self._headers(answer))
         exchange.stream = stream
@@ -620,6 +640,15 @@
         )
 
 
+def _drop_secret(headers: CIMultiDict[str], secret: str) -> None:
+    """Remove the headers in which a caller repeats its key."""
+    if not contains_secret(secret, headers.values()):
+        return
+    named = [name for name in headers if contains_secret(secret, headers.getall(name))]
+    for name in named:
+        headers.popall(name, None)
+
+
 def _status_of(outcome: Outcome) -> int:
     return outcome.response.status if outcome.response is not None else 0
 
--- a/sequoiafall/node_settings.py
+++ b/sequoiafall/node_settings.py
@@ -22,6 +22,7 @@
     "directory_life_s",
     "retry_share",
     "retry_extra",
+    "ends_withdrawn_streams",
     "core_share",
     "link_mbps",
 )
@@ -52,6 +53,9 @@
         in each window of some seconds.
     is_fenced : bool
         Whether engines check fencing tokens.
+    ends_withdrawn_streams : bool
+        Whether a running stream ends when its key is withdrawn. New requests of
+        the key are refused in any case.
     core_share : float
         Share of a core that the instance has.
     link_mbps : float
@@ -75,6 +79,7 @@
     retry_share: float = 0.2
     retry_extra: float = 100.0
     is_fenced: bool = True
+    ends_withdrawn_streams: bool = False
     core_share: float = 1.0
     link_mbps: float = 1000.0
     is_first_start: bool = False
--- a/sequoiafall/platform/node_file.py
+++ b/sequoiafall/platform/node_file.py
@@ -117,6 +117,7 @@
         retry_share=reader.get("bounds.retry_budget_ratio", float, 0.2),
         retry_extra=reader.get("bounds.budget_extra_retries", float, 100.0),
         is_fenced=reader.get("bounds.fencing_enforced", bool, True),
+        ends_withdrawn_streams=reader.get("bounds.strict_revocation", bool, False),
         core_share=reader.get("limits.cpu_share", float, 1.0),
         link_mbps=reader.get("limits.link_mbps", float, 1000.0),
         is_first_start=reader.get("bootstrap", bool, False),
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -5,12 +5,13 @@
 import unittest
 from types import SimpleNamespace
 
+import aiohttp
 from parameterized import parameterized
 from returns.result import Failure, Success
 
 from sequoiafall.backend_registry import BackendRegistry
 from sequoiafall.boot_clock import boot_time
-from sequoiafall.catalog import TokenLimit
+from sequoiafall.catalog import Repeat, TokenLimit
 from sequoiafall.engine_planner import EnginePlanner
 from sequoiafall.fleet import (
     LEADER_SILENCE_POLLS,
@@ -60,6 +61,7 @@
                 "Kv-From": "10.0.0.1:80/h",
                 names.EXPECTED_VERSION: "99",
                 "X-Custom": "kept",
+                "X-Copy": f"Basic {KEY}",
                 "Connection": f"keep-alive, {names.MODEL}, X-Hop",
                 "X-Hop": "dropped",
             },
@@ -86,6 +88,8 @@
             ("other host", "/draft/x", {"Host": "other.example"}, 404),
             ("bad deadline", "/draft/x", {names.DEADLINE_MS: "soon"}, 400),
             ("bad tokens", "/draft/x", {names.TOKENS: "many"}, 400),
+            ("key in the path", f"/draft/x?key={KEY}", {}, 400),
+            ("escaped key", f"/draft/x?key=%{ord(KEY[0]):x}{KEY[1:]}", {}, 400),
         ]
     )
     async def test_refused(self, _name, path, headers, expected):
@@ -94,6 +98,29 @@
         self.assertEqual(status, expected)
         self.assertEqual(sum(len(e.runs) for e in self.engines.values()), 0)
 
+    @parameterized.expand([("ended", True), ("left", False)])
+    async def test_running_stream_of_a_withdrawn_key(self, _name, ends):
+        """The platform says whether it ends; new requests are refused anyway."""
+        node, _ = await self.start_fleet()
+        node.settings.ends_withdrawn_streams = ends
+        for engine in ("e1", "e2"):
+            self.engines[engine].events = 300
+        running = asyncio.create_task(
+            self.call(node, "/check/x", adapter="a1", request_id="running")
+        )
+        begun = node.metrics.first_byte_seconds._buckets_by_kind
+        await until(lambda: Repeat.NEVER.value in begun)
+        tenant = {**configuration()["tenants"][0], "api_keys": ["another-key"]}
+        self.configure(2, tenants=[tenant])
+        await until(lambda: node.fleet.catalog.version == 2)
+        self.assertEqual((await self.call(node, "/check/x", adapter="a1"))[0], 401)
+        if ends:
+            with self.assertRaises(aiohttp.ClientPayloadError):
+                await running
+        else:
+            status, body, _ = await running
+            self.assertEqual((status, body.count(b"data: piece")), (200, 300))
+
     async def test_without_a_configuration_nothing_is_denied(self):
         """A node that knows no configuration says 503, not 404."""
         node = await self.start_node()
