Cut instances off from each other in the soak, and let SIGHUP find a starting process

Cause: the soak's relays stood before the store and the backend servers only, so polls and asks between instances were never delayed, cut one way or reset, and settings files never changed. Change: an instance can advertise another address to its peers (SEQUOIAFALL_PEER_ADVERTISE), where the soak puts a relay; the soak also changes, spoils and signals settings files; the program ignores SIGHUP until it runs.

--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -114,7 +114,7 @@
         self._keeper = LeaseKeeper(
             settings,
             self.incarnation,
-            self._peer_address(),
+            self.settings.peer_address,
             self._store,
             self._on_store,
         )
@@ -340,7 +340,7 @@
             over_limit=duties.limits.over_limit(boot_time()),
             reaches_store=self.reaches_store and self.tenure.state == "leading",
             newest_by_table=self.tables.mirror.newest_by_table(),
-            leader_address=self._peer_address(),
+            leader_address=self.settings.peer_address,
             lease_version=self.tenure.version,
         )
 
@@ -384,16 +384,13 @@
 
     # Following
 
-    def _peer_address(self) -> str:
-        return f"{self.settings.address}:{self.settings.peer_port}"
-
     def _member(self) -> Any:
         return ttypes.FleetMember(
             instance=self.settings.instance,
             incarnation=self.incarnation,
             zone=self.settings.zone,
             front_address=self.settings.front_address,
-            peer_address=self._peer_address(),
+            peer_address=self.settings.peer_address,
             ready=self.catalog is not None,
             leaving=self.is_leaving,
             capacity_percent=round(100 * self.settings.capacity),
@@ -564,7 +561,7 @@
         self._leader_refuses = False
         if old is not None:
             await old.close()
-        if address and address != self._peer_address():
+        if address and address != self.settings.peer_address:
             self._leader = WireClient(address, self._secret)
             log_event("leader_address", leader=address, reason=reason)
 
@@ -689,10 +686,14 @@
     async def _ask_peers(self) -> None:
         """Ask other instances who leads, while the store does not answer."""
         hints = [
-            f"{host}:{self.settings.peer_port}" for host in self.settings.peer_hints
+            f"{host}:{self.settings.peer_port}"
+            for host in self.settings.peer_hints
+            if host != self.settings.address
         ]
         hints += [row.peer_address for row in self.members]
-        hints = [row for row in dict.fromkeys(hints) if row != self._peer_address()]
+        hints = [
+            row for row in dict.fromkeys(hints) if row != self.settings.peer_address
+        ]
         if not hints:
             return
         address = random.choice(hints)
--- a/sequoiafall/node_settings.py
+++ b/sequoiafall/node_settings.py
@@ -44,6 +44,9 @@
         IP addresses of instances that may know the leader.
     store_address : str
         Address of the platform's store.
+    peer_advertise : str, default=""
+        Address at which the other instances reach this one, if it is not
+        `address` and `peer_port`, as behind address translation.
     grace_s : float
         Time between the signal to stop and the end of the process.
     directory_life_s : float
@@ -74,6 +77,7 @@
     metrics_port: int
     peer_hints: tuple[str, ...]
     store_address: str
+    peer_advertise: str = ""
     grace_s: float = 8.0
     directory_life_s: float = 5.0
     retry_share: float = 0.2
@@ -84,6 +88,11 @@
     link_mbps: float = 1000.0
     is_first_start: bool = False
 
+    @property
+    def peer_address(self) -> str:
+        """Address for the other instances."""
+        return self.peer_advertise or f"{self.address}:{self.peer_port}"
+
     @property
     def capacity(self) -> float:
         """Share of what the leader of a large fleet needs, at most 1."""
--- a/sequoiafall/platform/node_file.py
+++ b/sequoiafall/platform/node_file.py
@@ -59,10 +59,13 @@
     ----------
     path : str
         Path of the file.
+    peer_advertise : str, default=""
+        See `NodeSettings`; the file does not hold it.
     """
 
-    def __init__(self, path: str) -> None:
+    def __init__(self, path: str, peer_advertise: str = "") -> None:
         self._path = path
+        self._peer_advertise = peer_advertise
         self._stamp = self._read_stamp()
 
     def has_changed(self) -> bool:
@@ -72,7 +75,7 @@
     def read(self) -> Result[NodeSettings, list[Finding]]:
         """Read the settings."""
         self._stamp = self._read_stamp()
-        return read_node_file(self._path)
+        return read_node_file(self._path, self._peer_advertise)
 
     def _read_stamp(self) -> tuple[int, int, int]:
         try:
@@ -83,7 +86,9 @@
         return (found.st_mtime_ns, found.st_size, found.st_ino)
 
 
-def read_node_file(path: str) -> Result[NodeSettings, list[Finding]]:
+def read_node_file(
+    path: str, peer_advertise: str = ""
+) -> Result[NodeSettings, list[Finding]]:
     """Read the settings file; all findings are reported together."""
     if not path:
         return Failure([Finding("settings file", "a path in the environment")])
@@ -112,6 +117,7 @@
         metrics_port=ports[0] + 1,
         peer_hints=tuple(str(seed).rpartition(":")[0] for seed in seeds),
         store_address=reader.address("platform.address"),
+        peer_advertise=peer_advertise,
         grace_s=reader.get("bounds.grace_s", float, 8.0),
         directory_life_s=reader.get("bounds.ttl_max_s", float, 5.0),
         retry_share=reader.get("bounds.retry_budget_ratio", float, 0.2),
--- a/sequoiafall/platform/program.py
+++ b/sequoiafall/platform/program.py
@@ -3,13 +3,19 @@
 from __future__ import annotations
 
 import os
+import signal
 import sys
 
+# A change of the settings while the modules load would end the process; what has
+# changed is noticed once it runs.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+# ruff: noqa: E402
 from returns.result import Failure
 
 from ..node import Node
 from ..process import run_service
-from ..settings import Finding, exit_with_findings
+from ..settings import Finding, SettingError, exit_with_findings, parse_address
 from . import names
 from .applications import PlatformApplications
 from .dialect import PlatformDialect
@@ -21,17 +27,23 @@
 PROGRAM = "sequoiafall-node"
 SECRET_VARIABLE = "SEQUOIAFALL_PEER_SECRET"
 MIN_SECRET_BYTES = 16
+ADVERTISE_VARIABLE = "SEQUOIAFALL_PEER_ADVERTISE"
 
 
 def main() -> None:
     """Run one instance until a signal stops it; exit with 2 on bad settings."""
     path = os.environ.get(names.SETTINGS_VARIABLE, "")
-    source = NodeFile(path)
+    advertise = os.environ.get(ADVERTISE_VARIABLE, "")
+    source = NodeFile(path, advertise)
     read = source.read()
     findings = read.failure() if isinstance(read, Failure) else []
     secret = os.environ.get(SECRET_VARIABLE, "").encode()
     if len(secret) < MIN_SECRET_BYTES:
         findings = [*findings, Finding(SECRET_VARIABLE, "at least 16 bytes")]
+    try:
+        parse_address(advertise or "host:0")
+    except SettingError as error:
+        findings = [*findings, Finding(ADVERTISE_VARIABLE, str(error), advertise)]
     if findings:
         exit_with_findings(PROGRAM, findings)
     settings = read.unwrap()
--- a/soak/run.py
+++ b/soak/run.py
@@ -102,6 +102,9 @@
             relay = FaultyRelay(self.store_address)
             await relay.start()
             self.relays[f"store-{number}"] = relay
+            relay = FaultyRelay(f"{self.net}.{number}:17600")
+            await relay.start()
+            self.relays[f"peer-{number}"] = relay
             await self.start_node(number)
 
     def announce(self, engine: AdapterEngine, state: str = "ready") -> None:
@@ -167,18 +170,22 @@
         """Return the callers' address of a node."""
         return f"{self.net}.{number}:18221"
 
-    async def start_node(self, number: int) -> None:
-        """Start, or start again, the process of a node."""
+    def write_settings(self, number: int, grace_s: int = 4) -> None:
+        """Write the settings file of a node."""
         host = f"{self.net}.{number}"
-        settings = self.folder / f"node-{number}.yaml"
-        settings.write_text(
+        # The others reach the node by its relay; this one hint goes around it.
+        (self.folder / f"node-{number}.yaml").write_text(
             f'node: "node-{number}"\nzone: "z1"\nip: "{host}"\n'
             f'listen_addrs: {{front: "{host}:18221", ready: "{host}:18224", '
             f'directory: "{host}:18220"}}\ninternal_ports: [17600, 17615]\n'
             f'seeds: ["{self.net}.1:1", "{self.net}.2:1"]\n'
-            f"bounds: {{grace_s: 4}}\n"
+            f"bounds: {{grace_s: {grace_s}}}\n"
             f'platform: {{address: "{self.relays[f"store-{number}"].address}"}}\n'
         )
+
+    async def start_node(self, number: int) -> None:
+        """Start, or start again, the process of a node."""
+        self.write_settings(number)
         with (self.folder / f"node-{number}.log").open("ab") as log:
             self.processes[number] = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -189,8 +196,9 @@
                 stderr=log,
                 env={
                     **os.environ,
-                    names.SETTINGS_VARIABLE: str(settings),
+                    names.SETTINGS_VARIABLE: str(self.folder / f"node-{number}.yaml"),
                     "SEQUOIAFALL_PEER_SECRET": SECRET,
+                    "SEQUOIAFALL_PEER_ADVERTISE": self.relays[f"peer-{number}"].address,
                 },
             )
 
@@ -299,6 +307,8 @@
                     self.stop_planned,
                     self.pause,
                     self.cut_store,
+                    self.cut_peers,
+                    self.change_settings,
                     self.break_store,
                     self.break_backend,
                     self.restart_engine,
@@ -357,6 +367,24 @@
         relay = self.relays[f"store-{self._node()}"]
         await self._harm(relay)
 
+    async def cut_peers(self) -> None:
+        """Harm the way of all other nodes to one node."""
+        await self._harm(self.relays[f"peer-{self._node()}"])
+
+    async def change_settings(self) -> None:
+        """Change a settings file, or spoil it for a while, with or without a signal."""
+        number = self._node()
+        process = self.processes[number]
+        if process.returncode is not None or number in self.paused:
+            return
+        path = self.folder / f"node-{number}.yaml"
+        if self.random.random() < 0.3:
+            path.write_text("node: [")
+            await asyncio.sleep(self.random.uniform(0.1, 0.8))
+        self.write_settings(number, self.random.randint(3, 5))
+        if self.random.random() < 0.5 and process.returncode is None:
+            process.send_signal(signal.SIGHUP)
+
     async def break_backend(self) -> None:
         """Harm the connections of one backend server."""
         await self._harm(self.relays[self.random.choice(self.engines).name])
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -1,6 +1,10 @@
 """Tests of the adapter of the users' platform."""
 
+import os
 import re
+import signal
+import subprocess
+import sys
 import tempfile
 import unittest
 from pathlib import Path
@@ -57,9 +61,41 @@
             self.assertIsNone(decisions.search(path.read_text()), path.name)
 
 
+class ProgramTest(unittest.TestCase):
+    """The program while its modules load."""
+
+    def test_changed_settings_do_not_end_a_process_that_starts(self):
+        """The signal's default action is to end the process."""
+        process = subprocess.Popen(
+            [sys.executable, "-m", "sequoiafall.platform.program"],
+            cwd=ROOT,
+            env={**os.environ, names.SETTINGS_VARIABLE: "/none"},
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.PIPE,
+        )
+        ignored = 0
+        mask = 1 << (signal.SIGHUP - 1)
+        while process.poll() is None and not ignored & mask:
+            status = Path(f"/proc/{process.pid}/status").read_text()
+            ignored = int(re.search(r"SigIgn:\s*(\w+)", status)[1], 16)
+        process.send_signal(signal.SIGHUP)
+        _, errors = process.communicate()
+        self.assertTrue(ignored & mask)
+        self.assertEqual(process.returncode, 2, errors)
+
+
 class NodeFileTest(unittest.TestCase):
     """All findings of a settings file are reported together."""
 
+    def test_advertised_address_stays_when_the_file_is_read_again(self):
+        with tempfile.NamedTemporaryFile("w", suffix=".yaml") as file:
+            file.write(NODE_FILE)
+            file.flush()
+            source = NodeFile(file.name, "192.0.2.7:9000")
+            settings = source.read().unwrap()
+            self.assertEqual(settings.peer_address, "192.0.2.7:9000")
+            self.assertEqual(settings.adopt(source.read().unwrap()), ([], []))
+
     def _read(self, text):
         with tempfile.NamedTemporaryFile("w", suffix=".yaml") as file:
             file.write(text)
@@ -71,6 +107,7 @@
         self.assertEqual(settings.instance, "frontend-1")
         self.assertEqual(settings.peer_port, 7600)
         self.assertEqual(settings.peer_hints, ("10.1.0.25",))
+        self.assertEqual(settings.peer_address, "10.1.0.25:7600")
         self.assertEqual(settings.grace_s, 8.0)
         self.assertTrue(settings.ends_withdrawn_streams)
 
