--- a/sequoiafall/transport.py
+++ b/sequoiafall/transport.py
@@ -216,7 +216,7 @@
                 )
                 tasks_by_correlation[correlation] = task
                 task.add_done_callback(
-                    functools.partial(_forget, tasks_by_correlation, correlation)
+                    functools.partial(_forget, tasks_by_correlation, correlation, reply)
                 )
         finally:
             for task in list(tasks_by_correlation.values()):
@@ -266,9 +266,13 @@
 def _forget(
     tasks_by_correlation: dict[int, asyncio.Task[None]],
     correlation: int,
+    reply: Awaitable[Any],
     _task: asyncio.Task[None],
 ) -> None:
     tasks_by_correlation.pop(correlation, None)
+    if inspect.iscoroutine(reply):
+        # A call that is cancelled before its task runs was never awaited.
+        reply.close()
 
 
 def _send_reply(channel: Channel, kind: int, correlation: int, reply: Any) -> None:
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -1,9 +1,11 @@
 """Tests of the framed messages between processes."""
 
 import asyncio
+import gc
 import os
 import random
 import unittest
+import warnings
 import zlib
 
 from parameterized import parameterized
@@ -108,6 +110,21 @@
         await self.cancelled.wait()
         await self.assert_serves()
 
+    async def test_call_that_is_cancelled_at_once_leaves_nothing(self):
+        """Its handler has not begun; the interpreter would warn on stderr."""
+        await self.assert_serves()
+        with warnings.catch_warnings(record=True) as caught:
+            warnings.simplefilter("always")
+            # Both frames reach the server in one piece.
+            channel = self.client._connection._channel
+            payload = transport.encode_struct(FetchState(0))
+            channel.send(Kind.FETCH_STATE, 99, payload)
+            channel.send(transport.CANCEL, 99, b"")
+            await self.assert_serves()
+            gc.collect()
+        self.assertFalse(self.entered.is_set())
+        self.assertEqual([str(row.message) for row in caught], [])
+
     async def test_reconnects_after_the_server_restarted(self):
         await self.assert_serves()
         await self.server.stop()
