--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -121,6 +121,7 @@
             channel.send(Kind.FETCH_STATE, 99, payload)
             channel.send(transport.CANCEL, 99, b"")
             await self.assert_serves()
+            await self.server.stop()
             gc.collect()
         self.assertFalse(self.entered.is_set())
         self.assertEqual([str(row.message) for row in caught], [])
