Give the link to the leader a module of its own, and hold a stream in its test

Change: LeaderLink and PlaceEnds; the stand-in's stream pauses until the test lets it go on. No change of behaviour.

--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -14,12 +14,13 @@
 
 import xxhash
 from mode import Service
-from returns.result import Failure, Success
+from returns.result import Failure
 
 from .boot_clock import boot_time
 from .catalog import Catalog
 from .fleet_leader import LeaderDuties, poll_interval_s
 from .fleet_tables import FEED_INTERVAL_S, FleetTables
+from .leader_link import POLL_TIMEOUT_S, LeaderLink, PlaceEnds, poll_pause_s
 from .lease import RENEW_S, LeaseStep
 from .lease_keeper import LeaseKeeper
 from .log import log_event, log_warning
@@ -32,13 +33,6 @@
 from .transport import Kind, WireClient, WireServer
 from .wire.gen import ttypes
 
-# Below the 0.6 s of silence after which a leader counts as lost.
-POLL_TIMEOUT_S = 0.4
-# A leader that has not answered for this many polls is taken for lost.
-LEADER_SILENCE_POLLS = 2.4
-# A poll that was not answered is repeated after this time: with many members the
-# next one would be due after the silence that a lost leader is allowed.
-MISSED_POLL_PAUSE_S = 0.05
 # Instances that no hint names stand for the lease this much later at first, so
 # that a start of many instances reads the lease row once each.
 FIRST_STAND_DELAY_S = 0.5
@@ -67,11 +61,6 @@
 HAND_OVER_FACTOR = 2.0
 HAND_OVER_AFTER_S = 3.0
 HAND_OVER_PAUSE_S = 3.0
-# Ends of places that the leader did not confirm are sent again after this time.
-ENDS_RETRY_S = 0.2
-# Ends that are kept while no leader answers; the leader takes back the places of
-# older ones when their callers' time is over.
-MAX_PENDING_ENDS = 2000
 
 
 class Fleet(Service):
@@ -123,7 +112,6 @@
         self.recent_use = RecentUse()
         self.over_limit: frozenset[str] = frozenset()
         self.members_by_instance: dict[str, Any] = {}
-        self._members_revision = 0
         self._started_at = boot_time()
         self.held_by_request: dict[str, Any] = {}
         self.is_leaving = False
@@ -136,27 +124,13 @@
             lambda: self.duties,
         )
         self.registry = self.tables.registry
-        self._leader: WireClient | None = None
-        self._leader_term = 0
-        self._leader_revision = 0
-        self._members_revision = 0
-        self._leader_newest: dict[str, int] = {}
-        self._leader_reaches_store = False
-        self._heard_at = 0.0
-        self._leader_refuses = False
-        # A question to the leader found its connection lost.
-        self._leader_failed = False
-        self._should_poll = False
+        self._link = LeaderLink(settings.peer_address, secret, metrics)
+        self._ends = PlaceEnds(self._link)
         self._lost_at = boot_time()
         self._stand_from = 0.0
-        self._lost_leader = ""
         self._larger_since = 0.0
         self._rank_delay_s = 0.0
-        self._last_term = 0
-        self._lost_logged = True
         self._pending_tokens: dict[str, int] = {}
-        self._pending_ends: list[Any] = []
-        self._ends_wake = asyncio.Event()
         self._background: set[asyncio.Task[Any]] = set()
         self._server = WireServer(
             settings.address,
@@ -182,7 +156,7 @@
         self.add_future(
             self.tables.follow(self._decoder.backend_table, FEED_INTERVAL_S)
         )
-        self.add_future(self._send_ends())
+        self.add_future(self._ends.run(lambda: self.should_stop))
         self.add_future(self.tables.drop_removed())
 
     async def leave(self) -> None:
@@ -196,8 +170,7 @@
         self.tables.stop()
         if self.duties is not None:
             await self.duties.stop()
-        if self._leader is not None:
-            await self._leader.close()
+        await self._link.close()
         await self._server.stop()
 
     # State for gateways
@@ -225,10 +198,7 @@
         """Whether a leader answers, or this instance leads."""
         if self.tenure.leads:
             return True
-        if self._leader is None or not self._leader_term or self._leader_failed:
-            return False
-        silence_s = LEADER_SILENCE_POLLS * self._poll_interval_s()
-        return boot_time() - self._heard_at < silence_s
+        return self._link.is_heard(self._poll_interval_s())
 
     @property
     def is_election_blocked(self) -> bool:
@@ -236,7 +206,7 @@
         if self.has_leader or not self._keeper.is_unreadable:
             return False
         # A leader that was heard a moment ago may answer again.
-        return boot_time() - max(self._lost_at, self._heard_at) > LEADER_BACK_S
+        return boot_time() - max(self._lost_at, self._link.heard_at) > LEADER_BACK_S
 
     def ready_members(self) -> list[Any]:
         """Return the instances that callers may use, this one among them."""
@@ -245,7 +215,7 @@
             members = self.members
         members = [row for row in members if row.ready]
         own = self.settings.instance
-        lost = self._lost_leader if self._is_leader_gone() else ""
+        lost = self._link.lost_address if self._is_leader_gone() else ""
         members = [row for row in members if row.instance != own]
         members = [row for row in members if row.peer_address != lost]
         if not self.is_leaving and self.catalog is not None:
@@ -286,16 +256,9 @@
                     return await self.duties.ask(request)
             except TimeoutError:
                 return None
-        client = self._leader
-        if client is None or not self.has_leader:
+        if not self.has_leader:
             return None
-        request.term = self._leader_term
-        result = await client.call(request, timeout_s)
-        if isinstance(result, Success):
-            return result.unwrap()
-        if not client.connected:
-            self._leader_failed = True
-        return None
+        return await self._link.ask(request, timeout_s)
 
     def end_place(self, end: Any) -> None:
         """Report the end of a place to the leader."""
@@ -303,9 +266,7 @@
         if self.duties is not None:
             self.duties.on_ends(ttypes.EngineEnds(term=self.duties.term, ended=[end]))
             return
-        if len(self._pending_ends) < MAX_PENDING_ENDS:
-            self._pending_ends.append(end)
-        self._ends_wake.set()
+        self._ends.add(end)
 
     # Requests of peers
 
@@ -315,7 +276,7 @@
             self._lose_lease(f"{peer} follows term {poll.term}")
             duties = None
         if duties is None or not self.tenure.leads:
-            if poll.announces and poll.term > self._leader_term:
+            if poll.announces and poll.term > self._link.term:
                 self._keep(self._follow_new(poll.member.peer_address))
             return self._reply_of_member()
         self.tables.mirror.apply(_rows_from_wire(poll.rows))
@@ -345,11 +306,11 @@
         )
 
     async def _follow_new(self, address: str) -> None:
-        await self._set_leader(address, "announced")
+        await self._link.set_address(address, "announced")
         await self._poll_leader()
 
     def _reply_of_member(self) -> Any:
-        leader = self._leader.address if self._leader and self.has_leader else ""
+        leader = self._link.address if self.has_leader else ""
         return ttypes.FleetPollReply(
             leads=False,
             term=0,
@@ -408,14 +369,12 @@
                         await self._hand_over()
                     await asyncio.sleep(RENEW_S)
                     continue
-                if self._leader_term or self._should_poll:
+                if self._link.term or self._link.should_poll:
                     await self._poll_leader()
                 if self._has_good_leader():
                     self._lost_at = 0.0
                     await asyncio.sleep(
-                        poll_pause_s(
-                            boot_time() - self._heard_at, self._poll_interval_s()
-                        )
+                        poll_pause_s(self._link.silence_s, self._poll_interval_s())
                     )
                     continue
                 self._note_lost()
@@ -427,13 +386,13 @@
             await asyncio.sleep(ELECTION_INTERVAL_S)
 
     def _has_good_leader(self) -> bool:
-        return self.has_leader and self._leader_reaches_store
+        return self.has_leader and self._link.reaches_store
 
     def _note_lost(self) -> None:
         if self._lost_at:
             return
         self._lost_at = boot_time()
-        names = ranked_members(self.members, self._last_term)
+        names = ranked_members(self.members, self._link.last_term)
         own = self.settings.instance
         rank = names.index(own) if own in names else 0
         self._rank_delay_s = min(RANK_DELAY_MAX_S, rank * RANK_DELAY_S)
@@ -444,20 +403,21 @@
         return boot_time() - self._lost_at >= self._rank_delay_s
 
     async def _poll_leader(self) -> None:
-        client = self._leader
-        self._should_poll = False
+        link = self._link
+        link.should_poll = False
+        client = link.client
         if client is None:
             return
-        is_first = not self._leader_term
+        is_first = not link.term
         tokens, self._pending_tokens = self._pending_tokens, {}
         rows = self.tables.mirror.newer_than(
-            self._leader_newest,
+            link.newest_by_table,
             [self._decoder.configuration_table, self._decoder.backend_table],
         )
         poll = ttypes.FleetPoll(
             member=self._member(),
-            term=self._leader_term,
-            revision=self._leader_revision,
+            term=link.term,
+            revision=link.revision,
             tokens_by_organisation=tokens,
             rows=[] if is_first else _rows_to_wire(rows),
             held=list(self.held_by_request.values()) if is_first else [],
@@ -468,31 +428,31 @@
             if is_first
             else {},
             announces=False,
-            members_revision=self._members_revision,
+            members_revision=link.members_revision,
             newest_by_table=self.tables.mirror.newest_by_table() if is_first else {},
         )
         result = await client.call(poll, POLL_TIMEOUT_S)
         if isinstance(result, Failure):
             error = result.failure()
-            self._leader_refuses = error.refused
+            link.refuses = error.refused
             self._restore_tokens(tokens)
             if not client.connected:
                 # The next poll tells whether a process still listens.
-                self._should_poll = not error.refused and bool(self._leader_term)
-                await self._on_leader_silent(error.detail)
+                link.should_poll = not error.refused and bool(link.term)
+                link.on_silence(error.detail)
             elif not self.has_leader:
                 await client.close()
-                await self._on_leader_silent(error.detail)
+                link.on_silence(error.detail)
             return
         reply = result.unwrap()
         if not reply.leads:
             self._restore_tokens(tokens)
             if reply.leader_address:
-                await self._set_leader(reply.leader_address, "redirected")
+                await link.set_address(reply.leader_address, "redirected")
                 return
             # A new process listens at the holder's address.
-            self._leader_refuses = True
-            await self._on_leader_silent("the holder does not lead")
+            link.refuses = True
+            link.on_silence("the holder does not lead")
             return
         self._on_reply(reply)
 
@@ -500,76 +460,24 @@
         for name, count in tokens.items():
             self._pending_tokens[name] = self._pending_tokens.get(name, 0) + count
 
-    async def _on_leader_silent(self, detail: str) -> None:
-        if self._leader is not None and self._leader_term:
-            self._lost_leader = self._leader.address
-        if not self._lost_logged:
-            self._lost_logged = True
-            log_warning(
-                "leader_lost",
-                leader=self._leader.address if self._leader else "",
-                term=self._leader_term,
-                silent_ms=int((boot_time() - self._heard_at) * 1e3),
-                detail=detail,
-            )
-        self._leader_term = 0
-        self._leader_newest = {}
-        self._leader_revision = 0
-        self._members_revision = 0
-
     def _on_reply(self, reply: Any) -> None:
-        is_same_term = reply.term == self._leader_term
-        if not is_same_term:
-            log_event(
-                "leader_found",
-                leader=reply.leader_address,
-                term=reply.term,
-                members=len(reply.members),
-            )
-        self._lost_logged = False
-        self._lost_leader = ""
-        self._leader_term = self._last_term = reply.term
-        self._leader_revision = reply.revision
-        self._leader_newest = reply.newest_by_table
-        if not reply.reaches_store:
-            self.tables.note_outage()
-        self._leader_reaches_store = reply.reaches_store
-        self._heard_at = boot_time()
-        self._leader_failed = False
-        if self._pending_ends:
-            self._ends_wake.set()
-        if reply.reaches_store:
-            self._keeper.on_leader(reply.lease_version, self._heard_at)
-        self._leader_refuses = False
-        if not is_same_term:
+        if self._link.on_answer(reply):
             self.members_by_instance.clear()
+        self._ends.resume()
+        if reply.reaches_store:
+            self._keeper.on_leader(reply.lease_version, self._link.heard_at)
+        else:
+            self.tables.note_outage()
         for member in reply.members:
             self.members_by_instance[member.instance] = member
-        self._members_revision = reply.members_revision
         self.over_limit = frozenset(reply.over_limit)
         self.tables.mirror.apply(_rows_from_wire(reply.rows))
 
-    async def _set_leader(self, address: str, reason: str) -> None:
-        if self._leader is not None and self._leader.address == address:
-            return
-        old, self._leader = self._leader, None
-        self._metrics.leader_changes += bool(address)
-        self._leader_term = 0
-        self._leader_revision = 0
-        self._members_revision = 0
-        self._leader_newest = {}
-        self._leader_refuses = False
-        if old is not None:
-            await old.close()
-        if address and address != self.settings.peer_address:
-            self._leader = WireClient(address, self._secret)
-            log_event("leader_address", leader=address, reason=reason)
-
     # The lease
 
     async def _stand(self) -> None:
         """Take one step of an election."""
-        reading = await self._keeper.observe(self._leader_refuses)
+        reading = await self._keeper.observe(self._link.refuses)
         if reading is None:
             if not self.has_leader:
                 await self._ask_peers()
@@ -581,10 +489,10 @@
                 jitter_s = random.uniform(0.0, ELECTION_JITTER_S)
                 await asyncio.sleep(handicap_s + jitter_s)
             if await self._keeper.take(row, record):
-                await self._set_leader("", "leads")
+                await self._link.set_address("", "leads")
                 self._begin_term()
         elif record is not None and not self.has_leader:
-            await self._set_leader(record.address, "lease row")
+            await self._link.set_address(record.address, "lease row")
             if step is LeaseStep.FOLLOW:
                 await self._poll_leader()
 
@@ -619,7 +527,7 @@
             newest_by_table={},
         )
         self._pending_tokens.clear()
-        self._pending_ends.clear()
+        self._ends.clear()
         duties.on_poll(poll)
         for member in self.members:
             if member.instance != self.settings.instance:
@@ -697,7 +605,7 @@
         if not hints:
             return
         address = random.choice(hints)
-        await self._set_leader(address, "peer hint")
+        await self._link.set_address(address, "peer hint")
         await self._poll_leader()
 
     # The store
@@ -724,39 +632,6 @@
         else:
             log_warning("store_lost", detail=detail)
 
-    # Ends of places
-
-    async def _send_ends(self) -> None:
-        while not self.should_stop:
-            await self._ends_wake.wait()
-            self._ends_wake.clear()
-            client = self._leader
-            if not self._pending_ends or client is None or not self._leader_term:
-                continue
-            ended, self._pending_ends = self._pending_ends, []
-            ends = ttypes.EngineEnds(term=self._leader_term, ended=ended)
-            result = await client.call(ends, POLL_TIMEOUT_S)
-            if isinstance(result, Failure):
-                self._keep_ends(ended, result.failure().detail)
-                await asyncio.sleep(ENDS_RETRY_S)
-
-    def _keep_ends(self, ended: list[Any], detail: str) -> None:
-        """Keep ends that did not reach the leader, to send them again."""
-        pending = ended + self._pending_ends
-        self._pending_ends = pending[-MAX_PENDING_ENDS:]
-        self._ends_wake.set()
-        log_warning(
-            "ends_delayed",
-            count=len(ended),
-            dropped=len(pending) - len(self._pending_ends),
-            detail=detail,
-        )
-
-
-def poll_pause_s(silence_s: float, interval_s: float) -> float:
-    """Return the time until the next poll, after this long without an answer."""
-    return MISSED_POLL_PAUSE_S if silence_s > POLL_TIMEOUT_S else interval_s
-
 
 def ranked_members(members: Sequence[Any], term: int) -> list[str]:
     """Return instances in the order in which they stand: the largest first.
--- /dev/null
+++ b/sequoiafall/leader_link.py
@@ -0,0 +1,238 @@
+"""A member's connection to the leader, and what the leader said last."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from .boot_clock import boot_time
+from .log import log_event, log_warning
+from .node_metrics import NodeMetrics
+from .transport import WireClient, WireError
+from .wire.gen import ttypes
+
+# Below the 0.6 s of silence after which a leader counts as lost.
+POLL_TIMEOUT_S = 0.4
+# A leader that has not answered for this many polls is taken for lost.
+LEADER_SILENCE_POLLS = 2.4
+# A poll that was not answered is repeated after this time: with many members the
+# next one would be due after the silence that a lost leader is allowed.
+MISSED_POLL_PAUSE_S = 0.05
+# Ends of places that the leader did not confirm are sent again after this time.
+ENDS_RETRY_S = 0.2
+# Ends that are kept while no leader answers; the leader takes back the places of
+# older ones when their callers' time is over.
+MAX_PENDING_ENDS = 2000
+
+
+class LeaderLink:
+    """Connection to the leader, or to the instance that may lead.
+
+    Parameters
+    ----------
+    own_address : str
+        Address of this instance; it has no connection to itself.
+    secret : bytes
+        Shared secret of the instances.
+    metrics : NodeMetrics
+        Gets changes of leader.
+
+    Attributes
+    ----------
+    term : int
+        Term of the leader that is followed, 0 for none.
+    last_term : int
+        The last term that was followed.
+    revision, members_revision : int
+        Revisions of the leader's rows and members that have arrived.
+    newest_by_table : dict of str to int
+        Newest row version by table at the leader.
+    reaches_store : bool
+        Whether the leader said that it reaches the store.
+    heard_at : float
+        Time of its last answer.
+    refuses : bool
+        Whether nothing listens at its address, or a process that does not lead.
+    lost_address : str
+        Address of a leader that fell silent, until another one answers.
+    should_poll : bool
+        Whether to poll again after the connection was lost.
+    """
+
+    def __init__(self, own_address: str, secret: bytes, metrics: NodeMetrics) -> None:
+        self._own_address = own_address
+        self._secret = secret
+        self._metrics = metrics
+        self.client: WireClient | None = None
+        self.term = 0
+        self.last_term = 0
+        self.revision = 0
+        self.members_revision = 0
+        self.newest_by_table: dict[str, int] = {}
+        self.reaches_store = False
+        self.heard_at = 0.0
+        self.refuses = False
+        self.lost_address = ""
+        self.should_poll = False
+        # A question found the connection lost.
+        self.has_failed = False
+        self._lost_logged = True
+
+    @property
+    def address(self) -> str:
+        """Address of the leader, empty if none is known."""
+        return self.client.address if self.client is not None else ""
+
+    @property
+    def silence_s(self) -> float:
+        """Time since the last answer in seconds."""
+        return boot_time() - self.heard_at
+
+    def is_heard(self, poll_interval_s: float) -> bool:
+        """Whether a leader has answered lately."""
+        if self.client is None or not self.term or self.has_failed:
+            return False
+        return self.silence_s < LEADER_SILENCE_POLLS * poll_interval_s
+
+    async def set_address(self, address: str, reason: str) -> None:
+        """Turn to another instance, or to none."""
+        if self.client is not None and self.client.address == address:
+            return
+        old, self.client = self.client, None
+        self._metrics.leader_changes += bool(address)
+        self._forget()
+        self.refuses = False
+        if old is not None:
+            await old.close()
+        if address and address != self._own_address:
+            self.client = WireClient(address, self._secret)
+            log_event("leader_address", leader=address, reason=reason)
+
+    async def call(self, request: Any, timeout_s: float) -> Result[Any, WireError]:
+        """Send a request to the leader, whose address has to be known."""
+        assert self.client is not None
+        return await self.client.call(request, timeout_s)
+
+    async def ask(self, request: Any, timeout_s: float) -> Any | None:
+        """Ask for a place; None if no answer came."""
+        client = self.client
+        if client is None:
+            return None
+        request.term = self.term
+        result = await client.call(request, timeout_s)
+        if isinstance(result, Success):
+            return result.unwrap()
+        if not client.connected:
+            self.has_failed = True
+        return None
+
+    def on_answer(self, reply: Any) -> bool:
+        """Note the answer of a leader; return whether it has a new term."""
+        is_new = reply.term != self.term
+        if is_new:
+            log_event(
+                "leader_found",
+                leader=reply.leader_address,
+                term=reply.term,
+                members=len(reply.members),
+            )
+        self._lost_logged = False
+        self.lost_address = ""
+        self.term = self.last_term = reply.term
+        self.revision = reply.revision
+        self.members_revision = reply.members_revision
+        self.newest_by_table = reply.newest_by_table
+        self.reaches_store = reply.reaches_store
+        self.heard_at = boot_time()
+        self.has_failed = self.refuses = False
+        return is_new
+
+    def on_silence(self, detail: str) -> None:
+        """Give up a leader that does not answer, or does not lead."""
+        if self.client is not None and self.term:
+            self.lost_address = self.client.address
+        if not self._lost_logged:
+            self._lost_logged = True
+            log_warning(
+                "leader_lost",
+                leader=self.address,
+                term=self.term,
+                silent_ms=int(self.silence_s * 1e3),
+                detail=detail,
+            )
+        self._forget()
+
+    async def close(self) -> None:
+        """Close the connection."""
+        if self.client is not None:
+            await self.client.close()
+
+    def _forget(self) -> None:
+        self.term = 0
+        self.revision = 0
+        self.members_revision = 0
+        self.newest_by_table = {}
+
+
+class PlaceEnds:
+    """Ends of places that the leader has not confirmed yet.
+
+    Parameters
+    ----------
+    link : LeaderLink
+        Where they are sent.
+    """
+
+    def __init__(self, link: LeaderLink) -> None:
+        self._link = link
+        self._pending: list[Any] = []
+        self._wake = asyncio.Event()
+
+    def add(self, end: Any) -> None:
+        """Send an end, now or when a leader answers again."""
+        if len(self._pending) < MAX_PENDING_ENDS:
+            self._pending.append(end)
+        self._wake.set()
+
+    def resume(self) -> None:
+        """Send what is kept, as a leader answers."""
+        if self._pending:
+            self._wake.set()
+
+    def clear(self) -> None:
+        """Forget what is kept, as this instance leads."""
+        self._pending.clear()
+
+    async def run(self, should_stop: Callable[[], bool]) -> None:
+        """Send ends until the process stops."""
+        while not should_stop():
+            await self._wake.wait()
+            self._wake.clear()
+            link = self._link
+            if not self._pending or link.client is None or not link.term:
+                continue
+            ended, self._pending = self._pending, []
+            ends = ttypes.EngineEnds(term=link.term, ended=ended)
+            result = await link.call(ends, POLL_TIMEOUT_S)
+            if isinstance(result, Failure):
+                self._keep(ended, result.failure().detail)
+                await asyncio.sleep(ENDS_RETRY_S)
+
+    def _keep(self, ended: list[Any], detail: str) -> None:
+        pending = ended + self._pending
+        self._pending = pending[-MAX_PENDING_ENDS:]
+        self._wake.set()
+        log_warning(
+            "ends_delayed",
+            count=len(ended),
+            dropped=len(pending) - len(self._pending),
+            detail=detail,
+        )
+
+
+def poll_pause_s(silence_s: float, interval_s: float) -> float:
+    """Return the time until the next poll, after this long without an answer."""
+    return MISSED_POLL_PAUSE_S if silence_s > POLL_TIMEOUT_S else interval_s
--- a/sequoiafall/standins/adapter_engine.py
+++ b/sequoiafall/standins/adapter_engine.py
@@ -32,6 +32,8 @@
         precondition still holds.
     break_after : int
         Events after which the next stream is cut, -1 for none.
+    hold_after : int
+        Events after which streams pause for as long as this is set, -1 for none.
     stray_answers : int
         Answers that bear the identity of another request.
     """
@@ -59,6 +61,7 @@
         self.silent_orders = 0
         self.late_s = 0.3
         self.break_after = -1
+        self.hold_after = -1
         self.stray_answers = 0
         self.fail_next = 0
         self.shed_next = 0
@@ -215,6 +218,8 @@
                     request.transport.abort()
                 return response
             await asyncio.sleep(EVENT_PAUSE_S)
+            while 0 <= self.hold_after < number:
+                await asyncio.sleep(EVENT_PAUSE_S)
             await response.write(f"id: {number}\ndata: piece {number}\n\n".encode())
         await response.write_eof()
         return response
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -13,13 +13,13 @@
 from sequoiafall.boot_clock import boot_time
 from sequoiafall.catalog import Repeat, TokenLimit
 from sequoiafall.engine_planner import EnginePlanner
-from sequoiafall.fleet import (
+from sequoiafall.fleet import ranked_members
+from sequoiafall.fleet_leader import LeaderDuties, poll_interval_s
+from sequoiafall.leader_link import (
     LEADER_SILENCE_POLLS,
     POLL_TIMEOUT_S,
     poll_pause_s,
-    ranked_members,
 )
-from sequoiafall.fleet_leader import LeaderDuties, poll_interval_s
 from sequoiafall.node_metrics import NodeMetrics
 from sequoiafall.node_settings import NodeSettings, SettingsSource
 from sequoiafall.platform import names
@@ -103,8 +103,9 @@
         """The platform says whether it ends; new requests are refused anyway."""
         node, _ = await self.start_fleet()
         node.settings.ends_withdrawn_streams = ends
-        for engine in ("e1", "e2"):
-            self.engines[engine].events = 300
+        engines = [self.engines[name] for name in ("e1", "e2")]
+        for engine in engines:
+            engine.hold_after = 2
         running = asyncio.create_task(
             self.call(node, "/check/x", adapter="a1", request_id="running")
         )
@@ -114,12 +115,14 @@
         self.configure(2, tenants=[tenant])
         await until(lambda: node.fleet.catalog.version == 2)
         self.assertEqual((await self.call(node, "/check/x", adapter="a1"))[0], 401)
+        for engine in engines:
+            engine.hold_after = -1
         if ends:
             with self.assertRaises(aiohttp.ClientPayloadError):
                 await running
         else:
             status, body, _ = await running
-            self.assertEqual((status, body.count(b"data: piece")), (200, 300))
+            self.assertEqual((status, body.count(b"data: piece")), (200, 5))
 
     async def test_without_a_configuration_nothing_is_denied(self):
         """A node that knows no configuration says 503, not 404."""
@@ -330,7 +333,7 @@
         nodes = await self.start_fleet()
         leader = self.leader
         member = next(node for node in nodes if node is not leader)
-        call = member.fleet._leader.call
+        call = member.fleet._link.client.call
         lost = []
 
         async def lose_the_first_end(request, timeout_s):
@@ -339,7 +342,7 @@
                 return Failure(WireError(Delivery.UNKNOWN, "connection lost"))
             return await call(request, timeout_s)
 
-        member.fleet._leader.call = lose_the_first_end
+        member.fleet._link.client.call = lose_the_first_end
         status, _, _ = await self.call(member, "/draft/x", adapter="a1")
         self.assertEqual(status, 200)
         await until(lambda: lost)
@@ -639,8 +642,8 @@
         member = next(node for node in nodes if node is not leader)
         self.store.refuses.add("*")
         await until(lambda: not leader.fleet.reaches_store)
-        member.fleet._heard_at = boot_time()
-        member.fleet._leader_failed = True
+        member.fleet._link.heard_at = boot_time()
+        member.fleet._link.has_failed = True
         member.fleet._keeper._failed_at = boot_time()
         self.assertFalse(member.fleet.has_leader)
         self.assertFalse(member.fleet.is_election_blocked)
