--- a/sequoiafall/standins/adapter_engine.py
+++ b/sequoiafall/standins/adapter_engine.py
@@ -33,7 +33,9 @@
     break_after : int
         Events after which the next stream is cut, -1 for none.
     hold_after : int
-        Events after which streams pause for as long as this is set, -1 for none.
+        Events after which streams pause until `go_on` is set, -1 for none.
+    go_on : asyncio.Event
+        Lets paused streams go on.
     stray_answers : int
         Answers that bear the identity of another request.
     """
@@ -62,6 +64,7 @@
         self.late_s = 0.3
         self.break_after = -1
         self.hold_after = -1
+        self.go_on = asyncio.Event()
         self.stray_answers = 0
         self.fail_next = 0
         self.shed_next = 0
@@ -218,8 +221,8 @@
                     request.transport.abort()
                 return response
             await asyncio.sleep(EVENT_PAUSE_S)
-            while 0 <= self.hold_after < number:
-                await asyncio.sleep(EVENT_PAUSE_S)
+            if 0 <= self.hold_after < number:
+                await self.go_on.wait()
             await response.write(f"id: {number}\ndata: piece {number}\n\n".encode())
         await response.write_eof()
         return response
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -116,7 +116,7 @@
         await until(lambda: node.fleet.catalog.version == 2)
         self.assertEqual((await self.call(node, "/check/x", adapter="a1"))[0], 401)
         for engine in engines:
-            engine.hold_after = -1
+            engine.go_on.set()
         if ends:
             with self.assertRaises(aiohttp.ClientPayloadError):
                 await running
