Let a suspension count in the grace period of a stopping instance

A stopping instance measured its grace period by the loop's clock, which does not count a suspension, so after one it would be killed before it closed anything. Change: the period is measured by boot_time, in steps of 0.25 s. Result: the two new cases fail before and pass after.

--- a/sequoiafall/node.py
+++ b/sequoiafall/node.py
@@ -31,6 +31,8 @@
 # Share of the grace period in which new requests are still accepted: callers use
 # an old directory answer up to three times as long as its lifetime.
 ACCEPT_SHARE = 0.8
+# While it stops, an instance looks this often whether it was suspended.
+STOP_STEP_S = 0.25
 # Lifetime of a directory answer.
 DIRECTORY_LIFE_S = 1.5
 # Time for connections that are left when the process ends.
@@ -125,17 +127,25 @@
 
     async def on_stop(self) -> None:
         """Leave the directory, finish the requests, then close."""
-        loop = asyncio.get_running_loop()
-        started_at = loop.time()
+        started_at = boot_time()
         log_event("stopping", open_requests=self.forwarder.open_requests)
         await self.fleet.leave()
         grace_s = max(0.0, self.settings.grace_s - STOP_MARGIN_S)
+        self.forwarder.ends_at = started_at + grace_s
         accept_until = started_at + grace_s * ACCEPT_SHARE
-        self.forwarder.ends_at = boot_time() + grace_s
-        await asyncio.sleep(max(0.0, accept_until - loop.time()))
+        # Timers do not count a suspension; the grace period does.
+        while True:
+            left_s = accept_until - boot_time()
+            if left_s <= 0.0:
+                break
+            await asyncio.sleep(min(left_s, STOP_STEP_S))
         if self._front is not None:
             await self._front.stop()
-        await self.forwarder.wait_idle(started_at + grace_s - loop.time())
+        while self.forwarder.open_requests:
+            left_s = self.forwarder.ends_at - boot_time()
+            if left_s <= 0.0:
+                break
+            await self.forwarder.wait_idle(min(left_s, STOP_STEP_S))
         await self.fleet.stop()
         left = self.forwarder.open_requests
         if left:
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -4,6 +4,7 @@
 import copy
 import unittest
 from types import SimpleNamespace
+from unittest.mock import patch
 
 import aiohttp
 from parameterized import parameterized
@@ -218,6 +219,34 @@
             self.assertIn("Retry-After", answered)
 
 
+class SuspendedStopTest(PlatformCase):
+    """The grace period goes on while the instance is suspended."""
+
+    @parameterized.expand([("idle", False), ("with a request", True)])
+    async def test_suspension_counts(self, _name, has_request):
+        """Otherwise the process is killed before it has closed anything."""
+        node, *_ = await self.start_fleet(1)
+        node.settings.grace_s = 300.0
+        call = None
+        if has_request:
+            for name in ("e1", "e2"):
+                self.engines[name].hold_after = 2
+            call = asyncio.create_task(self.call(node, "/check/x", adapter="a1"))
+            await until(lambda: node.forwarder.open_requests)
+            # Its own limit of time would end it within the test.
+            self.addCleanup(call.cancel)
+        suspended_s = 0.0
+        with (
+            capture_log() as lines,
+            patch("sequoiafall.node.boot_time", lambda: boot_time() + suspended_s),
+        ):
+            stopping = asyncio.create_task(node.stop())
+            await until(lambda: any("event=stopping" in line for line in lines))
+            suspended_s = 400.0
+            await until(stopping.done)
+        self.nodes.remove(node)
+
+
 class ReloadTest(PlatformCase):
     """Settings that change while the instance serves."""
 
