Log when a server begins or ceases to get work, and why a plain one was chosen

Cause: the log named the engine that was chosen, but not why another one got nothing: that it was silent, failing, leaving or without its base model changed what the leader believed without a line. Calls of plain services named their server without the estimates that decided. Change: engine_condition at each change, server_paused, and the estimates of the chosen server and of the two next best ones in the lines that a call has already. Result: new tests for each; no decision changes (the same random draws, the same order).

--- a/sequoiafall/engine_pool.py
+++ b/sequoiafall/engine_pool.py
@@ -90,6 +90,17 @@
     sequence: int = -1
 
 
+class Condition(enum.Enum):
+    """Why an engine gets work or not."""
+
+    USABLE = "usable"
+    LEAVING = "leaving"
+    WITHOUT_MODEL = "without model"
+    SILENT = "silent"
+    FAILING = "failing"
+    FAILING_BUT_USED = "failing but used"
+
+
 @dataclass(slots=True, frozen=True)
 class EngineReport:
     """What an engine says of itself, some 100 ms old.
@@ -233,6 +244,20 @@
             return False
         return now >= self.avoided_until or self.index.uses_failing
 
+    def condition(self, now: float) -> Condition:
+        """Return why the engine gets work or not, for the log."""
+        if self.entry.is_leaving:
+            return Condition.LEAVING
+        if self.model_state is not ModelState.PRESENT:
+            return Condition.WITHOUT_MODEL
+        if now < self.silent_until:
+            return Condition.SILENT
+        if now >= self.avoided_until:
+            return Condition.USABLE
+        if self.index.uses_failing:
+            return Condition.FAILING_BUT_USED
+        return Condition.FAILING
+
     def takes_orders(self, now: float) -> bool:
         """Whether the engine can be told to load an adapter."""
         return self.is_known and self.takes_work(now) and now >= self.stalled_until
--- a/sequoiafall/fleet_leader.py
+++ b/sequoiafall/fleet_leader.py
@@ -14,6 +14,7 @@
 from .boot_clock import boot_time
 from .catalog import Catalog, Service
 from .engine_planner import EnginePlanner
+from .engine_pool import Condition
 from .lease import Tenure
 from .log import log_event, log_warning
 from .node_metrics import NodeMetrics
@@ -99,6 +100,7 @@
         self.members_by_instance: dict[str, MemberRecord] = {}
         self.members_revision = 0
         self._workers_by_server: dict[str, OrderWorker] = {}
+        self._conditions_by_server: dict[str, Condition] = {}
         self._answers_by_request: dict[str, asyncio.Future[Any]] = {}
         self._organisations_by_request: dict[str, str] = {}
         self._recent_by_organisation: dict[str, float] = {}
@@ -505,6 +507,28 @@
                 worker.forget()
             worker.observe(report, engine.is_settled(now))
         self._apply(planner, planner.on_report(entry.name, report, now))
+        self._note_condition(planner, entry.name, now)
+
+    def _note_condition(self, planner: EnginePlanner, name: str, now: float) -> None:
+        """Log an engine that begins or ceases to get work."""
+        engine = planner.pool.engines_by_name.get(name)
+        before = self._conditions_by_server.pop(name, None)
+        if engine is None:
+            return
+        condition = engine.condition(now)
+        self._conditions_by_server[name] = condition
+        if condition is before:
+            return
+        log_event(
+            "engine_condition",
+            server=name,
+            condition=condition.value,
+            before=before.value if before else "",
+            failures=engine.failures,
+            silences=engine.silences,
+            term=self.term,
+            **planner.describe_engine(name, now),
+        )
 
     async def _tick(self) -> None:
         while True:
--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -27,7 +27,7 @@
 from .node_metrics import NodeMetrics
 from .node_settings import NodeSettings
 from .place_source import GatewayPlace, PlaceNeed, PlaceSource
-from .plain_routing import PlainRouting
+from .plain_routing import PlainChoice, PlainRouting
 from .refusal import Ran, Reason, Refusal, secret_refusal
 from .retry import RetryBudget
 from .secret_scan import contains_secret
@@ -102,6 +102,7 @@
     stream: web.StreamResponse | None = None
     splitter: EventSplitter = field(default_factory=EventSplitter)
     failure: web.Response | None = None
+    choice: PlainChoice | None = None
 
     @property
     def may_repeat(self) -> bool:
@@ -110,6 +111,10 @@
             return self.runs == 0
         return self.runs < self.route.max_attempts
 
+    def describe_choice(self) -> dict[str, object]:
+        """Return why the last plain server was chosen; engines are the leader's."""
+        return self.choice.describe() if self.choice is not None else {}
+
 
 class Patience:
     """Longest time that callers of each route wait.
@@ -342,10 +347,12 @@
         while True:
             now = boot_time()
             entries = self._fleet.registry.of_service(exchange.service)
-            entry = self._plain.choose(entries, frozenset(exchange.excluded), now)
-            if entry is None:
+            choice = self._plain.choose(entries, frozenset(exchange.excluded), now)
+            if choice is None:
                 refusal = Refusal(Reason.NO_BACKEND_SERVER, retry_after_s=RETRY_AFTER_S)
                 return self._finish_refusal(exchange, refusal)
+            entry = choice.entry
+            exchange.choice = choice
             outcome = Outcome("cancelled")
             self._plain.on_start(entry.name)
             try:
@@ -353,7 +360,17 @@
                 outcome = await self._send(exchange, place)
             finally:
                 ended_at = boot_time()
-                self._plain.on_end(entry.name, outcome.name, ended_at - now, ended_at)
+                pause_s = self._plain.on_end(
+                    entry.name, outcome.name, ended_at - now, ended_at
+                )
+                if pause_s > 0.0:
+                    log_warning(
+                        "server_paused",
+                        server=entry.name,
+                        pause_ms=int(pause_s * 1e3),
+                        request_id=exchange.request.request_id,
+                        detail=outcome.detail,
+                    )
             final = await self._judge(exchange, entry.name, outcome)
             if final is not None:
                 return final
@@ -393,6 +410,7 @@
             runs=exchange.runs,
             last_event=exchange.splitter.last_id,
             since_ms=int((boot_time() - exchange.started_at) * 1e3),
+            **exchange.describe_choice(),
         )
         if outcome.name == "withdrawn":
             refusal = Refusal(Reason.INVALID_KEY, detail=outcome.detail)
@@ -636,6 +654,7 @@
             adapter=exchange.request.adapter,
             since_ms=int((boot_time() - exchange.started_at) * 1e3),
             configuration=catalog.version if catalog else 0,
+            **exchange.describe_choice(),
         )
 
 
--- a/sequoiafall/place_ask.py
+++ b/sequoiafall/place_ask.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from .refusal import Reason
@@ -72,14 +73,20 @@
 
     def describe(self) -> dict[str, object]:
         """Return the fields of a log line."""
-        others = (f"{name}:{int(cost_s * 1e3)}" for name, cost_s in self.next_best)
         return {
             "adapter_state": self.adapter.value,
-            "estimate_ms": int(self.cost_s * 1e3),
-            "next_best_ms": ",".join(others),
+            **describe_estimates(self.cost_s, self.next_best),
         }
 
 
+def describe_estimates(
+    cost_s: float, next_best: Iterable[tuple[str, float]]
+) -> dict[str, object]:
+    """Return the fields of a log line for a choice by the least estimate."""
+    others = (f"{name}:{int(other_s * 1e3)}" for name, other_s in next_best)
+    return {"estimate_ms": int(cost_s * 1e3), "next_best_ms": ",".join(others)}
+
+
 UNCHOSEN = Choice(AdapterState.NONE, 0.0)
 
 
--- a/sequoiafall/plain_routing.py
+++ b/sequoiafall/plain_routing.py
@@ -5,8 +5,11 @@
 import random
 from collections.abc import Iterable
 from dataclasses import dataclass
+from heapq import nsmallest
+from operator import itemgetter
 
 from .backend_registry import BackendEntry
+from .place_ask import describe_estimates
 from .retry import back_off_s
 
 # Weight of the newest answer in a server's mean time and share of failures.
@@ -23,6 +26,31 @@
 # each further failure up to the limit.
 PAUSE_S = 0.4
 PAUSE_LIMIT_S = 4.0
+# Further servers that the log names beside the chosen one.
+NEXT_BEST = 2
+
+
+@dataclass(slots=True, frozen=True)
+class PlainChoice:
+    """A server with why it was chosen.
+
+    Parameters
+    ----------
+    entry : BackendEntry
+        The server.
+    cost_s : float
+        Estimated time with all prices, in seconds.
+    next_best : tuple of (str, float)
+        The two next best servers with their estimates.
+    """
+
+    entry: BackendEntry
+    cost_s: float
+    next_best: tuple[tuple[str, float], ...]
+
+    def describe(self) -> dict[str, object]:
+        """Return the fields of a log line."""
+        return describe_estimates(self.cost_s, self.next_best)
 
 
 @dataclass(slots=True)
@@ -55,15 +83,21 @@
 
     def choose(
         self, entries: Iterable[BackendEntry], excluded: frozenset[str], now: float
-    ) -> BackendEntry | None:
+    ) -> PlainChoice | None:
         """Choose a server, or None if there is none.
 
         Servers that cannot be reached are chosen only if there is no other one.
         """
-        candidates = [entry for entry in entries if entry.name not in excluded]
+        candidates = [
+            (self._cost(entry, now), entry)
+            for entry in entries
+            if entry.name not in excluded
+        ]
         if not candidates:
             return None
-        return min(candidates, key=lambda entry: self._cost(entry, now))
+        best, *others = nsmallest(1 + NEXT_BEST, candidates, key=itemgetter(0))
+        next_best = tuple((entry.name, cost_s) for (_, cost_s), entry in others)
+        return PlainChoice(best[1], best[0][1], next_best)
 
     def _cost(self, entry: BackendEntry, now: float) -> tuple[bool, float]:
         record = self._record(entry.name)
@@ -78,12 +112,18 @@
         """Count a call."""
         self._record(server).open_calls += 1
 
-    def on_end(self, server: str, outcome: str, seconds: float, now: float) -> None:
-        """Take over how a call ended; see `EnginePlanner.end` for the outcomes."""
+    def on_end(self, server: str, outcome: str, seconds: float, now: float) -> float:
+        """Take over how a call ended; see `EnginePlanner.end` for the outcomes.
+
+        Returns
+        -------
+        float
+            For how long the server is passed over from now on, in seconds.
+        """
         record = self._record(server)
         record.open_calls = max(0, record.open_calls - 1)
         if outcome == "cancelled":
-            return
+            return 0.0
         failed = outcome != "ok"
         share = _failing(record, now)
         record.failure_share = share + SAMPLE_WEIGHT * (failed - share)
@@ -92,11 +132,12 @@
             record.unreachable += 1
             pause_s = back_off_s(PAUSE_S, record.unreachable, PAUSE_LIMIT_S)
             record.paused_until = now + pause_s
-            return
+            return pause_s
         record.unreachable = 0
         if not failed:
             record.paused_until = 0.0
             record.mean_s += SAMPLE_WEIGHT * (seconds - record.mean_s)
+        return 0.0
 
     def _record(self, server: str) -> _Record:
         record = self._records_by_server.get(server)
--- a/tests/test_engine_planner.py
+++ b/tests/test_engine_planner.py
@@ -8,12 +8,13 @@
 from sequoiafall.backend_registry import BackendEntry
 from sequoiafall.engine_choice import COLD_LOAD_S, MAX_TRANSFERS
 from sequoiafall.engine_planner import FAILED_LOAD_PAUSE_S, LOAD_MARGIN_S, EnginePlanner
-from sequoiafall.engine_pool import EngineReport, SlotState
+from sequoiafall.engine_pool import Condition, EngineReport, ModelState, SlotState
 from sequoiafall.place_ask import Ask, GrantPlace, LoadOrder, RefusePlace
 from sequoiafall.refusal import Reason
 
 SLOTS = 6
 MODEL = frozenset({"base"})
+LEAVING = BackendEntry("e0", "assist", "10.0.0.0:80", "a", 64, True)
 
 
 class Driver:
@@ -252,6 +253,28 @@
         driver.run(0.5)
         self.assertIn("r1", driver.granted)
 
+    @parameterized.expand(
+        [
+            ("usable", {}, Condition.USABLE),
+            ("leaving", {"entry": LEAVING}, Condition.LEAVING),
+            ("empty", {"model_state": ModelState.ABSENT}, Condition.WITHOUT_MODEL),
+            ("silent", {"silent_until": 200.0}, Condition.SILENT),
+            ("failing", {"avoided_until": 200.0}, Condition.FAILING),
+        ]
+    )
+    def test_condition_says_whether_an_engine_gets_work(self, _name, changes, expected):
+        """The log must name the reason for which an engine was passed over."""
+        driver = Driver()
+        engine = driver.planner.pool.engines_by_name["e0"]
+        for field, value in changes.items():
+            setattr(engine, field, value)
+        self.assertIs(engine.condition(driver.now), expected)
+        is_usable = expected is Condition.USABLE
+        self.assertEqual(engine.takes_work(driver.now), is_usable)
+        engine.index.uses_failing = True
+        is_used = engine.condition(driver.now) is Condition.FAILING_BUT_USED
+        self.assertEqual(engine.takes_work(driver.now), is_usable or is_used)
+
     def test_leaving_engine_gets_nothing(self):
         driver = Driver(engines=2)
         driver.ask("r1", "a1")
--- a/tests/test_plain_routing.py
+++ b/tests/test_plain_routing.py
@@ -20,7 +20,7 @@
     counts = Counter()
     for number in range(calls):
         now = start + number * 0.05
-        entry = routing.choose(ENTRIES, frozenset(), now)
+        entry = routing.choose(ENTRIES, frozenset(), now).entry
         counts[entry.name] += 1
         routing.on_start(entry.name)
         outcome, seconds = outcomes.get(entry.name, ("ok", 0.06))
@@ -60,20 +60,38 @@
             routing.on_end("s1", "unreachable", 0.1, 100.0 + number)
         entry = BackendEntry("s1", "desk", "10.0.0.1:80", "z1", 6, False)
         chosen = routing.choose([entry], frozenset(), 9999.0)
-        self.assertEqual(chosen.name, "s1")
+        self.assertEqual(chosen.entry.name, "s1")
 
     def test_open_calls_spread(self):
         """Many callers come at once."""
         counts = Counter()
         for _ in range(18):
-            entry = self.routing.choose(ENTRIES, frozenset(), 0.0)
+            entry = self.routing.choose(ENTRIES, frozenset(), 0.0).entry
             self.routing.on_start(entry.name)
             counts[entry.name] += 1
         self.assertLessEqual(max(counts.values()), 8)
 
     def test_excluded_servers_are_not_chosen(self):
-        entry = self.routing.choose(ENTRIES, frozenset({"s0", "s1"}), 0.0)
-        self.assertEqual(entry.name, "s2")
+        choice = self.routing.choose(ENTRIES, frozenset({"s0", "s1"}), 0.0)
+        self.assertEqual(choice.entry.name, "s2")
         self.assertIsNone(
             self.routing.choose(ENTRIES, frozenset({"s0", "s1", "s2"}), 0.0)
         )
+
+    def test_choice_names_what_decided_it(self):
+        """An engineer has only the log to see why a call went to a server."""
+        self.routing.on_start("s0")
+        choice = self.routing.choose(ENTRIES, frozenset(), 0.0)
+        names = [choice.entry.name, *(name for name, _ in choice.next_best)]
+        self.assertEqual(sorted(names), ["s0", "s1", "s2"])
+        costs = [choice.cost_s, *(cost_s for _, cost_s in choice.next_best)]
+        self.assertEqual(costs, sorted(costs))
+        described = choice.describe()
+        self.assertEqual(described["estimate_ms"], int(choice.cost_s * 1e3))
+        self.assertEqual(described["next_best_ms"].count(","), 1)
+
+    def test_pause_is_reported(self):
+        self.routing.on_start("s0")
+        self.assertGreater(self.routing.on_end("s0", "unreachable", 0.1, 1.0), 0.0)
+        self.routing.on_start("s0")
+        self.assertEqual(self.routing.on_end("s0", "ok", 0.1, 9.0), 0.0)
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -166,6 +166,32 @@
             self.assertRegex(first, rf"\b{field}=\d+")
         self.assertIn("organisation=org-1", first)
 
+    async def test_server_that_is_passed_over_is_named(self):
+        """Why an engine or a plain server got nothing must be in the log."""
+        node, *_ = await self.start_fleet(1)
+        with capture_log() as lines:
+            self.announce(self.engines["e1"], state="draining")
+            await until(lambda: any("condition=leaving" in line for line in lines))
+            self.announce(self.engines["d1"], address="127.0.0.1:1")
+            self.announce(self.engines["d2"], address="127.0.0.1:1")
+            await until(
+                lambda: (
+                    {row.address for row in node.fleet.registry.of_service("desk")}
+                    == {"127.0.0.1:1"}
+                )
+            )
+            await self.call(node, "/look/x", method="GET", request_id="passed")
+        (changed,) = [line for line in lines if "condition=leaving" in line]
+        self.assertRegex(changed, r"server=e1 .*before=usable .*report_age_ms=\d+")
+        (paused,) = [
+            line
+            for line in lines
+            if "event=server_paused" in line and "server=d1" in line
+        ]
+        self.assertRegex(paused, r"pause_ms=400 request_id=passed")
+        (attempt, *_) = [line for line in lines if "event=attempt_ended" in line]
+        self.assertRegex(attempt, r"estimate_ms=\d+ next_best_ms=d\d:\d+")
+
     async def test_metrics_by_cause(self):
         nodes = await self.start_fleet()
         for number in range(3):
