--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -237,7 +237,14 @@
         # Path and body are forwarded unchanged, so they must not hold the key.
         if contains_secret(request.key, [request.target, request.body]):
             return self._refuse(request.request_id, secret_refusal(), started_at)
-        _drop_secret(request.headers, request.key)
+        dropped = _drop_secret(request.headers, request.key)
+        if dropped:
+            log_warning(
+                "headers_dropped",
+                request_id=request.request_id,
+                headers=",".join(dropped),
+                reason="they repeat the key",
+            )
         elapsed_s = self._patience.elapsed_s(route.name, request.time_left_s)
         limit_s = min(request.time_left_s, route.timeout_s)
         return Exchange(
@@ -658,13 +665,14 @@
         )
 
 
-def _drop_secret(headers: CIMultiDict[str], secret: str) -> None:
-    """Remove the headers in which a caller repeats its key."""
+def _drop_secret(headers: CIMultiDict[str], secret: str) -> list[str]:
+    """Remove the headers in which a caller repeats its key and return their names."""
     if not contains_secret(secret, headers.values()):
-        return
+        return []
     named = [name for name in headers if contains_secret(secret, headers.getall(name))]
     for name in named:
         headers.popall(name, None)
+    return named
 
 
 def _status_of(outcome: Outcome) -> int:
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -50,6 +50,7 @@
     async def test_what_a_backend_server_sees(self):
         """It must not see the key, nor headers that only the system may set."""
         node, _ = await self.start_fleet()
+        lines = self.enterContext(capture_log())
         await self.call(
             node,
             "/draft/x?q=%41",
@@ -81,6 +82,9 @@
         for name in ("X-Sequoiafall-Hold", "X-Sequoiafall-Kv-Backup", "Kv-From"):
             self.assertNotIn(name, seen)
         self.assertNotIn("X-Hop", seen)
+        (dropped,) = [line for line in lines if "event=headers_dropped" in line]
+        self.assertIn("headers=X-Copy", dropped)
+        self.assertNotIn(KEY, "".join(lines))
 
     @parameterized.expand(
         [
