Let a silent engine give up its turn at the weight store

Change: an engine that does not report counts for 6 s after its order. Result: the new test fails before and passes after.

--- a/sequoiafall/engine_planner.py
+++ b/sequoiafall/engine_planner.py
@@ -265,11 +265,7 @@
         way when it begins, so engines that wait for their turn are ready sooner.
         """
         engines = self.pool.engines_by_name.values()
-        from_store = sum(
-            1
-            for engine in engines
-            if engine.model_state is ModelState.ORDERED and not engine.keeps_copy
-        )
+        from_store = sum(1 for engine in engines if engine.loads_from_store(now))
         actions: list[Action] = []
         for engine in engines:
             if not engine.lacks_model() or not engine.is_known:
--- a/sequoiafall/engine_pool.py
+++ b/sequoiafall/engine_pool.py
@@ -22,7 +22,8 @@
 # An engine answers an order within a few ms, if it does.
 ORDER_ANSWER_S = 0.05
 # A base model that is not there this long after its order is ordered again, at an
-# engine that does not say whether it is loading one.
+# engine that does not say whether it is loading one. An engine that does not
+# report takes no turn at the weight store after this time.
 MODEL_LOAD_LIMIT_S = 6.0
 # Weight of the newest outcome in an engine's share of failures.
 FAILURE_WEIGHT = 0.25
@@ -274,6 +275,15 @@
         """Whether the base model has to be loaded."""
         return self.model_state is ModelState.ABSENT and not self.entry.is_leaving
 
+    def loads_from_store(self, now: float) -> bool:
+        """Whether its base model may be on its way from the weight store.
+
+        An engine that does not report holds up the others for a while only.
+        """
+        if self.model_state is not ModelState.ORDERED or self.keeps_copy:
+            return False
+        return not self.silences or now - self.model_changed_at < MODEL_LOAD_LIMIT_S
+
     def backlog_s(self, now: float) -> float:
         """Return the seconds until the prompts placed here have been read."""
         return max(0.0, self.busy_until - now)
--- a/tests/test_engine_planner.py
+++ b/tests/test_engine_planner.py
@@ -362,6 +362,20 @@
         self.report_empty(driver)
         self.assertEqual(self.ordered(driver), ["e0", "e1"])
 
+    def test_engine_that_falls_silent_holds_up_nobody_for_long(self):
+        """It is cut off from the leader alone, so its entry stays."""
+        driver = self.start_empty(3)
+        for _ in range(40):
+            driver.now += 0.25
+            driver.apply(driver.planner.on_report("e0", None, driver.now))
+            for name in ("e1", "e2"):
+                is_loading = "e1" in self.ordered(driver) and name == "e1"
+                report = driver.report(
+                    name, models=frozenset(), is_loading_model=is_loading
+                )
+                driver.apply(driver.planner.on_report(name, report, driver.now))
+        self.assertEqual(self.ordered(driver), ["e0", "e1"])
+
     def test_copies_of_weights_wait_for_nobody(self):
         """Engines that crashed load from their own disks."""
         driver = self.start_empty(4, copies=MODEL)
