--- a/sequoiafall/leader_link.py
+++ b/sequoiafall/leader_link.py
@@ -193,8 +193,15 @@
 
     def add(self, end: Any) -> None:
         """Send an end, now or when a leader answers again."""
-        if len(self._pending) < MAX_PENDING_ENDS:
-            self._pending.append(end)
+        if len(self._pending) >= MAX_PENDING_ENDS:
+            log_warning(
+                "end_dropped",
+                request_id=end.request_id,
+                server=end.server,
+                reason="too many ends wait for a leader",
+            )
+            return
+        self._pending.append(end)
         self._wake.set()
 
     def resume(self) -> None:
