--- a/sequoiafall/backend_registry.py
+++ b/sequoiafall/backend_registry.py
@@ -3,7 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+
+# Servers that said themselves that they are leaving; older ones are forgotten. A
+# server that is gone is announced no more, so few of them are ever looked for.
+MAX_LEFT = 2000
 
 
 @dataclass(slots=True, frozen=True)
@@ -34,19 +38,40 @@
 
 
 class BackendRegistry:
-    """Backend servers by service; those that left or are leaving take no work."""
+    """Backend servers by service; those that left or are leaving take no work.
+
+    Attributes
+    ----------
+    revision : int
+        Grows with each change of an entry.
+    left_revision : int
+        Grows with each server that says itself that it is leaving.
+    """
 
-    __slots__ = ("_entries_by_name", "revision")
+    __slots__ = (
+        "_entries_by_name",
+        "_left_births_by_name",
+        "left_revision",
+        "revision",
+    )
 
     def __init__(self) -> None:
         self._entries_by_name: dict[str, BackendEntry] = {}
+        self._left_births_by_name: dict[str, int] = {}
         self.revision = 0
+        self.left_revision = 0
 
     def __len__(self) -> int:
         return len(self._entries_by_name)
 
     def put(self, entry: BackendEntry) -> bool:
         """Note an entry and return whether it differs from the known one."""
+        left = self._left_births_by_name.get(entry.name)
+        if left is not None:
+            if _is_another_start(entry.born, left):
+                del self._left_births_by_name[entry.name]
+            else:
+                entry = replace(entry, is_leaving=True)
         if self._entries_by_name.get(entry.name) == entry:
             return False
         self._entries_by_name[entry.name] = entry
@@ -54,12 +79,52 @@
         return True
 
     def drop(self, name: str) -> bool:
-        """Forget a server and return whether it was known."""
+        """Forget a server and return whether it was known.
+
+        One that said that it is leaving stays so if its entry comes back.
+        """
+        if not self._left_births_by_name.get(name, 1):
+            # Without the time of its start, only its absence tells a new start.
+            del self._left_births_by_name[name]
         if self._entries_by_name.pop(name, None) is None:
             return False
         self.revision += 1
         return True
 
+    def mark_leaving(self, name: str, born: int) -> bool:
+        """Note that a server said itself that it is leaving.
+
+        It counts as leaving, whatever is announced, until it is announced with
+        another start.
+
+        Parameters
+        ----------
+        name : str
+            The server.
+        born : int
+            Its start when it said so, 0 if that is not known.
+
+        Returns
+        -------
+        bool
+            Whether that was news.
+        """
+        known = self._left_births_by_name.get(name)
+        entry = self._entries_by_name.get(name)
+        if known == born or (entry is not None and _is_another_start(entry.born, born)):
+            return False
+        if len(self._left_births_by_name) >= MAX_LEFT:
+            del self._left_births_by_name[next(iter(self._left_births_by_name))]
+        self._left_births_by_name[name] = born
+        self.left_revision += 1
+        if entry is not None and not entry.is_leaving:
+            self.put(entry)
+        return True
+
+    def left_births(self) -> dict[str, int]:
+        """Return the starts of the servers that said that they are leaving, by name."""
+        return dict(self._left_births_by_name)
+
     def find(self, name: str) -> BackendEntry | None:
         """Return the entry of a server."""
         return self._entries_by_name.get(name)
@@ -71,3 +136,7 @@
     def all_of(self, service: str) -> Iterable[BackendEntry]:
         """Return all servers of a service, also those that are leaving."""
         return [row for row in self._entries_by_name.values() if row.service == service]
+
+
+def _is_another_start(born: int, other: int) -> bool:
+    return bool(born and other and born != other)
--- a/sequoiafall/engine_choice.py
+++ b/sequoiafall/engine_choice.py
@@ -30,6 +30,9 @@
 ZONE_PRICE_S = 0.006
 # An engine that fails all its requests is as bad as this delay.
 FAILURE_PRICE_S = 2.0
+# An engine whose pause has just ended gets work as if it were this much slower,
+# less with time, so that not all of it comes at once.
+RETURN_PRICE_S = 0.3
 # Each running request makes the steps of an engine longer.
 RUNNING_PRICE_S = 0.001
 # Demand for adapters halves in this time: it shifts within seconds.
@@ -403,4 +406,5 @@
 def _engine_cost_s(engine: Engine, ask: Ask, now: float) -> float:
     zone_s = 0.0 if engine.entry.zone == ask.zone else ZONE_PRICE_S
     failure_s = FAILURE_PRICE_S * engine.excess_failing(now)
+    failure_s += RETURN_PRICE_S * engine.return_share(now)
     return engine.backlog_s(now) + zone_s + failure_s + RUNNING_PRICE_S * engine.running
--- a/sequoiafall/engine_planner.py
+++ b/sequoiafall/engine_planner.py
@@ -31,6 +31,7 @@
 )
 from .placement_policy import PlacementPolicy
 from .refusal import Reason
+from .server_notices import spread_retry_s
 
 # Added to an estimated load before the first request is sent, for the way of
 # the order and the engine's rounding.
@@ -152,6 +153,19 @@
         if loads_per_s > 0.0:
             self.most_weight_loads = max(1, round(MODEL_LOADS_SHARE * loads_per_s))
 
+    def pause(self, server: str, until: float) -> None:
+        """Place nothing at an engine until a time, as it asked for that."""
+        engine = self.pool.engines_by_name.get(server)
+        if engine is None or until <= engine.paused_until:
+            return
+        engine.paused_until = until
+        self._unbind(server)
+
+    def is_pausing(self, server: str, now: float) -> bool:
+        """Whether an engine has asked for a pause that has not ended."""
+        engine = self.pool.engines_by_name.get(server)
+        return engine is not None and now < engine.paused_until
+
     def set_version(self, adapter: str, version: int) -> None:
         """Take over the newest version of an adapter; it never goes back."""
         self._chooser.set_version(adapter, version)
@@ -224,8 +238,8 @@
         request_id : str
             The request.
         outcome : str
-            ``ok``, ``cancelled``, ``not_run``, ``failed``, ``broken`` or
-            ``unreachable``.
+            ``ok``, ``cancelled``, ``withheld``, ``busy``, ``not_run``, ``failed``,
+            ``broken`` or ``unreachable``.
         now : float
             Time in seconds.
         server : str, default=""
@@ -403,8 +417,13 @@
 
     def _refusal_at_once(self, waiting: _Waiting, now: float) -> RefusePlace | None:
         ask = waiting.ask
-        if not self.pool.engines_by_name:
+        if all(row.entry.is_leaving for row in self.pool.engines_by_name.values()):
             return self._refuse(waiting, Reason.NO_BACKEND_SERVER, now, "no engine")
+        pause_s = self._least_pause_s(now)
+        if pause_s > 0.0:
+            return self._refuse(
+                waiting, Reason.OVERLOADED, now, "all engines pause", pause_s
+            )
         if len(self._waiting_by_id) >= MAX_WAITING:
             return self._refuse(waiting, Reason.OVERLOADED, now, "queue is full")
         if ask.time_left_s <= 0.0:
@@ -422,6 +441,16 @@
             )
         return None
 
+    def _least_pause_s(self, now: float) -> float:
+        """Return the shortest pause if all engines are pausing, else 0."""
+        engines = [
+            engine
+            for engine in self.pool.engines_by_name.values()
+            if not engine.entry.is_leaving
+        ]
+        paused_until = min((row.paused_until for row in engines), default=0.0)
+        return max(0.0, paused_until - now)
+
     def _order(self, waiting: _Waiting, now: float) -> tuple[bool, int, float]:
         """Return the sort key: on time first, then priority, then arrival."""
         ask = waiting.ask
@@ -595,7 +624,7 @@
     ) -> None:
         if outcome == "ok":
             engine.note_success()
-        elif outcome in ("failed", "broken", "unreachable"):
+        elif outcome in ("failed", "broken", "unreachable", "busy"):
             engine.note_failure(now, is_unreachable=outcome == "unreachable")
         elif outcome == "not_run":
             slot = engine.slots_by_adapter.get(placed.ask.adapter)
@@ -606,7 +635,12 @@
                 slot.ready_at = now + NOT_READY_DELAY_S
 
     def _refuse(
-        self, waiting: _Waiting, reason: Reason, now: float, detail: str
+        self,
+        waiting: _Waiting,
+        reason: Reason,
+        now: float,
+        detail: str,
+        pause_s: float = 0.0,
     ) -> RefusePlace:
         ask = waiting.ask
         self.counts.refused_by_reason[reason.value] += 1
@@ -614,5 +648,7 @@
         queue_s = len(self._waiting_by_id) * self._release_interval_s
         least_s = min(most_s, max(MIN_RETRY_AFTER_S, queue_s))
         retry_after_s = self._random.uniform(least_s, most_s) if most_s > 0.05 else 0.0
+        if pause_s > 0.0:
+            retry_after_s = spread_retry_s(pause_s, ask.time_left_s, self._random)
         waited_s = now - waiting.arrived_at
         return RefusePlace(ask.request_id, reason, retry_after_s, detail, waited_s)
--- a/sequoiafall/engine_pool.py
+++ b/sequoiafall/engine_pool.py
@@ -10,6 +10,7 @@
 
 from .backend_registry import BackendEntry
 from .retry import back_off_s
+from .server_notices import RETURN_S
 
 # An engine's report shows the state of some 100 ms ago; what was ordered or
 # observed within this time goes before a report.
@@ -99,6 +100,7 @@
     LEAVING = "leaving"
     WITHOUT_MODEL = "without model"
     SILENT = "silent"
+    PAUSING = "pausing"
     FAILING = "failing"
     FAILING_BUT_USED = "failing but used"
 
@@ -203,6 +205,7 @@
     avoided_until: float = 0.0
     silences: int = 0
     silent_until: float = 0.0
+    paused_until: float = 0.0
     stalled_until: float = 0.0
     ordered_at: float = 0.0
     pending_orders: int = 0
@@ -249,7 +252,7 @@
         """Whether requests may be sent to the engine."""
         if self.model_state is not ModelState.PRESENT:
             return False
-        if self.entry.is_leaving or now < self.silent_until:
+        if self.entry.is_leaving or now < max(self.silent_until, self.paused_until):
             return False
         return now >= self.avoided_until or self.index.uses_failing
 
@@ -261,6 +264,8 @@
             return Condition.WITHOUT_MODEL
         if now < self.silent_until:
             return Condition.SILENT
+        if now < self.paused_until:
+            return Condition.PAUSING
         if now >= self.avoided_until:
             return Condition.USABLE
         if self.index.uses_failing:
@@ -325,6 +330,13 @@
         """Remove a request."""
         self.running = max(0, self.running - 1)
 
+    def return_share(self, now: float) -> float:
+        """Return the part of the return after a pause that is still to come."""
+        if not self.paused_until:
+            return 0.0
+        share = 1.0 - (now - self.paused_until) / RETURN_S
+        return min(1.0, max(0.0, share))
+
     def failing(self, now: float) -> float:
         """Return the share of failures; it fades, so that the engine is tried again."""
         if not self.failure_share:
--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -16,6 +16,7 @@
 from mode import Service
 from returns.result import Failure
 
+from .backend_registry import BackendEntry
 from .boot_clock import boot_time
 from .catalog import Catalog
 from .fleet_leader import LeaderDuties, poll_interval_s
@@ -28,6 +29,7 @@
 from .node_metrics import NodeMetrics
 from .node_settings import NodeSettings
 from .row_store import RowStore, StoreRow
+from .server_notices import NO_NOTICE, Pause, ServerNotice, ServerNotices
 from .serving_ports import EngineControl, RowDecoder
 from .token_bucket import RecentUse
 from .transport import Kind, WireClient, WireServer
@@ -124,6 +126,8 @@
             lambda: self.duties,
         )
         self.registry = self.tables.registry
+        self.notices = ServerNotices(self.registry, random.Random())
+        control.on_notice = self._on_engine_notice
         self._link = LeaderLink(settings.peer_address, secret, metrics)
         self._ends = PlaceEnds(self._link)
         self._lost_at = boot_time()
@@ -268,6 +272,34 @@
             return
         self._ends.add(end)
 
+    # Backend servers that leave or pause
+
+    def note_answer(
+        self, entry: BackendEntry, notice: ServerNotice, source: str, request_id: str
+    ) -> None:
+        """Take over what an answer says of its server, here and at the leader."""
+        before = self.registry.left_revision, self.notices.pauses_seen
+        self.notices.observe(entry, notice, source, request_id)
+        if before == (self.registry.left_revision, self.notices.pauses_seen):
+            return
+        if self.duties is not None:
+            self.duties.on_backends_changed()
+            self.duties.on_pauses(self.notices.pauses())
+
+    def _on_engine_notice(
+        self, entry: BackendEntry, notice: ServerNotice, source: str
+    ) -> None:
+        if notice is not NO_NOTICE:
+            self.note_answer(entry, notice, source, "")
+
+    def _adopt_left(self, left: list[Any], source: str) -> None:
+        """Take over servers that told another instance that they are leaving."""
+        for row in left:
+            if self.registry.mark_leaving(row.server, row.born):
+                log_event(
+                    "server_leaving", server=row.server, born=row.born, source=source
+                )
+
     # Requests of peers
 
     def _on_poll(self, poll: Any, peer: str) -> Any:
@@ -281,6 +313,7 @@
             return self._reply_of_member()
         self.tables.mirror.apply(_rows_from_wire(poll.rows))
         duties.on_poll(poll)
+        self._on_notices_of_member(poll, peer)
         is_first = poll.term != duties.term
         rows = self.tables.mirror.since_revision(0 if is_first else poll.revision)
         if is_first:
@@ -303,8 +336,29 @@
             newest_by_table=self.tables.mirror.newest_by_table(),
             leader_address=self.settings.peer_address,
             lease_version=self.tenure.version,
+            left=self._left_to_wire()
+            if poll.left_revision != self.registry.left_revision
+            else [],
+            left_revision=self.registry.left_revision,
         )
 
+    def _on_notices_of_member(self, poll: Any, peer: str) -> None:
+        before = self.registry.left_revision
+        self._adopt_left(poll.left or [], peer)
+        assert self.duties is not None
+        if self.registry.left_revision != before:
+            self.duties.on_backends_changed()
+        if poll.paused:
+            self.duties.on_pauses(
+                [Pause(row.server, row.left_ms / 1e3) for row in poll.paused]
+            )
+
+    def _left_to_wire(self) -> list[Any]:
+        return [
+            ttypes.LeftServer(server=server, born=born)
+            for server, born in self.registry.left_births().items()
+        ]
+
     async def _follow_new(self, address: str) -> None:
         await self._link.set_address(address, "announced")
         await self._poll_leader()
@@ -323,6 +377,8 @@
             leader_address=leader,
             lease_version=0,
             members_revision=0,
+            left=[],
+            left_revision=0,
         )
 
     async def _on_ask(self, request: Any, _peer: str) -> Any:
@@ -430,7 +486,16 @@
             announces=False,
             members_revision=link.members_revision,
             newest_by_table=self.tables.mirror.newest_by_table() if is_first else {},
+            left=self._left_to_wire()
+            if link.left_told != self.registry.left_revision
+            else [],
+            paused=[
+                ttypes.PausedServer(server=row.server, left_ms=int(row.left_s * 1e3))
+                for row in self.notices.pauses()
+            ],
+            left_revision=link.left_revision,
         )
+        left_told = self.registry.left_revision
         result = await client.call(poll, POLL_TIMEOUT_S)
         if isinstance(result, Failure):
             error = result.failure()
@@ -455,6 +520,7 @@
             link.on_silence("the holder does not lead")
             return
         self._on_reply(reply)
+        link.left_told = left_told
 
     def _restore_tokens(self, tokens: dict[str, int]) -> None:
         for name, count in tokens.items():
@@ -470,6 +536,7 @@
             self.tables.note_outage()
         for member in reply.members:
             self.members_by_instance[member.instance] = member
+        self._adopt_left(reply.left or [], reply.leader_address)
         self.over_limit = frozenset(reply.over_limit)
         self.tables.mirror.apply(_rows_from_wire(reply.rows))
 
@@ -525,6 +592,9 @@
             announces=True,
             members_revision=0,
             newest_by_table={},
+            left=[],
+            paused=[],
+            left_revision=0,
         )
         self._pending_tokens.clear()
         self._ends.clear()
--- a/sequoiafall/fleet_leader.py
+++ b/sequoiafall/fleet_leader.py
@@ -22,6 +22,7 @@
 from .order_worker import OrderWorker
 from .place_ask import Action, Ask, GrantPlace, LoadOrder, RefusePlace
 from .refusal import Reason
+from .server_notices import Pause
 from .serving_ports import EngineControl
 from .token_bucket import TokenLimits
 from .wire.gen import ttypes
@@ -194,6 +195,14 @@
                 slots = planner.pool.adapter_slots
                 self._apply(planner, planner.set_entries(entries, slots, now))
 
+    def on_pauses(self, pauses: list[Pause]) -> None:
+        """Take over the backend servers that asked an instance for a pause."""
+        with self._guarded():
+            now = boot_time()
+            for pause in pauses:
+                for planner in self.planners_by_service.values():
+                    planner.pause(pause.server, now + pause.left_s)
+
     def set_adapter_version(self, adapter: str, version: int) -> None:
         """Take over a declared version."""
         with self._guarded():
@@ -456,11 +465,26 @@
                 self._settings.instance,
                 self._order_token,
                 lambda: self._step_down("an engine has seen a newer token"),
+                self._takes_calls,
             )
             self._workers_by_server[entry.name] = worker
         worker.entry = entry
         return worker
 
+    def _takes_calls(self, entry: BackendEntry) -> bool:
+        """Whether an engine neither leaves nor pauses."""
+        current = self._registry.find(entry.name)
+        if current is None or current.is_leaving:
+            return False
+        return not self._is_pausing(entry.name)
+
+    def _is_pausing(self, name: str) -> bool:
+        now = boot_time()
+        return any(
+            planner.is_pausing(name, now)
+            for planner in self.planners_by_service.values()
+        )
+
     def _order_token(self) -> int:
         now = boot_time()
         if self._has_ended or now - self._started_at < GATHER_S:
@@ -493,7 +517,8 @@
                 for entry in self._registry.all_of(name)
             ]
             for entry in entries:
-                self._spawn(self._report(entry))
+                if not self._is_pausing(entry.name):
+                    self._spawn(self._report(entry))
             is_few = len(entries) <= FEW_ENGINES
             await asyncio.sleep(REPORT_INTERVAL_S if is_few else REPORT_INTERVAL_MANY_S)
 
--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -13,6 +13,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from .backend_registry import BackendEntry
 from .boot_clock import boot_time
 from .catalog import Organisation, Repeat, ServiceRoute
 from .engine_client import (
@@ -31,6 +32,7 @@
 from .refusal import Ran, Reason, Refusal, secret_refusal
 from .retry import RetryBudget
 from .secret_scan import contains_secret
+from .server_notices import NO_NOTICE
 from .serving_ports import AnswerKind, Attempt, CallerRequest, Dialect
 
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
@@ -70,8 +72,8 @@
     Parameters
     ----------
     name : str
-        ``ok``, ``cancelled``, ``not_run``, ``failed``, ``broken``, ``withdrawn``
-        or ``unreachable``.
+        ``ok``, ``cancelled``, ``withheld``, ``busy``, ``not_run``, ``failed``,
+        ``broken``, ``withdrawn`` or ``unreachable``.
     response : web.StreamResponse or None, default=None
         Answer for the caller, if there is a final one.
     detail : str, default=""
@@ -116,6 +118,10 @@
         return self.choice.describe() if self.choice is not None else {}
 
 
+class WithheldError(NotSentError):
+    """The server left or asked for a pause before the request was sent."""
+
+
 class Patience:
     """Longest time that callers of each route wait.
 
@@ -168,7 +174,7 @@
         self._dialect = dialect
         self._metrics = metrics
         self._generator = generator
-        self._plain = PlainRouting(settings.zone, generator)
+        self._plain = PlainRouting(settings.zone, generator, fleet.notices.return_share)
         self._patience = Patience()
         self._settings = settings
         self._budgets_by_service: dict[str, RetryBudget] = {}
@@ -334,8 +340,14 @@
             exchange.on_time_until,
             exchange.until,
         )
+        notices = self._fleet.notices
         while True:
-            place = await self._places.take(need, frozenset(exchange.excluded))
+            entries = self._fleet.registry.of_service(exchange.service)
+            pause_s = notices.all_paused_s(entries)
+            if pause_s > 0.0:
+                return self._refuse_paused(exchange, pause_s)
+            paused = {row.server for row in notices.pauses()}
+            place = await self._places.take(need, frozenset(exchange.excluded | paused))
             if isinstance(place, Refusal):
                 return self._finish_refusal(exchange, place)
             outcome = Outcome("cancelled")
@@ -354,6 +366,10 @@
         while True:
             now = boot_time()
             entries = self._fleet.registry.of_service(exchange.service)
+            pause_s = self._fleet.notices.all_paused_s(entries)
+            if pause_s > 0.0:
+                return self._refuse_paused(exchange, pause_s)
+            entries = self._fleet.notices.usable(entries)
             choice = self._plain.choose(entries, frozenset(exchange.excluded), now)
             if choice is None:
                 refusal = Refusal(Reason.NO_BACKEND_SERVER, retry_after_s=RETRY_AFTER_S)
@@ -382,6 +398,16 @@
             if final is not None:
                 return final
 
+    def _refuse_paused(self, exchange: Exchange, pause_s: float) -> web.StreamResponse:
+        """Refuse a request as all servers of its service want nothing now."""
+        left_s = exchange.until - boot_time()
+        refusal = Refusal(
+            Reason.OVERLOADED,
+            retry_after_s=self._fleet.notices.retry_after_s(pause_s, left_s),
+            detail="all backend servers of the service asked for a pause",
+        )
+        return self._finish_refusal(exchange, refusal)
+
     def _admit_plain(self, exchange: Exchange) -> Refusal | None:
         organisation = exchange.organisation
         if organisation is None:
@@ -422,7 +448,11 @@
         if outcome.name == "withdrawn":
             refusal = Refusal(Reason.INVALID_KEY, detail=outcome.detail)
             return self._finish_refusal(exchange, refusal)
-        if outcome.name in ("not_run", "unreachable"):
+        if outcome.name == "withheld":
+            # Nothing was sent, and there are only so many servers to exclude.
+            exchange.excluded.add(server)
+            return None
+        if outcome.name in ("not_run", "busy", "unreachable"):
             exchange.not_run += 1
             if outcome.name == "unreachable" or outcome.detail == "wrong server":
                 exchange.excluded.add(server)
@@ -470,6 +500,7 @@
         exchange.sends += 1
         exchange.runs += 1
         client = OneSendClient()
+        entry = self._fleet.registry.find(place.server)
         can_move = exchange.route.repeat is Repeat.RESUMABLE and (
             exchange.runs < exchange.route.max_attempts
         )
@@ -484,7 +515,10 @@
                     lambda: self._check_server(place.server),
                 ) as answer,
             ):
-                return await self._receive(exchange, answer, scope)
+                return await self._receive(exchange, answer, scope, entry)
+        except WithheldError as error:
+            exchange.runs -= 1
+            return Outcome("withheld", detail=str(error))
         except NotSentError as error:
             exchange.runs -= 1
             return Outcome("unreachable", detail=str(error))
@@ -496,12 +530,25 @@
     def _check_server(self, server: str) -> None:
         entry = self._fleet.registry.find(server)
         if entry is None or entry.is_leaving:
-            raise NotSentError("the backend server is leaving")
+            raise WithheldError("the backend server is leaving")
+        if self._fleet.notices.pause_left_s(server) > 0.0:
+            raise WithheldError("the backend server asked for a pause")
 
     async def _receive(
-        self, exchange: Exchange, answer: BackendAnswer, scope: _Stall
+        self,
+        exchange: Exchange,
+        answer: BackendAnswer,
+        scope: _Stall,
+        entry: BackendEntry | None,
     ) -> Outcome:
         kind = self._dialect.judge(answer.status, answer.headers, exchange.request)
+        notice = self._dialect.notice(answer.status, answer.headers)
+        if entry is not None and notice is not NO_NOTICE:
+            request_id = exchange.request.request_id
+            self._fleet.note_answer(entry, notice, "request", request_id)
+        if kind is AnswerKind.NOT_RUN and notice.pause_text:
+            exchange.runs -= 1
+            return Outcome("busy", detail="the backend server asked for a pause")
         if kind in (AnswerKind.NOT_RUN, AnswerKind.WRONG_SERVER):
             exchange.runs -= 1
             return Outcome("not_run", detail=kind.value)
--- a/sequoiafall/leader_link.py
+++ b/sequoiafall/leader_link.py
@@ -50,6 +50,10 @@
         Revisions of the leader's rows and members that have arrived.
     newest_by_table : dict of str to int
         Newest row version by table at the leader.
+    left_revision : int
+        Leader's revision of the servers that said that they are leaving.
+    left_told : int
+        Own revision of them that the leader has got, -1 for none.
     reaches_store : bool
         Whether the leader said that it reaches the store.
     heard_at : float
@@ -72,6 +76,8 @@
         self.revision = 0
         self.members_revision = 0
         self.newest_by_table: dict[str, int] = {}
+        self.left_revision = -1
+        self.left_told = -1
         self.reaches_store = False
         self.heard_at = 0.0
         self.refuses = False
@@ -145,6 +151,7 @@
         self.revision = reply.revision
         self.members_revision = reply.members_revision
         self.newest_by_table = reply.newest_by_table
+        self.left_revision = reply.left_revision
         self.reaches_store = reply.reaches_store
         self.heard_at = boot_time()
         self.has_failed = self.refuses = False
@@ -175,6 +182,8 @@
         self.revision = 0
         self.members_revision = 0
         self.newest_by_table = {}
+        self.left_revision = -1
+        self.left_told = -1
 
 
 class PlaceEnds:
--- a/sequoiafall/node.py
+++ b/sequoiafall/node.py
@@ -208,6 +208,8 @@
             "configuration_age_seconds": fleet.tables.configuration_age_s(),
             "leader_changes": self.metrics.leader_changes,
             "terms_begun": self.metrics.terms_begun,
+            "servers_seen_leaving": fleet.notices.leaving_seen,
+            "server_pauses_seen": fleet.notices.pauses_seen,
             **self._leader_gauges(),
         }
         return self.metrics.respond(request)
--- a/sequoiafall/order_worker.py
+++ b/sequoiafall/order_worker.py
@@ -38,6 +38,8 @@
         Returns the fencing token, or 0 if no order may be sent now.
     on_fenced : callable
         Called when the engine has seen a newer token.
+    takes_calls : callable
+        Tells whether the engine wants any orders now.
     """
 
     __slots__ = (
@@ -47,6 +49,7 @@
         "_model",
         "_on_fenced",
         "_sequence",
+        "_takes_calls",
         "_token",
         "entry",
         "ordered",
@@ -60,6 +63,7 @@
         holder: str,
         token: Callable[[], int],
         on_fenced: Callable[[], None],
+        takes_calls: Callable[[BackendEntry], bool] = lambda _entry: True,
     ) -> None:
         self._control = control
         self.entry = entry
@@ -67,6 +71,7 @@
         self._holder = holder
         self._token = token
         self._on_fenced = on_fenced
+        self._takes_calls = takes_calls
         self._lock = asyncio.Lock()
         self._sequence = -1
         self.ordered = 0
@@ -111,7 +116,8 @@
         answer = OrderAnswer.INVALID
         while silent < MAX_SILENT:
             token = self._token()
-            if not token or self._sequence < 0:
+            may_send = token and self._takes_calls(self.entry)
+            if not may_send or self._sequence < 0:
                 return OrderAnswer.NO_ANSWER if silent else OrderAnswer.INVALID
             order = EngineOrder(
                 is_load,
--- a/sequoiafall/place_source.py
+++ b/sequoiafall/place_source.py
@@ -259,7 +259,7 @@
         wanted = self._fleet.versions_by_adapter.get(adapter, 0)
         best: BackendEntry | None = None
         best_load = 0.0
-        for entry in self._fleet.registry.of_service(need.service):
+        for entry in self._usable(need.service):
             report = self._reports_by_server.get(entry.name)
             if report is None or entry.name in excluded:
                 continue
@@ -285,8 +285,11 @@
             )
         await asyncio.shield(self._reading)
 
+    def _usable(self, service: str) -> list[BackendEntry]:
+        return self._fleet.notices.usable(self._fleet.registry.of_service(service))
+
     async def _read_all(self, service: str) -> None:
-        entries = self._fleet.registry.of_service(service)
+        entries = self._usable(service)
         reports = await asyncio.gather(
             *(self._control.report(entry) for entry in entries)
         )
--- a/sequoiafall/plain_routing.py
+++ b/sequoiafall/plain_routing.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from heapq import nsmallest
 from operator import itemgetter
@@ -26,6 +26,9 @@
 # each further failure up to the limit.
 PAUSE_S = 0.4
 PAUSE_LIMIT_S = 4.0
+# A server whose pause has just ended counts as this much slower, less with time,
+# so that not all calls go there at once.
+RETURN_PENALTY_S = 0.3
 # Further servers that the log names beside the chosen one.
 NEXT_BEST = 2
 
@@ -72,13 +75,21 @@
         The gateway's availability zone.
     generator : random.Random
         Breaks ties.
+    return_share : callable
+        Returns the part of a server's return after a pause that is still to come.
     """
 
-    __slots__ = ("_generator", "_records_by_server", "_zone")
+    __slots__ = ("_generator", "_records_by_server", "_return_share", "_zone")
 
-    def __init__(self, zone: str, generator: random.Random) -> None:
+    def __init__(
+        self,
+        zone: str,
+        generator: random.Random,
+        return_share: Callable[[str], float] = lambda _server: 0.0,
+    ) -> None:
         self._zone = zone
         self._generator = generator
+        self._return_share = return_share
         self._records_by_server: dict[str, _Record] = {}
 
     def choose(
@@ -104,6 +115,7 @@
         slots = max(1, entry.slots)
         cost_s = record.mean_s * (1.0 + record.open_calls / slots * 2.0)
         cost_s += FAILURE_PENALTY_S * _failing(record, now)
+        cost_s += RETURN_PENALTY_S * self._return_share(entry.name)
         if entry.zone != self._zone:
             cost_s += ZONE_PENALTY_S
         return now < record.paused_until, cost_s * self._generator.uniform(0.97, 1.03)
@@ -122,7 +134,7 @@
         """
         record = self._record(server)
         record.open_calls = max(0, record.open_calls - 1)
-        if outcome == "cancelled":
+        if outcome in ("cancelled", "withheld"):
             return 0.0
         failed = outcome != "ok"
         share = _failing(record, now)
--- a/sequoiafall/platform/dialect.py
+++ b/sequoiafall/platform/dialect.py
@@ -6,6 +6,7 @@
 
 from multidict import CIMultiDict
 
+from ..server_notices import NO_NOTICE, ServerNotice
 from ..serving_ports import AnswerKind, Attempt, CallerRequest, Dialect
 from . import names
 
@@ -93,11 +94,25 @@
             return AnswerKind.FOREIGN
         return AnswerKind.SUCCESS if 200 <= status < 300 else AnswerKind.FAILURE
 
+    def notice(self, status: int, headers: Mapping[str, str]) -> ServerNotice:
+        """Tell what an answer says of its server."""
+        return read_notice(status, headers)
+
     def answer_headers(self, headers: Mapping[str, str]) -> CIMultiDict[str]:
         """Return the headers that a caller gets."""
         return _without_hops(headers, frozenset())
 
 
+def read_notice(status: int, headers: Mapping[str, str]) -> ServerNotice:
+    """Return what the headers of an answer say of its server."""
+    if status == 421:
+        # Another server listens at the address.
+        return NO_NOTICE
+    is_leaving = headers.get(names.LEAVING, "").strip() == "1"
+    pause = headers.get(names.RETRY_AFTER, "").strip() if status == 503 else ""
+    return ServerNotice(is_leaving, pause) if is_leaving or pause else NO_NOTICE
+
+
 def _without_hops(headers: Mapping[str, str], kept: frozenset[str]) -> CIMultiDict[str]:
     named = {
         name.strip().lower()
--- a/sequoiafall/platform/engines.py
+++ b/sequoiafall/platform/engines.py
@@ -12,11 +12,14 @@
 from ..log import log_warning
 from ..serving_ports import EngineControl, EngineOrder, OrderAnswer
 from . import names
+from .dialect import read_notice
 
 CONNECT_TIMEOUT_S = 0.3
 # An engine answers reports and orders within a few ms; a lost packet costs 0.2 s.
 REPORT_TIMEOUT_S = 0.5
 ORDER_TIMEOUT_S = 0.25
+# A report of 96 running requests and 48 adapters is 10 KB.
+MAX_ANSWER_BYTES = 256 * 1024
 
 _ANSWERS_BY_STATUS = {
     200: OrderAnswer.DONE,
@@ -71,7 +74,8 @@
                 f"http://{entry.address}{names.REPORT_PATH}",
                 headers={names.EXPECTED_SERVER: entry.name},
             ) as response:
-                content = await response.read()
+                content = await _read_up_to(response, MAX_ANSWER_BYTES)
+                self._tell(entry, response, "report")
                 if response.status != 200:
                     return None
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
@@ -124,12 +128,20 @@
                     total=ORDER_TIMEOUT_S, sock_connect=ORDER_TIMEOUT_S
                 ),
             ) as response:
-                await response.read()
+                await _read_up_to(response, MAX_ANSWER_BYTES)
+                self._tell(entry, response, "order")
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             log_warning("order_failed", server=entry.name, error=type(error).__name__)
             return OrderAnswer.NO_ANSWER
         return _ANSWERS_BY_STATUS.get(response.status, OrderAnswer.INVALID)
 
+    def _tell(
+        self, entry: BackendEntry, response: aiohttp.ClientResponse, source: str
+    ) -> None:
+        if self.on_notice is not None:
+            notice = read_notice(response.status, response.headers)
+            self.on_notice(entry, notice, source)
+
     def _open(self) -> aiohttp.ClientSession:
         if self._session is None:
             self._session = aiohttp.ClientSession(
@@ -144,6 +156,25 @@
         return self._session
 
 
+async def _read_up_to(response: aiohttp.ClientResponse, limit_bytes: int) -> bytes:
+    """Return the body.
+
+    Raises
+    ------
+    aiohttp.ClientPayloadError
+        If it is longer than the limit.
+    """
+    parts: list[bytes] = []
+    size = 0
+    while chunk := await response.content.readany():
+        size += len(chunk)
+        if size > limit_bytes:
+            response.close()
+            raise aiohttp.ClientPayloadError("the answer is too long")
+        parts.append(chunk)
+    return b"".join(parts)
+
+
 def _versions(texts: Any) -> dict[str, int]:
     versions = {}
     for text in texts:
--- a/sequoiafall/platform/names.py
+++ b/sequoiafall/platform/names.py
@@ -41,6 +41,10 @@
 # Headers of answers.
 NOT_RUN = "X-Sequoiafall-Not-Executed"
 SIGNATURE = "X-Sequoiafall-Response-Signature"
+# `1` in every answer of a server that takes no new work.
+LEAVING = "Server-Leaving"
+# Seconds for which a server that answers 503 wants nothing from this instance.
+RETRY_AFTER = "Retry-After"
 
 DIRECTORY_PATH = "/sequoiafall/resolve"
 READY_PATH = "/sequoiafall/readyz"
--- a/sequoiafall/serving_ports.py
+++ b/sequoiafall/serving_ports.py
@@ -8,7 +8,7 @@
 
 import abc
 import enum
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from multidict import CIMultiDict
@@ -18,6 +18,7 @@
 from .catalog import Catalog
 from .engine_pool import EngineReport
 from .row_store import StoreRow
+from .server_notices import ServerNotice
 
 
 @dataclass(slots=True)
@@ -125,6 +126,10 @@
     ) -> AnswerKind:
         """Tell what an answer says."""
 
+    @abc.abstractmethod
+    def notice(self, status: int, headers: Mapping[str, str]) -> ServerNotice:
+        """Tell what an answer says of its server."""
+
     @abc.abstractmethod
     def answer_headers(self, headers: Mapping[str, str]) -> CIMultiDict[str]:
         """Return the headers of a backend server's answer that a caller gets."""
@@ -191,7 +196,15 @@
 
 
 class EngineControl(abc.ABC):
-    """Orders to engines and their reports."""
+    """Orders to engines and their reports.
+
+    Attributes
+    ----------
+    on_notice : callable or None
+        Called with an engine, what its answer says of it, and the kind of call.
+    """
+
+    on_notice: Callable[[BackendEntry, ServerNotice, str], None] | None = None
 
     @abc.abstractmethod
     async def report(self, entry: BackendEntry) -> EngineReport | None:
--- a/sequoiafall/standins/adapter_engine.py
+++ b/sequoiafall/standins/adapter_engine.py
@@ -38,6 +38,12 @@
         Lets paused streams go on.
     stray_answers : int
         Answers that bear the identity of another request.
+    is_leaving : bool
+        Whether all answers say that the server is leaving.
+    busy_next, busy_text : int, str
+        Calls of any kind that are turned away, and the pause that this asks for.
+    arrivals : list of str
+        Identities of the requests that came, also of those that did not run.
     """
 
     def __init__(
@@ -69,11 +75,16 @@
         self.fail_next = 0
         self.shed_next = 0
         self.drop_next = 0
+        self.is_leaving = False
+        self.busy_next = 0
+        self.busy_text = "1"
+        self.arrivals: list[str] = []
         self._history: list[tuple[float, dict[str, Any]]] = []
 
     def application(self) -> web.Application:
         """Return the web application."""
         application = web.Application()
+        application.on_response_prepare.append(self._on_prepare)
         application.router.add_get(names.REPORT_PATH, self._on_report)
         application.router.add_post(names.ORDER_PATH, self._on_order)
         application.router.add_route("*", "/{path:.*}", self._on_request)
@@ -87,6 +98,21 @@
         self.resident.clear()
         self._history.clear()
 
+    async def _on_prepare(
+        self, _request: web.Request, response: web.StreamResponse
+    ) -> None:
+        if self.is_leaving:
+            response.headers[names.LEAVING] = "1"
+
+    def _turn_away(self, request_id: str = "") -> web.Response | None:
+        if self.busy_next <= 0:
+            return None
+        self.busy_next -= 1
+        headers = {names.RETRY_AFTER: self.busy_text, names.NOT_RUN: "1"}
+        if request_id:
+            headers[names.REQUEST_ID] = request_id
+        return web.Response(status=503, headers=headers)
+
     # Reports and orders
 
     def _state(self) -> dict[str, Any]:
@@ -168,9 +194,13 @@
     async def _on_request(self, request: web.Request) -> web.StreamResponse:
         body = await request.read()
         request_id = request.headers.get(names.REQUEST_ID, "")
+        self.arrivals.append(request_id)
         echo = {names.REQUEST_ID: request_id}
         if request.headers.get(names.EXPECTED_SERVER, self.name) != self.name:
             return web.Response(status=421, headers=echo)
+        turned_away = self._turn_away(request_id)
+        if turned_away is not None:
+            return turned_away
         if self.shed_next > 0:
             self.shed_next -= 1
             return web.Response(status=503, headers={**echo, names.NOT_RUN: "1"})
--- a/sequoiafall/wire/gen/ttypes.py
+++ b/sequoiafall/wire/gen/ttypes.py
@@ -4111,6 +4111,166 @@
         return not (self == other)
 
 
+class LeftServer(object):
+    """
+    Attributes:
+     - server
+     - born
+
+    """
+
+    __slots__ = (
+        'server',
+        'born',
+    )
+
+
+    def __init__(self, server=None, born=None,):
+        self.server = server
+        self.born = born
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.server = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LeftServer')
+        if self.server is not None:
+            oprot.writeFieldBegin('server', TType.STRING, 1)
+            oprot.writeString(self.server.encode('utf-8') if sys.version_info[0] == 2 else self.server)
+            oprot.writeFieldEnd()
+        if self.born is not None:
+            oprot.writeFieldBegin('born', TType.I64, 2)
+            oprot.writeI64(self.born)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PausedServer(object):
+    """
+    Attributes:
+     - server
+     - left_ms
+
+    """
+
+    __slots__ = (
+        'server',
+        'left_ms',
+    )
+
+
+    def __init__(self, server=None, left_ms=None,):
+        self.server = server
+        self.left_ms = left_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.server = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.left_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PausedServer')
+        if self.server is not None:
+            oprot.writeFieldBegin('server', TType.STRING, 1)
+            oprot.writeString(self.server.encode('utf-8') if sys.version_info[0] == 2 else self.server)
+            oprot.writeFieldEnd()
+        if self.left_ms is not None:
+            oprot.writeFieldBegin('left_ms', TType.I32, 2)
+            oprot.writeI32(self.left_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class FleetPoll(object):
     """
     Attributes:
@@ -4124,6 +4284,9 @@
      - announces
      - members_revision
      - newest_by_table
+     - left
+     - paused
+     - left_revision
 
     """
 
@@ -4138,10 +4301,13 @@
         'announces',
         'members_revision',
         'newest_by_table',
+        'left',
+        'paused',
+        'left_revision',
     )
 
 
-    def __init__(self, member=None, term=None, revision=None, tokens_by_organisation=None, rows=None, held=None, recent_tokens_by_organisation=None, announces=None, members_revision=None, newest_by_table=None,):
+    def __init__(self, member=None, term=None, revision=None, tokens_by_organisation=None, rows=None, held=None, recent_tokens_by_organisation=None, announces=None, members_revision=None, newest_by_table=None, left=None, paused=None, left_revision=None,):
         self.member = member
         self.term = term
         self.revision = revision
@@ -4152,6 +4318,9 @@
         self.announces = announces
         self.members_revision = members_revision
         self.newest_by_table = newest_by_table
+        self.left = left
+        self.paused = paused
+        self.left_revision = left_revision
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4243,6 +4412,33 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.left = []
+                    (_etype155, _size152) = iprot.readListBegin()
+                    for _i156 in range(_size152):
+                        _elem157 = LeftServer()
+                        _elem157.read(iprot)
+                        self.left.append(_elem157)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.paused = []
+                    (_etype161, _size158) = iprot.readListBegin()
+                    for _i162 in range(_size158):
+                        _elem163 = PausedServer()
+                        _elem163.read(iprot)
+                        self.paused.append(_elem163)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I64:
+                    self.left_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4268,31 +4464,31 @@
         if self.tokens_by_organisation is not None:
             oprot.writeFieldBegin('tokens_by_organisation', TType.MAP, 4)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.tokens_by_organisation))
-            for kiter152, viter153 in self.tokens_by_organisation.items():
-                oprot.writeString(kiter152.encode('utf-8') if sys.version_info[0] == 2 else kiter152)
-                oprot.writeI64(viter153)
+            for kiter164, viter165 in self.tokens_by_organisation.items():
+                oprot.writeString(kiter164.encode('utf-8') if sys.version_info[0] == 2 else kiter164)
+                oprot.writeI64(viter165)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter154 in self.rows:
-                iter154.write(oprot)
+            for iter166 in self.rows:
+                iter166.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter155 in self.held:
-                iter155.write(oprot)
+            for iter167 in self.held:
+                iter167.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.recent_tokens_by_organisation is not None:
             oprot.writeFieldBegin('recent_tokens_by_organisation', TType.MAP, 7)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.recent_tokens_by_organisation))
-            for kiter156, viter157 in self.recent_tokens_by_organisation.items():
-                oprot.writeString(kiter156.encode('utf-8') if sys.version_info[0] == 2 else kiter156)
-                oprot.writeI64(viter157)
+            for kiter168, viter169 in self.recent_tokens_by_organisation.items():
+                oprot.writeString(kiter168.encode('utf-8') if sys.version_info[0] == 2 else kiter168)
+                oprot.writeI64(viter169)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.announces is not None:
@@ -4306,11 +4502,29 @@
         if self.newest_by_table is not None:
             oprot.writeFieldBegin('newest_by_table', TType.MAP, 10)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.newest_by_table))
-            for kiter158, viter159 in self.newest_by_table.items():
-                oprot.writeString(kiter158.encode('utf-8') if sys.version_info[0] == 2 else kiter158)
-                oprot.writeI64(viter159)
+            for kiter170, viter171 in self.newest_by_table.items():
+                oprot.writeString(kiter170.encode('utf-8') if sys.version_info[0] == 2 else kiter170)
+                oprot.writeI64(viter171)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.left is not None:
+            oprot.writeFieldBegin('left', TType.LIST, 11)
+            oprot.writeListBegin(TType.STRUCT, len(self.left))
+            for iter172 in self.left:
+                iter172.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.paused is not None:
+            oprot.writeFieldBegin('paused', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRUCT, len(self.paused))
+            for iter173 in self.paused:
+                iter173.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.left_revision is not None:
+            oprot.writeFieldBegin('left_revision', TType.I64, 13)
+            oprot.writeI64(self.left_revision)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4350,6 +4564,8 @@
      - leader_address
      - lease_version
      - members_revision
+     - left
+     - left_revision
 
     """
 
@@ -4365,10 +4581,12 @@
         'leader_address',
         'lease_version',
         'members_revision',
+        'left',
+        'left_revision',
     )
 
 
-    def __init__(self, leads=None, term=None, revision=None, rows=None, members=None, over_limit=None, reaches_store=None, newest_by_table=None, leader_address=None, lease_version=None, members_revision=None,):
+    def __init__(self, leads=None, term=None, revision=None, rows=None, members=None, over_limit=None, reaches_store=None, newest_by_table=None, leader_address=None, lease_version=None, members_revision=None, left=None, left_revision=None,):
         self.leads = leads
         self.term = term
         self.revision = revision
@@ -4380,6 +4598,8 @@
         self.leader_address = leader_address
         self.lease_version = lease_version
         self.members_revision = members_revision
+        self.left = left
+        self.left_revision = left_revision
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4408,32 +4628,32 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype163, _size160) = iprot.readListBegin()
-                    for _i164 in range(_size160):
-                        _elem165 = MirroredRow()
-                        _elem165.read(iprot)
-                        self.rows.append(_elem165)
+                    (_etype177, _size174) = iprot.readListBegin()
+                    for _i178 in range(_size174):
+                        _elem179 = MirroredRow()
+                        _elem179.read(iprot)
+                        self.rows.append(_elem179)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype169, _size166) = iprot.readListBegin()
-                    for _i170 in range(_size166):
-                        _elem171 = FleetMember()
-                        _elem171.read(iprot)
-                        self.members.append(_elem171)
+                    (_etype183, _size180) = iprot.readListBegin()
+                    for _i184 in range(_size180):
+                        _elem185 = FleetMember()
+                        _elem185.read(iprot)
+                        self.members.append(_elem185)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.over_limit = []
-                    (_etype175, _size172) = iprot.readListBegin()
-                    for _i176 in range(_size172):
-                        _elem177 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.over_limit.append(_elem177)
+                    (_etype189, _size186) = iprot.readListBegin()
+                    for _i190 in range(_size186):
+                        _elem191 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.over_limit.append(_elem191)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4445,11 +4665,11 @@
             elif fid == 8:
                 if ftype == TType.MAP:
                     self.newest_by_table = {}
-                    (_ktype179, _vtype180, _size178) = iprot.readMapBegin()
-                    for _i182 in range(_size178):
-                        _key183 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val184 = iprot.readI64()
-                        self.newest_by_table[_key183] = _val184
+                    (_ktype193, _vtype194, _size192) = iprot.readMapBegin()
+                    for _i196 in range(_size192):
+                        _key197 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val198 = iprot.readI64()
+                        self.newest_by_table[_key197] = _val198
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -4468,6 +4688,22 @@
                     self.members_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.left = []
+                    (_etype202, _size199) = iprot.readListBegin()
+                    for _i203 in range(_size199):
+                        _elem204 = LeftServer()
+                        _elem204.read(iprot)
+                        self.left.append(_elem204)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I64:
+                    self.left_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4493,22 +4729,22 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter185 in self.rows:
-                iter185.write(oprot)
+            for iter205 in self.rows:
+                iter205.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter186 in self.members:
-                iter186.write(oprot)
+            for iter206 in self.members:
+                iter206.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.over_limit is not None:
             oprot.writeFieldBegin('over_limit', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.over_limit))
-            for iter187 in self.over_limit:
-                oprot.writeString(iter187.encode('utf-8') if sys.version_info[0] == 2 else iter187)
+            for iter207 in self.over_limit:
+                oprot.writeString(iter207.encode('utf-8') if sys.version_info[0] == 2 else iter207)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reaches_store is not None:
@@ -4518,9 +4754,9 @@
         if self.newest_by_table is not None:
             oprot.writeFieldBegin('newest_by_table', TType.MAP, 8)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.newest_by_table))
-            for kiter188, viter189 in self.newest_by_table.items():
-                oprot.writeString(kiter188.encode('utf-8') if sys.version_info[0] == 2 else kiter188)
-                oprot.writeI64(viter189)
+            for kiter208, viter209 in self.newest_by_table.items():
+                oprot.writeString(kiter208.encode('utf-8') if sys.version_info[0] == 2 else kiter208)
+                oprot.writeI64(viter209)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.leader_address is not None:
@@ -4535,6 +4771,17 @@
             oprot.writeFieldBegin('members_revision', TType.I64, 11)
             oprot.writeI64(self.members_revision)
             oprot.writeFieldEnd()
+        if self.left is not None:
+            oprot.writeFieldBegin('left', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRUCT, len(self.left))
+            for iter210 in self.left:
+                iter210.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.left_revision is not None:
+            oprot.writeFieldBegin('left_revision', TType.I64, 13)
+            oprot.writeI64(self.left_revision)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4676,10 +4923,10 @@
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.excluded = []
-                    (_etype193, _size190) = iprot.readListBegin()
-                    for _i194 in range(_size190):
-                        _elem195 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded.append(_elem195)
+                    (_etype214, _size211) = iprot.readListBegin()
+                    for _i215 in range(_size211):
+                        _elem216 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem216)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4751,8 +4998,8 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 13)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter196 in self.excluded:
-                oprot.writeString(iter196.encode('utf-8') if sys.version_info[0] == 2 else iter196)
+            for iter217 in self.excluded:
+                oprot.writeString(iter217.encode('utf-8') if sys.version_info[0] == 2 else iter217)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.charged is not None:
@@ -5071,11 +5318,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.ended = []
-                    (_etype200, _size197) = iprot.readListBegin()
-                    for _i201 in range(_size197):
-                        _elem202 = EngineEnd()
-                        _elem202.read(iprot)
-                        self.ended.append(_elem202)
+                    (_etype221, _size218) = iprot.readListBegin()
+                    for _i222 in range(_size218):
+                        _elem223 = EngineEnd()
+                        _elem223.read(iprot)
+                        self.ended.append(_elem223)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5096,8 +5343,8 @@
         if self.ended is not None:
             oprot.writeFieldBegin('ended', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.ended))
-            for iter203 in self.ended:
-                iter203.write(oprot)
+            for iter224 in self.ended:
+                iter224.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5427,6 +5674,18 @@
     (6, TType.I32, 'prompt_tokens', None, None, ),  # 6
     (7, TType.I32, 'time_left_ms', None, None, ),  # 7
 )
+all_structs.append(LeftServer)
+LeftServer.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'server', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born', None, None, ),  # 2
+)
+all_structs.append(PausedServer)
+PausedServer.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'server', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'left_ms', None, None, ),  # 2
+)
 all_structs.append(FleetPoll)
 FleetPoll.thrift_spec = (
     None,  # 0
@@ -5440,6 +5699,9 @@
     (8, TType.BOOL, 'announces', None, None, ),  # 8
     (9, TType.I64, 'members_revision', None, None, ),  # 9
     (10, TType.MAP, 'newest_by_table', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 10
+    (11, TType.LIST, 'left', (TType.STRUCT, [LeftServer, None], False), None, ),  # 11
+    (12, TType.LIST, 'paused', (TType.STRUCT, [PausedServer, None], False), None, ),  # 12
+    (13, TType.I64, 'left_revision', None, None, ),  # 13
 )
 all_structs.append(FleetPollReply)
 FleetPollReply.thrift_spec = (
@@ -5455,6 +5717,8 @@
     (9, TType.STRING, 'leader_address', 'UTF8', None, ),  # 9
     (10, TType.I64, 'lease_version', None, None, ),  # 10
     (11, TType.I64, 'members_revision', None, None, ),  # 11
+    (12, TType.LIST, 'left', (TType.STRUCT, [LeftServer, None], False), None, ),  # 12
+    (13, TType.I64, 'left_revision', None, None, ),  # 13
 )
 all_structs.append(EngineAsk)
 EngineAsk.thrift_spec = (
--- a/sequoiafall/wire/sequoiafall.thrift
+++ b/sequoiafall/wire/sequoiafall.thrift
@@ -301,6 +301,19 @@
   7: i32 time_left_ms
 }
 
+// A backend server that said itself that it is leaving. `born` is its start, 0 if
+// that is not known.
+struct LeftServer {
+  1: string server
+  2: i64 born
+}
+
+// A backend server that asked the sender for a pause.
+struct PausedServer {
+  1: string server
+  2: i32 left_ms
+}
+
 // `term` is the fencing token of the leader that the member follows, and
 // `revision` the leader's revision of the rows that the member has.
 // `held` and `recent_tokens` are sent with the first poll of a term. A new leader
@@ -316,8 +329,14 @@
   8: bool announces
   9: i64 members_revision
   10: map<string, i64> newest_by_table
+  // Those that the leader has not named yet.
+  11: list<LeftServer> left
+  12: list<PausedServer> paused
+  13: i64 left_revision
 }
 
+// `left` are all servers that said that they are leaving, if the leader's
+// `left_revision` differs from the poll's; else it is empty.
 // `members` are those that changed after the poll's `members_revision`; one that
 // is gone is marked as leaving. `lease_version` is the version of the lease row after the last renewal.
 struct FleetPollReply {
@@ -332,6 +351,8 @@
   9: string leader_address
   10: i64 lease_version
   11: i64 members_revision
+  12: list<LeftServer> left
+  13: i64 left_revision
 }
 
 // Asks for a place of a request at an engine. `on_time_ms` is the time left in
--- /dev/null
+++ b/tests/test_server_notices.py
@@ -0,0 +1,435 @@
+"""Tests of backend servers that say that they are leaving, or busy."""
+
+import asyncio
+import random
+import unittest
+from unittest.mock import patch
+
+from parameterized import parameterized
+
+from sequoiafall.backend_registry import BackendEntry, BackendRegistry
+from sequoiafall.boot_clock import boot_time
+from sequoiafall.place_ask import Ask, GrantPlace, RefusePlace
+from sequoiafall.place_source import PlaceSource
+from sequoiafall.plain_routing import PlainRouting
+from sequoiafall.platform import names
+from sequoiafall.platform.dialect import read_notice
+from sequoiafall.server_notices import (
+    MAX_PAUSE_S,
+    NO_NOTICE,
+    RETURN_S,
+    UNREADABLE_PAUSE_S,
+    ServerNotice,
+    ServerNotices,
+    read_pause,
+    spread_retry_s,
+)
+
+from .events import until
+from .gateway_case import capture_log
+from .platform_case import PlatformCase
+from .test_engine_planner import Driver
+
+LEAVING = {names.LEAVING: "1"}
+# Rounds of calls until a server must have got one.
+MAX_ROUNDS = 20
+ENTRY = BackendEntry("e1", "assist", "10.0.0.1:80", "a", 64, False, 7)
+
+
+def entry(**changes):
+    """Return an announced engine."""
+    values = {field: getattr(ENTRY, field) for field in BackendEntry.__slots__}
+    return BackendEntry(**{**values, **changes})
+
+
+class ReadTest(unittest.TestCase):
+    """What headers and texts are taken for."""
+
+    @parameterized.expand(
+        [
+            ("plain", "2", 2.0, False),
+            ("fraction", "0.25", 0.25, False),
+            ("zero", "0", 0.0, False),
+            ("negative", "-3", 0.0, True),
+            ("huge", "1e12", MAX_PAUSE_S, True),
+            ("infinite", "inf", MAX_PAUSE_S, True),
+            ("no number", "nan", UNREADABLE_PAUSE_S, True),
+            ("date", "Fri, 04 Dec 2026 10:00:00 GMT", UNREADABLE_PAUSE_S, True),
+            ("empty word", "soon", UNREADABLE_PAUSE_S, True),
+        ]
+    )
+    def test_pause(self, _name, text, seconds, has_finding):
+        pause_s, finding = read_pause(text)
+        self.assertEqual((pause_s, bool(finding)), (seconds, has_finding))
+
+    @parameterized.expand(
+        [
+            ("success", 200, LEAVING, ServerNotice(True)),
+            ("own failure", 500, LEAVING, ServerNotice(True)),
+            ("other value", 200, {names.LEAVING: "0"}, NO_NOTICE),
+            ("busy", 503, {"Retry-After": "2"}, ServerNotice(False, "2")),
+            ("both", 503, {**LEAVING, "Retry-After": "1"}, ServerNotice(True, "1")),
+            ("absent", 503, {}, NO_NOTICE),
+            ("another status", 429, {"Retry-After": "2"}, NO_NOTICE),
+            # Another server listens at the address; it speaks for itself alone.
+            ("wrong server", 421, LEAVING, NO_NOTICE),
+        ]
+    )
+    def test_headers(self, _name, status, headers, expected):
+        self.assertEqual(read_notice(status, headers), expected)
+
+    def test_retry_time_is_within_what_a_caller_honours(self):
+        generator = random.Random(1)
+        for pause_s in (0.01, 0.5, 3.0):
+            for left_s in (0.3, 4.0):
+                retry_s = spread_retry_s(pause_s, left_s, generator)
+                self.assertLessEqual(retry_s, left_s / 3.0)
+                self.assertGreaterEqual(retry_s, min(pause_s, left_s / 3.0))
+
+
+class RegistryTest(unittest.TestCase):
+    """A server that says that it is leaving counts so until its next start."""
+
+    def setUp(self):
+        self.registry = BackendRegistry()
+        self.registry.put(entry())
+
+    def is_used(self):
+        return bool(self.registry.of_service("assist"))
+
+    def test_announcements_of_the_same_start_change_nothing(self):
+        self.assertTrue(self.registry.mark_leaving("e1", 7))
+        self.assertFalse(self.is_used())
+        self.registry.put(entry(slots=32))
+        self.assertFalse(self.is_used())
+
+    def test_entry_that_lapsed_and_came_back(self):
+        self.registry.mark_leaving("e1", 7)
+        self.registry.drop("e1")
+        self.registry.put(entry())
+        self.assertFalse(self.is_used())
+
+    def test_next_start_under_the_same_name_and_address(self):
+        self.registry.mark_leaving("e1", 7)
+        self.registry.put(entry(born=8))
+        self.assertTrue(self.is_used())
+
+    def test_late_word_of_an_earlier_start(self):
+        self.registry.put(entry(born=8))
+        self.assertFalse(self.registry.mark_leaving("e1", 7))
+        self.assertTrue(self.is_used())
+
+    def test_word_before_the_entry(self):
+        """A member may hear of it from the leader before it reads the row."""
+        self.registry.mark_leaving("e2", 9)
+        self.registry.put(entry(name="e2", service="desk", born=9))
+        self.assertFalse(self.registry.of_service("desk"))
+
+    def test_start_that_is_not_known_holds_until_the_entry_is_gone(self):
+        self.registry.put(entry(born=0))
+        self.registry.mark_leaving("e1", 0)
+        self.registry.put(entry(born=0, slots=3))
+        self.assertFalse(self.is_used())
+        self.registry.drop("e1")
+        self.registry.put(entry(born=0))
+        self.assertTrue(self.is_used())
+
+
+class PauseTest(unittest.TestCase):
+    """A pause ends at its time, suspensions counted, and work returns by and by."""
+
+    def setUp(self):
+        self.now = 100.0
+        self.enterContext(
+            patch("sequoiafall.server_notices.boot_time", lambda: self.now)
+        )
+        self.notices = ServerNotices(BackendRegistry(), random.Random(1))
+        self.notices.observe(ENTRY, ServerNotice(False, "2"), "request", "r1")
+
+    def test_end(self):
+        self.assertAlmostEqual(self.notices.pause_left_s("e1"), 2.0)
+        self.assertEqual(self.notices.usable([ENTRY]), [])
+        self.assertEqual(self.notices.all_paused_s([ENTRY]), 2.0)
+        # The clock of the notices counts a suspension of the machine.
+        self.now += 2.5
+        self.assertEqual(self.notices.pause_left_s("e1"), 0.0)
+        self.assertEqual(self.notices.usable([ENTRY]), [ENTRY])
+        self.assertEqual(self.notices.pauses(), [])
+
+    def test_clock_counts_suspensions(self):
+        self.assertIs(ServerNotices.observe.__globals__["boot_time"](), self.now)
+        self.assertEqual(boot_time.__module__, "sequoiafall.boot_clock")
+
+    def test_shorter_word_does_not_end_a_longer_pause(self):
+        self.notices.observe(ENTRY, ServerNotice(False, "0.1"), "request", "r2")
+        self.assertAlmostEqual(self.notices.pause_left_s("e1"), 2.0)
+
+    def test_work_returns_by_and_by(self):
+        routing = PlainRouting("a", random.Random(1), self.notices.return_share)
+        other = entry(name="e2")
+        self.now += 2.0
+        shares = []
+        for _ in range(4):
+            chosen = sum(
+                routing.choose([ENTRY, other], frozenset(), self.now).entry is ENTRY
+                for _ in range(100)
+            )
+            shares.append(chosen)
+            self.now += RETURN_S / 3.0
+        self.assertEqual(shares[0], 0)
+        self.assertGreater(shares[-1], 20)
+
+
+class PlannerPauseTest(unittest.TestCase):
+    """Pattern: engines ask for a pause during a burst of requests."""
+
+    def ask(self, number):
+        return Ask(f"r{number}", "o", "g", "a", "", 100, 0, 0.8, 4.0)
+
+    def submit(self, driver, count):
+        actions = []
+        for number in range(count):
+            actions += driver.planner.submit(self.ask(number), driver.now)
+        return actions
+
+    def test_half_of_the_engines(self):
+        """The others take the burst; nobody is sent to those that pause."""
+        driver = Driver(engines=4)
+        for name in ("e0", "e1"):
+            driver.planner.pause(name, driver.now + 2.0)
+        actions = self.submit(driver, 40)
+        servers = {action.server for action in actions}
+        self.assertEqual(servers, {"e2", "e3"})
+        driver.now += 2.0
+        self.assertTrue(
+            driver.planner.pool.engines_by_name["e0"].takes_work(driver.now)
+        )
+
+    def test_all_engines(self):
+        """Callers hear at once when the first of them takes work again."""
+        driver = Driver(engines=2)
+        driver.planner.pause("e0", driver.now + 0.5)
+        driver.planner.pause("e1", driver.now + 9.0)
+        actions = self.submit(driver, 10)
+        self.assertTrue(all(isinstance(row, RefusePlace) for row in actions))
+        times = [row.retry_after_s for row in actions]
+        self.assertTrue(all(0.5 <= time <= 4.0 / 3.0 for time in times))
+        self.assertGreater(len(set(times)), 5)
+
+    def test_return(self):
+        """An engine does not get the whole burst as soon as its pause ends."""
+        driver = Driver(engines=2)
+        driver.planner.pause("e0", driver.now + 1.0)
+        driver.now += 1.05
+        for report in ("e0", "e1"):
+            driver.planner.on_report(report, driver.report(report), driver.now)
+        actions = self.submit(driver, 20)
+        grants = [row.server for row in actions if isinstance(row, GrantPlace)]
+        self.assertLess(grants.count("e0"), grants.count("e1"))
+
+    def test_all_leaving(self):
+        driver = Driver(engines=2)
+        entries = [
+            BackendEntry(row.name, row.service, row.address, row.zone, 64, True)
+            for row in driver.entries
+        ]
+        driver.planner.set_entries(entries, 6, driver.now)
+        (refused,) = self.submit(driver, 1)
+        self.assertEqual(refused.reason.value, "no_backend_server")
+
+
+class LeavingTest(PlatformCase):
+    """A server that says that it is leaving gets no request that comes later."""
+
+    async def calls(self, node, path, count, prefix, **options):
+        statuses = []
+        for number in range(count):
+            request_id = f"{prefix}-{number}"
+            status, *_ = await self.call(node, path, request_id=request_id, **options)
+            statuses.append(status)
+        return statuses
+
+    async def call_until_arrived(self, node, path, name, prefix, **options):
+        """Send calls at the same time until one of them arrives at a server."""
+        for _ in range(MAX_ROUNDS):
+            calls = (
+                self.calls(node, path, 1, f"{prefix}-{n}", **options) for n in range(8)
+            )
+            statuses = await asyncio.gather(*calls)
+            if self.arrived(name, prefix):
+                return statuses
+        return self.fail(f"no call of {prefix} arrived at {name}")
+
+    def arrived(self, name, prefix):
+        arrivals = self.engines[name].arrivals
+        return [row for row in arrivals if row.startswith(prefix)]
+
+    @parameterized.expand(
+        [("plain", "/look/x", "d1", "desk"), ("engine", "/draft/x", "e1", "assist")]
+    )
+    async def test_store_is_away(self, _name, path, leaving, service):
+        """One sighting stops all instances, whatever the table says."""
+        nodes = await self.start_fleet(3)
+        await until(
+            lambda: all(len(n.fleet.registry.of_service(service)) == 2 for n in nodes)
+        )
+        self.store.refuses.add("*")
+        lines = self.enterContext(capture_log())
+        self.engines[leaving].is_leaving = True
+        member = next(node for node in nodes if not node.fleet.tenure.leads)
+        await self.call_until_arrived(member, path, leaving, "first")
+        statuses = await self.calls(member, path, 12, "later")
+        self.assertEqual(set(statuses), {200})
+        self.assertEqual(self.arrived(leaving, "later"), [])
+        await until(
+            lambda: all(len(n.fleet.registry.of_service(service)) == 1 for n in nodes)
+        )
+        for node in nodes:
+            await self.calls(node, path, 6, "others")
+        self.assertEqual(self.arrived(leaving, "others"), [])
+        seen = [line for line in lines if "event=server_leaving" in line]
+        self.assertTrue(any(f"server={leaving}" in line for line in seen), seen)
+
+    async def test_cut_from_the_leader(self):
+        """What the instance itself saw binds it, with nobody to tell it to."""
+        nodes = await self.start_fleet(2)
+        member = next(node for node in nodes if not node.fleet.tenure.leads)
+        await until(lambda: len(member.fleet.registry.of_service("desk")) == 2)
+        self.store.refuses.add("*")
+        self.leader.fleet._server.handlers = {}
+        member.fleet._link.has_failed = True
+        self.engines["d1"].is_leaving = True
+        await self.call_until_arrived(member, "/look/x", "d1", "first")
+        await self.calls(member, "/look/x", 10, "later")
+        self.assertEqual(self.arrived("d1", "later"), [])
+
+    async def test_right_before_a_send(self):
+        """A place that was granted before is given back and placed again."""
+        nodes = await self.start_fleet(2)
+        node = nodes[0]
+        take = PlaceSource.take
+        given = []
+
+        async def take_then_leave(source, need, excluded):
+            place = await take(source, need, excluded)
+            if not given:
+                given.append(place.server)
+                born = node.fleet.registry.find(place.server).born
+                node.fleet.registry.mark_leaving(place.server, born)
+            return place
+
+        self.enterContext(patch.object(PlaceSource, "take", take_then_leave))
+        status, *_ = await self.call(node, "/draft/x", adapter="a1", request_id="r")
+        self.assertEqual(status, 200)
+        self.assertEqual(self.engines[given[0]].arrivals, [])
+
+    async def test_head_of_a_long_stream(self):
+        """The answer's head says it; its last byte is seconds away."""
+        nodes = await self.start_fleet(2)
+        node = nodes[0]
+        for name in ("e1", "e2"):
+            self.engines[name].hold_after = 1
+            self.engines[name].is_leaving = name == "e1"
+        streams = [
+            asyncio.create_task(
+                self.call(node, "/check/x", adapter=f"a{n}", request_id=f"long-{n}")
+            )
+            for n in range(8)
+        ]
+        await until(lambda: node.fleet.registry.find("e1").is_leaving)
+        for name in ("e1", "e2"):
+            self.engines[name].go_on.set()
+        self.assertEqual({(await row)[0] for row in streams}, {200})
+        await self.calls(node, "/draft/x", 6, "later")
+        self.assertEqual(self.arrived("e1", "later"), [])
+
+    async def test_back_under_the_same_address(self):
+        nodes = await self.start_fleet(2)
+        node = nodes[0]
+        engine = self.engines["d1"]
+        node.fleet.registry.mark_leaving("d1", engine.born)
+        await self.calls(node, "/look/x", 6, "gone")
+        self.assertEqual(self.arrived("d1", "gone"), [])
+        engine.restart()
+        self.announce(engine)
+        await until(lambda: len(node.fleet.registry.of_service("desk")) == 2)
+        await self.call_until_arrived(node, "/look/x", "d1", "back")
+
+    async def test_restarted_instance_hears_it_from_the_leader(self):
+        nodes = await self.start_fleet(3)
+        member = next(node for node in nodes if not node.fleet.tenure.leads)
+        member.fleet.registry.mark_leaving("d1", self.engines["d1"].born)
+        leader = self.leader
+        await until(lambda: leader.fleet.registry.find("d1").is_leaving)
+        self.nodes.remove(member)
+        await member.stop()
+        number = int(member.settings.instance.rpartition("-")[2])
+        again = await self.start_node(number)
+        await until(lambda: again.fleet.has_leader)
+        await until(lambda: again.fleet.registry.find("d1") is not None)
+        await until(lambda: again.fleet.registry.find("d1").is_leaving)
+
+
+class BusyTest(PlatformCase):
+    """A server that asks for a pause gets nothing until its end."""
+
+    async def test_plain_service(self):
+        node, _ = await self.start_fleet()
+        await until(lambda: len(node.fleet.registry.of_service("desk")) == 2)
+        busy = self.engines["d1"]
+        busy.busy_next, busy.busy_text = 1, "20"
+        for _ in range(MAX_ROUNDS):
+            calls = (self.call(node, "/order/x") for _ in range(8))
+            answers = await asyncio.gather(*calls)
+            self.assertEqual({status for status, *_ in answers}, {200})
+            if node.fleet.notices.pauses_seen:
+                break
+        arrived = len(busy.arrivals)
+        for _ in range(10):
+            status, *_ = await self.call(node, "/order/x")
+            self.assertEqual(status, 200)
+        self.assertEqual(len(busy.arrivals), arrived)
+
+    async def test_all_servers(self):
+        """The caller is told at once when the first one takes calls again."""
+        node, _ = await self.start_fleet()
+        await until(lambda: len(node.fleet.registry.of_service("desk")) == 2)
+        for name, text in (("d1", "0.6"), ("d2", "20")):
+            self.engines[name].busy_next, self.engines[name].busy_text = 1, text
+        status, body, headers = await self.call(node, "/order/x", request_id="busy")
+        self.assertEqual(status, 503, body)
+        self.assertIn(b"not run", body)
+        self.assertEqual(self.runs("busy"), 0)
+        retry_s = float(headers["Retry-After"])
+        self.assertTrue(0.05 <= retry_s <= 0.75, retry_s)
+        await until(
+            lambda: (
+                not node.fleet.notices.all_paused_s(
+                    node.fleet.registry.of_service("desk")
+                )
+            )
+        )
+        status, *_ = await self.call(node, "/order/x")
+        self.assertEqual(status, 200)
+
+    async def test_engine_gets_no_reports_orders_or_requests(self):
+        nodes = await self.start_fleet(2)
+        leader = self.leader
+        node = next(row for row in nodes if row is not leader)
+        busy = self.engines["e1"]
+        busy.busy_next, busy.busy_text = 1, "20"
+        planner = leader.fleet.duties.planners_by_service["assist"]
+        for number in range(MAX_ROUNDS):
+            calls = (
+                self.call(node, "/draft/x", adapter=f"a{number}{n}") for n in range(4)
+            )
+            answers = await asyncio.gather(*calls)
+            self.assertEqual({status for status, *_ in answers}, {200})
+            if node.fleet.notices.pauses_seen:
+                break
+        await until(lambda: planner.is_pausing("e1", boot_time()))
+        arrived, sequence = len(busy.arrivals), busy.sequence
+        for number in range(8):
+            status, *_ = await self.call(node, "/draft/x", adapter=f"b{number}")
+            self.assertEqual(status, 200)
+        self.assertEqual((len(busy.arrivals), busy.sequence), (arrived, sequence))
