Give up answers that do not end, and connections that got a second answer

Cause: the client library takes bytes that come on an idle connection for the answer to the next request, ends no answer that sends interim heads, chunk extensions or trailers, and reports and orders were read to their end. A stream that sent bytes and no event was not taken for stalled; a slow stream was cut when the retry budget had nothing left to move it.

Change: a kept connection that gets bytes while it is idle is closed (engines, reports and orders). An answer whose bytes outside of the body exceed the body by 128 KB is given up. Only events count as progress of a stream; a stalled one ends when it may be moved, and goes on otherwise. The product's gateway gives up an answer that brings no piece for 60 s. An engine's memory is taken for six adapters a slot, as all sheets have it (32 before, 30 to 48 true). request_ended names the times that make a stream late, and 'operator late' counts late streams by cause.

--- a/sequoiafall/catalog.py
+++ b/sequoiafall/catalog.py
@@ -48,6 +48,8 @@
         Priority, 0 goes first.
     is_open : bool
         Whether no key is needed.
+    pause_aim_s : float
+        Longest pause between two events of an answer that is on time, 0 for any.
     """
 
     name: str
@@ -61,6 +63,7 @@
     aim_s: float
     rank: int
     is_open: bool
+    pause_aim_s: float = 0.0
 
     def choose_service(self, generator: random.Random) -> str:
         """Choose a service in proportion to the weights."""
--- a/sequoiafall/completions.py
+++ b/sequoiafall/completions.py
@@ -139,6 +139,7 @@
                     break
                 due = relay.on_bytes(chunk)
                 if due:
+                    answer.note_progress()
                     place.generated_tokens = relay.next_offset
                     await deliver(due)
         except (NotSentError, BrokenAnswerError) as error:
--- a/sequoiafall/engine_client.py
+++ b/sequoiafall/engine_client.py
@@ -33,6 +33,14 @@
 READ_BUFFER_BYTES = 4 * 1024
 SOCKET_BUFFER_BYTES = 8 * 1024
 
+# A stream that sends bytes and no piece of its answer for this long is taken for
+# stalled; an engine with a long queue may keep it open with comments.
+STREAM_STALL_TIMEOUT_S = 60.0
+
+# Bytes of an answer that may be something else than its body, beside as many as
+# the body has: headers have 32 KiB at most, an event's frame is shorter than it.
+MAX_FRAMING_BYTES = 128 * 1024
+
 CANCEL_TIMEOUT_S = 1.0
 END_TIMEOUT_S = 1.0
 
@@ -60,9 +68,46 @@
 class _ExactProtocol(ResponseHandler):
     """Tells an answer that was reset from one that ends with its connection.
 
-    The client library takes both for the end of an answer without a length.
+    The client library takes both for the end of an answer without a length. It
+    also takes bytes that come on an idle connection for the answer to the next
+    request, such as a second copy of the last one; such a connection is closed.
     """
 
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self.is_idle = False
+        self._received_bytes = 0
+
+    def set_response_params(self, **options: Any) -> None:
+        """Expect the answer to the next request."""
+        self._received_bytes = 0
+        super().set_response_params(**options)
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes for the answer under way; without one they end the connection."""
+        if self.is_idle:
+            self.abort()
+            return
+        self._received_bytes += len(data)
+        super().data_received(data)
+        payload = self._payload
+        body_bytes = payload.total_bytes if payload is not None else 0
+        if self._received_bytes > 2 * body_bytes + MAX_FRAMING_BYTES:
+            self._end_unframed()
+
+    def _end_unframed(self) -> None:
+        """Give up an answer whose bytes are not its body."""
+        payload, transport = self._payload, self.transport
+        if payload is not None and payload.is_eof():
+            # Surplus bytes after a whole answer; the connection is not used again.
+            self.force_close()
+        error = aiohttp.ClientPayloadError("too many bytes outside of the body")
+        self.set_exception(error)
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(error)
+        if transport is not None:
+            transport.abort()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         payload = self._payload
         if exc is not None and payload is not None and not payload.is_eof():
@@ -70,12 +115,8 @@
         super().connection_lost(exc)
 
 
-class _CheckedConnector(aiohttp.TCPConnector):
-    """Runs a check between having a connection and sending the request.
-
-    Connecting can take longer than the rest of a place's life, so a check
-    before the request would not show that the place is valid at the send.
-    """
+class ExactConnector(aiohttp.TCPConnector):
+    """Keeps connections open, and uses none again that got bytes while it was idle."""
 
     def __init__(self, **options: Any) -> None:
         super().__init__(**options)
@@ -83,6 +124,33 @@
             _ExactProtocol, loop=self._loop
         )
 
+    async def _get(self, key: Any, traces: list[Any]) -> Connection | None:
+        while True:
+            connection = await super()._get(key, traces)
+            if connection is None:
+                return None
+            protocol = connection.protocol
+            assert isinstance(protocol, _ExactProtocol)
+            protocol.is_idle = False
+            if not protocol.should_close:
+                return connection
+            connection.close()
+
+    def _release(
+        self, key: Any, protocol: ResponseHandler, *, should_close: bool = False
+    ) -> None:
+        super()._release(key, protocol, should_close=should_close)
+        assert isinstance(protocol, _ExactProtocol)
+        protocol.is_idle = True
+
+
+class _CheckedConnector(ExactConnector):
+    """Runs a check between having a connection and sending the request.
+
+    Connecting can take longer than the rest of a place's life, so a check
+    before the request would not show that the place is valid at the send.
+    """
+
     async def connect(
         self, req: ClientRequest, traces: list[Any], timeout: aiohttp.ClientTimeout
     ) -> Connection:
@@ -165,7 +233,10 @@
         self._timer = None
         oldest = time.monotonic() - STREAM_IDLE_TIMEOUT_S
         for answer in list(self._answers):
-            if answer.waiting_since is not None and answer.waiting_since <= oldest:
+            is_idle = (
+                answer.waiting_since is not None and answer.waiting_since <= oldest
+            )
+            if is_idle or answer.waited_s > STREAM_STALL_TIMEOUT_S:
                 answer.release()
         if self._answers:
             self._schedule()
@@ -178,9 +249,18 @@
     ----------
     waiting_since : float or None
         Monotonic time since which a reader has waited for a byte.
+    waited_s : float
+        Seconds for which a reader has waited since `note_progress`.
     """
 
-    __slots__ = ("_response", "_watch", "headers", "status", "waiting_since")
+    __slots__ = (
+        "_response",
+        "_watch",
+        "headers",
+        "status",
+        "waited_s",
+        "waiting_since",
+    )
 
     def __init__(
         self, response: aiohttp.ClientResponse, watch: _IdleWatch | None = None
@@ -190,6 +270,7 @@
         self.status = response.status
         self.headers: Mapping[str, str] = response.headers
         self.waiting_since: float | None = None
+        self.waited_s = 0.0
         if watch is not None:
             watch.add(self)
 
@@ -202,13 +283,18 @@
             If the answer ended before its end, or nothing came for
             `STREAM_IDLE_TIMEOUT_S`.
         """
-        self.waiting_since = time.monotonic()
+        self.waiting_since = started_at = time.monotonic()
         try:
             return await self._response.content.readany()
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise BrokenAnswerError(_broken(error)) from error
         finally:
             self.waiting_since = None
+            self.waited_s += time.monotonic() - started_at
+
+    def note_progress(self) -> None:
+        """Note that the bytes read so far have brought a part of the answer."""
+        self.waited_s = 0.0
 
     async def read_up_to(self, limit_bytes: int) -> bytes | None:
         """Return the whole body, or None if it is longer than the limit."""
--- a/sequoiafall/engine_pool.py
+++ b/sequoiafall/engine_pool.py
@@ -15,8 +15,9 @@
 # An engine's report shows the state of some 100 ms ago; what was ordered or
 # observed within this time goes before a report.
 REPORT_LAG_S = 0.35
-# Adapters whose weights an engine keeps in its memory after it dropped them.
-WARM_ADAPTERS = 32
+# Adapters whose weights an engine keeps in its memory, for each of its slots; the
+# sheets give 30 for 5 slots, 36 for 6 and 48 for 8.
+WARM_ADAPTERS_PER_SLOT = 6
 # Prompt tokens that an engine reads in a second beside the steps for its running
 # requests; the sheets give 25,800 without them, and 8.2 ms a step of 1,024.
 PREFILL_TOKENS_PER_S = 22_000.0
@@ -318,7 +319,7 @@
         """Note that the engine has held a version of an adapter."""
         self.warm.pop((adapter, version), None)
         self.warm[adapter, version] = None
-        while len(self.warm) > WARM_ADAPTERS:
+        while len(self.warm) > WARM_ADAPTERS_PER_SLOT * max(1, self.adapter_slots):
             self.warm.popitem(last=False)
 
     def note_use(self, tokens: int, start: float) -> None:
--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -6,7 +6,7 @@
 import contextlib
 import math
 import random
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 
 from aiohttp import web
@@ -85,6 +85,46 @@
     detail: str = ""
 
 
+@dataclass(slots=True)
+class AnswerTimes:
+    """When the parts of an answer came, for the log.
+
+    Parameters
+    ----------
+    placed_at : float
+        Time of the last place, in seconds.
+    first_at, last_at : float
+        Times of the first and of the newest event.
+    longest_pause_s : float
+        Longest pause between two events.
+    """
+
+    placed_at: float = 0.0
+    first_at: float = 0.0
+    last_at: float = 0.0
+    longest_pause_s: float = 0.0
+
+    def note_event(self, now: float) -> None:
+        """Note that one or more events came."""
+        if self.last_at:
+            self.longest_pause_s = max(self.longest_pause_s, now - self.last_at)
+        else:
+            self.first_at = now
+        self.last_at = now
+
+    def describe(self, started_at: float) -> dict[str, object]:
+        """Return the fields of a log line."""
+        if not self.placed_at:
+            return {}
+        fields: dict[str, object] = {
+            "placed_ms": int((self.placed_at - started_at) * 1e3)
+        }
+        if self.first_at:
+            fields["first_ms"] = int((self.first_at - started_at) * 1e3)
+            fields["pause_ms"] = int(self.longest_pause_s * 1e3)
+        return fields
+
+
 @dataclass(slots=True)
 class Exchange:
     """A request on its way, with everything that was tried for it."""
@@ -105,6 +145,7 @@
     splitter: EventSplitter = field(default_factory=EventSplitter)
     failure: web.Response | None = None
     choice: PlainChoice | None = None
+    times: AnswerTimes = field(default_factory=AnswerTimes)
 
     @property
     def may_repeat(self) -> bool:
@@ -350,6 +391,7 @@
             place = await self._places.take(need, frozenset(exchange.excluded | paused))
             if isinstance(place, Refusal):
                 return self._finish_refusal(exchange, place)
+            exchange.times.placed_at = boot_time()
             outcome = Outcome("cancelled")
             try:
                 outcome = await self._send(exchange, place)
@@ -500,13 +542,14 @@
         exchange.sends += 1
         exchange.runs += 1
         client = OneSendClient()
+        budget = self._budget(exchange.service)
         entry = self._fleet.registry.find(place.server)
         can_move = exchange.route.repeat is Repeat.RESUMABLE and (
             exchange.runs < exchange.route.max_attempts
         )
         try:
             async with (
-                _stall_limit(can_move) as scope,
+                _stall_limit(can_move, budget.can_retry) as scope,
                 client.request(
                     request.method,
                     url,
@@ -577,11 +620,11 @@
     ) -> Outcome:
         splitter = exchange.splitter
         splitter.restart()
+        last_id = splitter.last_id
         while True:
             chunk = await answer.read_chunk()
             if not chunk:
                 break
-            scope.extend(EVENT_GAP_TIMEOUT_S)
             if self._is_key_withdrawn(exchange):
                 return Outcome("withdrawn", detail="the key was withdrawn")
             try:
@@ -593,6 +636,11 @@
             if exchange.stream is None:
                 await self._start_stream(exchange, answer)
             assert exchange.stream is not None
+            # Bytes that bring no further event are no progress.
+            if splitter.last_id != last_id:
+                last_id = splitter.last_id
+                scope.extend(EVENT_GAP_TIMEOUT_S)
+                exchange.times.note_event(boot_time())
             await exchange.stream.write(events)
         if splitter.has_partial:
             return Outcome("broken", detail="the stream ended without its end")
@@ -709,8 +757,22 @@
             since_ms=int((boot_time() - exchange.started_at) * 1e3),
             configuration=catalog.version if catalog else 0,
             **exchange.describe_choice(),
+            **self._describe_times(exchange),
         )
 
+    def _describe_times(self, exchange: Exchange) -> dict[str, object]:
+        """Return what tells why a stream was late."""
+        if not exchange.route.is_stream:
+            return {}
+        waited_s = exchange.started_at - exchange.on_time_until + exchange.route.aim_s
+        return {
+            **exchange.times.describe(exchange.started_at),
+            "aim_ms": int((exchange.route.aim_s - waited_s) * 1e3),
+            "pause_aim_ms": int(exchange.route.pause_aim_s * 1e3),
+            "prompt_tokens": exchange.request.prompt_tokens or 0,
+            "output_tokens": exchange.request.output_tokens or 0,
+        }
+
 
 def _drop_secret(headers: CIMultiDict[str], secret: str) -> list[str]:
     """Remove the headers in which a caller repeats its key and return their names."""
@@ -731,34 +793,66 @@
 
 
 class _Stall:
-    """Limit of the time without an event, for streams that can be moved."""
+    """Limit of the time without an event, for streams that can be moved.
+
+    A stream that may not be moved when its limit is reached goes on: its server
+    may be slow, and ending it would lose what the caller has.
+
+    Parameters
+    ----------
+    scope : asyncio.Timeout or None
+        Ends the send; None for no limit.
+    may_move : callable
+        Whether the stream may be sent to another server now.
+    """
 
-    __slots__ = ("_scope",)
+    __slots__ = ("_limit_s", "_may_move", "_scope", "_timer")
 
-    def __init__(self, scope: asyncio.Timeout | None) -> None:
+    def __init__(
+        self, scope: asyncio.Timeout | None, may_move: Callable[[], bool]
+    ) -> None:
         self._scope = scope
+        self._may_move = may_move
+        self._limit_s = 0.0
+        self._timer: asyncio.TimerHandle | None = None
 
     def extend(self, seconds: float) -> None:
         """Set the limit anew."""
+        self.cancel()
         if self._scope is not None:
-            self._scope.reschedule(asyncio.get_running_loop().time() + seconds)
+            self._limit_s = seconds
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(seconds, self._on_due)
 
     def cancel(self) -> None:
         """Remove the limit."""
-        if self._scope is not None:
-            self._scope.reschedule(None)
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _on_due(self) -> None:
+        if not self._may_move():
+            self.extend(self._limit_s)
+        elif self._scope is not None:
+            self._scope.reschedule(asyncio.get_running_loop().time())
 
 
 @contextlib.asynccontextmanager
-async def _stall_limit(is_limited: bool) -> AsyncIterator[_Stall]:
+async def _stall_limit(
+    is_limited: bool, may_move: Callable[[], bool]
+) -> AsyncIterator[_Stall]:
     if not is_limited:
-        yield _Stall(None)
+        yield _Stall(None, may_move)
         return
-    scope = asyncio.timeout(FIRST_EVENT_TIMEOUT_S)
+    scope = asyncio.timeout(None)
+    stall = _Stall(scope, may_move)
+    stall.extend(FIRST_EVENT_TIMEOUT_S)
     try:
         async with scope:
-            yield _Stall(scope)
+            yield stall
     except TimeoutError as error:
         if scope.expired():
             raise _StalledError from error
         raise
+    finally:
+        stall.cancel()
--- /dev/null
+++ b/sequoiafall/late_causes.py
@@ -0,0 +1,124 @@
+"""Counts the late streams of a day by what they were late by, from its log lines."""
+
+from __future__ import annotations
+
+import enum
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from .request_story import LogLine, parse_line
+
+# A way to and from the caller that is in no log line.
+CALLER_WAY_MS = 10
+
+
+class LateCause(enum.Enum):
+    """What took the largest part of a late answer's time, or ended it."""
+
+    ADMISSION = "refused, or over the rate"
+    SLOT = "waited for an adapter's slot"
+    LOAD = "waited for an adapter's load"
+    PROMPTS = "waited behind prompts at the engine"
+    PAUSE = "paused after its first event"
+    RETRY = "sent more than once"
+    CUT = "ended without its end"
+
+
+@dataclass(slots=True)
+class LateCounts:
+    """Streams by cause of lateness, and those on time.
+
+    Parameters
+    ----------
+    on_time : int
+        Streams that ended on time.
+    by_cause : Counter of LateCause
+        The others.
+    requests_by_cause : dict of LateCause to list of str
+        Their identities, for the story of one of them.
+    """
+
+    on_time: int = 0
+    by_cause: Counter[LateCause] = field(default_factory=Counter)
+    requests_by_cause: dict[LateCause, list[str]] = field(default_factory=dict)
+
+    def add(self, cause: LateCause, request_id: str) -> None:
+        """Count a late stream."""
+        self.by_cause[cause] += 1
+        self.requests_by_cause.setdefault(cause, []).append(request_id)
+
+    def rows(self) -> list[str]:
+        """Return a row a cause, the most frequent first."""
+        rows = [f"{self.on_time:7} on time"]
+        for cause, count in self.by_cause.most_common():
+            example = self.requests_by_cause[cause][0]
+            rows.append(f"{count:7} {cause.value} (such as {example})")
+        return rows
+
+
+def count_late(lines_by_source: Mapping[str, Iterable[str]]) -> LateCounts:
+    """Count the streams in the logs of all instances.
+
+    A caller that comes back after a refusal counts once for each of its attempts.
+    """
+    grants: dict[str, LogLine] = {}
+    ends: list[LogLine] = []
+    counts = LateCounts()
+    for source, texts in lines_by_source.items():
+        for text in texts:
+            if "event=place_granted" in text:
+                line = parse_line(source, text)
+                if line is not None:
+                    grants[line.fields.get("request_id", "")] = line
+            elif "event=request_ended" in text and "aim_ms=" in text:
+                line = parse_line(source, text)
+                if line is not None:
+                    ends.append(line)
+            elif "event=request_refused" in text and "status=503" in text:
+                line = parse_line(source, text)
+                if line is not None:
+                    request_id = line.fields.get("request_id", "")
+                    counts.add(LateCause.ADMISSION, request_id)
+    for line in ends:
+        request_id = line.fields.get("request_id", "")
+        cause = cause_of(line, grants.get(request_id))
+        if cause is None:
+            counts.on_time += 1
+        else:
+            counts.add(cause, request_id)
+    return counts
+
+
+def cause_of(end: LogLine, grant: LogLine | None) -> LateCause | None:
+    """Return why a stream was late, None if it was on time.
+
+    Parameters
+    ----------
+    end : LogLine
+        The line of its end.
+    grant : LogLine or None
+        The leader's line of its last place.
+    """
+    fields = end.fields
+    if fields.get("end") != "ok" or "first_ms" not in fields:
+        return LateCause.CUT
+    first_ms = _number(fields, "first_ms")
+    pause_aim_ms = _number(fields, "pause_aim_ms")
+    if first_ms + CALLER_WAY_MS <= _number(fields, "aim_ms"):
+        is_paused = pause_aim_ms and _number(fields, "pause_ms") > pause_aim_ms
+        return LateCause.PAUSE if is_paused else None
+    if _number(fields, "sends") > 1:
+        return LateCause.RETRY
+    placed_ms = _number(fields, "placed_ms")
+    if first_ms - placed_ms >= placed_ms:
+        return LateCause.PROMPTS
+    state = grant.fields.get("adapter_state", "") if grant is not None else ""
+    return LateCause.SLOT if state == "resident" else LateCause.LOAD
+
+
+def _number(fields: Mapping[str, str], name: str) -> int:
+    try:
+        return int(fields.get(name, "0"))
+    except ValueError:
+        return 0
--- a/sequoiafall/operator_client.py
+++ b/sequoiafall/operator_client.py
@@ -18,6 +18,7 @@
 import typer
 
 from .edits import MAX_EDITS, RowEdit
+from .late_causes import count_late
 from .operator_output import (
     format_changes,
     format_table,
@@ -321,6 +322,27 @@
     ] = None,
 ) -> None:
     """Show what log lines of many processes say of one request."""
+    lines_by_source = _read_logs(files)
+    story = tell_story(request_id, lines_by_source)
+    for line in format_story(request_id, story):
+        typer.echo(line)
+    if not story.lines:
+        raise typer.Exit(1)
+
+
+@app.command("late")
+def show_late(
+    files: Annotated[
+        list[Path] | None,
+        typer.Argument(help="Log files of all instances; standard input by default."),
+    ] = None,
+) -> None:
+    """Count the streams that were late by what they were late by."""
+    for row in count_late(_read_logs(files)).rows():
+        typer.echo(row)
+
+
+def _read_logs(files: Sequence[Path] | None) -> dict[str, list[str]]:
     lines_by_source: dict[str, list[str]] = {}
     for path in files or []:
         try:
@@ -331,11 +353,7 @@
         lines_by_source[path.name] = text.splitlines()
     if not files:
         lines_by_source["-"] = sys.stdin.read().splitlines()
-    story = tell_story(request_id, lines_by_source)
-    for line in format_story(request_id, story):
-        typer.echo(line)
-    if not story.lines:
-        raise typer.Exit(1)
+    return lines_by_source
 
 
 def _check_kinds(session: Session, kinds: Sequence[str]) -> None:
--- a/sequoiafall/platform/engines.py
+++ b/sequoiafall/platform/engines.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ..backend_registry import BackendEntry
+from ..engine_client import ExactConnector
 from ..engine_pool import EngineReport
 from ..log import log_warning
 from ..serving_ports import EngineControl, EngineOrder, OrderAnswer
@@ -148,6 +149,7 @@
                 timeout=aiohttp.ClientTimeout(
                     total=REPORT_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
                 ),
+                connector=ExactConnector(),
                 cookie_jar=aiohttp.DummyCookieJar(),
                 auto_decompress=False,
             )
--- a/sequoiafall/platform/rows.py
+++ b/sequoiafall/platform/rows.py
@@ -44,6 +44,8 @@
     max_attempts: int = 1
     public: bool = False
     resumable: bool = False
+    # Longest pause between two events of an answer that is on time.
+    gap_target_ms: float = 0.0
 
 
 class _Model(msgspec.Struct):
@@ -178,6 +180,7 @@
         route.target_latency_ms / 1e3,
         route.priority,
         route.public,
+        route.gap_target_ms / 1e3,
     )
 
 
--- a/sequoiafall/retry.py
+++ b/sequoiafall/retry.py
@@ -73,6 +73,10 @@
         self.requests += 1
         self._saved = min(self._saved + self._share, self._most_saved)
 
+    def can_retry(self) -> bool:
+        """Return whether `try_retry` would allow a retry now."""
+        return self._saved >= 1.0
+
     def try_retry(self) -> bool:
         """Take one retry from the budget.
 
