--- a/sequoiafall/standins/adapter_engine.py
+++ b/sequoiafall/standins/adapter_engine.py
@@ -12,6 +12,7 @@
 from ..platform import names
 
 EVENT_PAUSE_S = 0.01
+TRICKLE_PAUSE_S = 0.02
 # Age of what a report shows.
 REPORT_LAG_S = 0.1
 
@@ -42,6 +43,13 @@
         Whether all answers say that the server is leaving.
     busy_next, busy_text : int, str
         Calls of any kind that are turned away, and the pause that this asks for.
+    event_pause_s : float
+        Time between two events of a stream.
+    trickles : int
+        Streams that send a byte now and then after their first event, and no
+        further event.
+    is_silent : bool
+        Whether reports are not answered until `go_on` is set.
     arrivals : list of str
         Identities of the requests that came, also of those that did not run.
     """
@@ -78,6 +86,9 @@
         self.is_leaving = False
         self.busy_next = 0
         self.busy_text = "1"
+        self.event_pause_s = EVENT_PAUSE_S
+        self.trickles = 0
+        self.is_silent = False
         self.arrivals: list[str] = []
         self._history: list[tuple[float, dict[str, Any]]] = []
 
@@ -140,6 +151,8 @@
         }
 
     async def _on_report(self, _request: web.Request) -> web.Response:
+        if self.is_silent:
+            await self.go_on.wait()
         now = time.monotonic()
         old = [state for at, state in self._history if at <= now - REPORT_LAG_S]
         return web.json_response(old[-1] if old else self._state())
@@ -250,9 +263,18 @@
                 if request.transport is not None:
                     request.transport.abort()
                 return response
-            await asyncio.sleep(EVENT_PAUSE_S)
+            await asyncio.sleep(self.event_pause_s)
+            if self.trickles > 0 and number > first:
+                self.trickles -= 1
+                return await self._trickle(response)
             if 0 <= self.hold_after < number:
                 await self.go_on.wait()
             await response.write(f"id: {number}\ndata: piece {number}\n\n".encode())
         await response.write_eof()
         return response
+
+    async def _trickle(self, response: web.StreamResponse) -> web.StreamResponse:
+        """Send parts of an event that never ends, until the receiver closes."""
+        while True:
+            await response.write(b"x")
+            await asyncio.sleep(TRICKLE_PAUSE_S)
