Let the test of a second answer fail where it is taken for the next one

Cause: the test waited until the connection was closed, which the client library does by itself after 15 s, so it passed on the code before the fix.

Change: it waits for the bytes to be in the buffer, or the connection closed; a second test does the same for reports.

--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -3,6 +3,7 @@
 import asyncio
 import tracemalloc
 import unittest
+from unittest.mock import patch
 
 import aiohttp
 from parameterized import parameterized
@@ -263,10 +264,25 @@
         (protocols,) = client._session.connector._conns.values()
         protocol = protocols[0][0]
         self.may_repeat.set()
-        await until(lambda: not protocol.is_connected())
+        # With the client library alone it waits in the buffer for the next request.
+        await until(lambda: protocol._buffer or not protocol.is_connected())
         self.assertEqual(await get("/next"), b"/next")
         self.assertEqual(self.requests, [b"/first", b"/next"])
 
+    async def test_reports(self):
+        """An engine's report must not be the second copy of an older one."""
+        address = await self.start()
+        self.enterContext(patch.object(names, "REPORT_PATH", "/first"))
+        engines = PlatformEngines()
+        self.addAsyncCleanup(engines.close)
+        entry = BackendEntry("e1", "assist", address, "a", 64, False)
+        await engines.report(entry)
+        (protocols,) = engines._session.connector._conns.values()
+        protocol = protocols[0][0]
+        self.may_repeat.set()
+        await until(lambda: protocol._buffer or not protocol.is_connected())
+        self.assertFalse(protocol.is_connected())
+
     async def test_library_alone_would_mix_them_up(self):
         # Shows that the server of these tests provokes the fault.
         address = await self.start()
