--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -16,7 +16,6 @@
 from mode import Service
 from returns.result import Failure
 
-from .backend_registry import BackendEntry
 from .boot_clock import boot_time
 from .catalog import Catalog
 from .fleet_leader import LeaderDuties, poll_interval_s
@@ -28,8 +27,9 @@
 from .measured_store import MeasuredRowStore
 from .node_metrics import NodeMetrics
 from .node_settings import NodeSettings
+from .notice_exchange import NoticeExchange
 from .row_store import RowStore, StoreRow
-from .server_notices import NO_NOTICE, Pause, ServerNotice, ServerNotices
+from .server_notices import ServerNotices
 from .serving_ports import EngineControl, RowDecoder
 from .token_bucket import RecentUse
 from .transport import Kind, WireClient, WireServer
@@ -127,7 +127,10 @@
         )
         self.registry = self.tables.registry
         self.notices = ServerNotices(self.registry, random.Random())
-        control.on_notice = self._on_engine_notice
+        self.notice_exchange = NoticeExchange(
+            self.registry, self.notices, lambda: self.duties
+        )
+        control.on_notice = self.notice_exchange.on_engine_answer
         self._link = LeaderLink(settings.peer_address, secret, metrics)
         self._ends = PlaceEnds(self._link)
         self._lost_at = boot_time()
@@ -272,34 +275,6 @@
             return
         self._ends.add(end)
 
-    # Backend servers that leave or pause
-
-    def note_answer(
-        self, entry: BackendEntry, notice: ServerNotice, source: str, request_id: str
-    ) -> None:
-        """Take over what an answer says of its server, here and at the leader."""
-        before = self.registry.left_revision, self.notices.pauses_seen
-        self.notices.observe(entry, notice, source, request_id)
-        if before == (self.registry.left_revision, self.notices.pauses_seen):
-            return
-        if self.duties is not None:
-            self.duties.on_backends_changed()
-            self.duties.on_pauses(self.notices.pauses())
-
-    def _on_engine_notice(
-        self, entry: BackendEntry, notice: ServerNotice, source: str
-    ) -> None:
-        if notice is not NO_NOTICE:
-            self.note_answer(entry, notice, source, "")
-
-    def _adopt_left(self, left: list[Any], source: str) -> None:
-        """Take over servers that told another instance that they are leaving."""
-        for row in left:
-            if self.registry.mark_leaving(row.server, row.born):
-                log_event(
-                    "server_leaving", server=row.server, born=row.born, source=source
-                )
-
     # Requests of peers
 
     def _on_poll(self, poll: Any, peer: str) -> Any:
@@ -313,7 +288,7 @@
             return self._reply_of_member()
         self.tables.mirror.apply(_rows_from_wire(poll.rows))
         duties.on_poll(poll)
-        self._on_notices_of_member(poll, peer)
+        self.notice_exchange.on_poll(poll, peer)
         is_first = poll.term != duties.term
         rows = self.tables.mirror.since_revision(0 if is_first else poll.revision)
         if is_first:
@@ -336,29 +311,10 @@
             newest_by_table=self.tables.mirror.newest_by_table(),
             leader_address=self.settings.peer_address,
             lease_version=self.tenure.version,
-            left=self._left_to_wire()
-            if poll.left_revision != self.registry.left_revision
-            else [],
+            left=self.notice_exchange.left_since(poll.left_revision),
             left_revision=self.registry.left_revision,
         )
 
-    def _on_notices_of_member(self, poll: Any, peer: str) -> None:
-        before = self.registry.left_revision
-        self._adopt_left(poll.left or [], peer)
-        assert self.duties is not None
-        if self.registry.left_revision != before:
-            self.duties.on_backends_changed()
-        if poll.paused:
-            self.duties.on_pauses(
-                [Pause(row.server, row.left_ms / 1e3) for row in poll.paused]
-            )
-
-    def _left_to_wire(self) -> list[Any]:
-        return [
-            ttypes.LeftServer(server=server, born=born)
-            for server, born in self.registry.left_births().items()
-        ]
-
     async def _follow_new(self, address: str) -> None:
         await self._link.set_address(address, "announced")
         await self._poll_leader()
@@ -486,13 +442,8 @@
             announces=False,
             members_revision=link.members_revision,
             newest_by_table=self.tables.mirror.newest_by_table() if is_first else {},
-            left=self._left_to_wire()
-            if link.left_told != self.registry.left_revision
-            else [],
-            paused=[
-                ttypes.PausedServer(server=row.server, left_ms=int(row.left_s * 1e3))
-                for row in self.notices.pauses()
-            ],
+            left=self.notice_exchange.left_since(link.left_told),
+            paused=self.notice_exchange.paused(),
             left_revision=link.left_revision,
         )
         left_told = self.registry.left_revision
@@ -536,7 +487,7 @@
             self.tables.note_outage()
         for member in reply.members:
             self.members_by_instance[member.instance] = member
-        self._adopt_left(reply.left or [], reply.leader_address)
+        self.notice_exchange.adopt_left(reply.left, reply.leader_address)
         self.over_limit = frozenset(reply.over_limit)
         self.tables.mirror.apply(_rows_from_wire(reply.rows))
 
--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -6,13 +6,13 @@
 import contextlib
 import math
 import random
-from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 
 from aiohttp import web
 from multidict import CIMultiDict
 from yarl import URL
 
+from .answer_times import AnswerTimes
 from .backend_registry import BackendEntry
 from .boot_clock import boot_time
 from .catalog import Organisation, Repeat, ServiceRoute
@@ -32,18 +32,13 @@
 from .refusal import Ran, Reason, Refusal, secret_refusal
 from .retry import RetryBudget
 from .secret_scan import contains_secret
-from .server_notices import NO_NOTICE
 from .serving_ports import AnswerKind, Attempt, CallerRequest, Dialect
+from .stall_limit import EVENT_GAP_TIMEOUT_S, StalledError, StallLimit, stall_limit
 
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 # Time by which an answer has to be decided before the caller or the operator's
 # limit ends it.
 END_MARGIN_S = 0.02
-# A stream that may be resumed is tried elsewhere if its first event takes this
-# long; a full batch takes about 0.5 s to read all its prompts.
-FIRST_EVENT_TIMEOUT_S = 1.6
-# The longest pause inside a stream before it is resumed elsewhere.
-EVENT_GAP_TIMEOUT_S = 1.0
 # Sends that were answered "not run" before a request is refused.
 MAX_NOT_RUN = 4
 # Pause before the same engine is asked again after "not run".
@@ -85,46 +80,6 @@
     detail: str = ""
 
 
-@dataclass(slots=True)
-class AnswerTimes:
-    """When the parts of an answer came, for the log.
-
-    Parameters
-    ----------
-    placed_at : float
-        Time of the last place, in seconds.
-    first_at, last_at : float
-        Times of the first and of the newest event.
-    longest_pause_s : float
-        Longest pause between two events.
-    """
-
-    placed_at: float = 0.0
-    first_at: float = 0.0
-    last_at: float = 0.0
-    longest_pause_s: float = 0.0
-
-    def note_event(self, now: float) -> None:
-        """Note that one or more events came."""
-        if self.last_at:
-            self.longest_pause_s = max(self.longest_pause_s, now - self.last_at)
-        else:
-            self.first_at = now
-        self.last_at = now
-
-    def describe(self, started_at: float) -> dict[str, object]:
-        """Return the fields of a log line."""
-        if not self.placed_at:
-            return {}
-        fields: dict[str, object] = {
-            "placed_ms": int((self.placed_at - started_at) * 1e3)
-        }
-        if self.first_at:
-            fields["first_ms"] = int((self.first_at - started_at) * 1e3)
-            fields["pause_ms"] = int(self.longest_pause_s * 1e3)
-        return fields
-
-
 @dataclass(slots=True)
 class Exchange:
     """A request on its way, with everything that was tried for it."""
@@ -528,7 +483,7 @@
         )
         try:
             async with (
-                _stall_limit(can_move, budget.can_retry) as scope,
+                stall_limit(can_move, budget.can_retry) as stall,
                 client.request(
                     request.method,
                     url,
@@ -537,7 +492,7 @@
                     lambda: self._check_server(place.server),
                 ) as answer,
             ):
-                return await self._receive(exchange, answer, scope, entry)
+                return await self._receive(exchange, answer, stall, entry)
         except WithheldError as error:
             exchange.runs -= 1
             return Outcome("withheld", detail=str(error))
@@ -546,7 +501,7 @@
             return Outcome("unreachable", detail=str(error))
         except BrokenAnswerError as error:
             return Outcome("broken", detail=str(error))
-        except _StalledError:
+        except StalledError:
             return Outcome("broken", detail="no event in time")
 
     def _check_server(self, server: str) -> None:
@@ -560,14 +515,15 @@
         self,
         exchange: Exchange,
         answer: BackendAnswer,
-        scope: _Stall,
+        stall: StallLimit,
         entry: BackendEntry | None,
     ) -> Outcome:
         kind = self._dialect.judge(answer.status, answer.headers, exchange.request)
         notice = self._dialect.notice(answer.status, answer.headers)
-        if entry is not None and notice is not NO_NOTICE:
+        if entry is not None:
             request_id = exchange.request.request_id
-            self._fleet.note_answer(entry, notice, "request", request_id)
+            exchanger = self._fleet.notice_exchange
+            exchanger.on_answer(entry, notice, "request", request_id)
         if kind is AnswerKind.NOT_RUN and notice.pause_text:
             exchange.runs -= 1
             return Outcome("busy", detail="the backend server asked for a pause")
@@ -578,7 +534,7 @@
             detail = f"answer is {kind.value}, status {answer.status}"
             return Outcome("broken", detail=detail)
         if kind is AnswerKind.SUCCESS and exchange.route.is_stream:
-            return await self._relay(exchange, answer, scope)
+            return await self._relay(exchange, answer, stall)
         body = await answer.read_up_to(MAX_ANSWER_BYTES)
         if body is None:
             return Outcome("broken", detail="answer is too long")
@@ -595,7 +551,7 @@
         return Outcome("ok", response)
 
     async def _relay(
-        self, exchange: Exchange, answer: BackendAnswer, scope: _Stall
+        self, exchange: Exchange, answer: BackendAnswer, stall: StallLimit
     ) -> Outcome:
         splitter = exchange.splitter
         splitter.restart()
@@ -618,14 +574,14 @@
             # Bytes that bring no further event are no progress.
             if splitter.last_id != last_id:
                 last_id = splitter.last_id
-                scope.extend(EVENT_GAP_TIMEOUT_S)
+                stall.extend(EVENT_GAP_TIMEOUT_S)
                 exchange.times.note_event(boot_time())
             await exchange.stream.write(events)
         if splitter.has_partial:
             return Outcome("broken", detail="the stream ended without its end")
         if exchange.stream is None:
             return Outcome("broken", detail="the stream has no event")
-        scope.cancel()
+        stall.cancel()
         await exchange.stream.write_eof()
         return Outcome("ok", exchange.stream)
 
@@ -765,73 +721,3 @@
 
 def _status_of(outcome: Outcome) -> int:
     return outcome.response.status if outcome.response is not None else 0
-
-
-class _StalledError(Exception):
-    """A stream that can be moved gave nothing for too long."""
-
-
-class _Stall:
-    """Limit of the time without an event, for streams that can be moved.
-
-    A stream that may not be moved when its limit is reached goes on: its server
-    may be slow, and ending it would lose what the caller has.
-
-    Parameters
-    ----------
-    scope : asyncio.Timeout or None
-        Ends the send; None for no limit.
-    may_move : callable
-        Whether the stream may be sent to another server now.
-    """
-
-    __slots__ = ("_limit_s", "_may_move", "_scope", "_timer")
-
-    def __init__(
-        self, scope: asyncio.Timeout | None, may_move: Callable[[], bool]
-    ) -> None:
-        self._scope = scope
-        self._may_move = may_move
-        self._limit_s = 0.0
-        self._timer: asyncio.TimerHandle | None = None
-
-    def extend(self, seconds: float) -> None:
-        """Set the limit anew."""
-        self.cancel()
-        if self._scope is not None:
-            self._limit_s = seconds
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(seconds, self._on_due)
-
-    def cancel(self) -> None:
-        """Remove the limit."""
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-
-    def _on_due(self) -> None:
-        if not self._may_move():
-            self.extend(self._limit_s)
-        elif self._scope is not None:
-            self._scope.reschedule(asyncio.get_running_loop().time())
-
-
-@contextlib.asynccontextmanager
-async def _stall_limit(
-    is_limited: bool, may_move: Callable[[], bool]
-) -> AsyncIterator[_Stall]:
-    if not is_limited:
-        yield _Stall(None, may_move)
-        return
-    scope = asyncio.timeout(None)
-    stall = _Stall(scope, may_move)
-    stall.extend(FIRST_EVENT_TIMEOUT_S)
-    try:
-        async with scope:
-            yield stall
-    except TimeoutError as error:
-        if scope.expired():
-            raise _StalledError from error
-        raise
-    finally:
-        stall.cancel()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,6 +15,8 @@
 # Seeds below were played before instances were cut off from each other and
 # settings changed; they keep the faults that they had.
 FIRST_SEED_WITH_PEERS = 500
+# Seeds below were played before servers said that they are leaving or busy.
+FIRST_SEED_WITH_NOTICES = 800
 
 
 class FaultInjector:
@@ -38,6 +40,8 @@
         faults = [self.kill, self.stop_planned, self.pause, self.cut_store]
         if self._soak.seed >= FIRST_SEED_WITH_PEERS:
             faults += [self.cut_peers, self.change_settings]
+        if self._soak.seed >= FIRST_SEED_WITH_NOTICES:
+            faults += [self.say_leaving, self.say_busy]
         faults += [
             self.break_store,
             self.break_backend,
@@ -156,6 +160,26 @@
             engine.restart()
             self._soak.announce(engine)
 
+    async def say_leaving(self) -> None:
+        """Let a backend server say that it is leaving, and start anew later."""
+        engine = self._soak.random.choice(self._soak.engines)
+        if engine.is_leaving:
+            return
+        engine.is_leaving = True
+        await asyncio.sleep(self._soak.random.uniform(0.3, 3.0))
+        engine.is_leaving = False
+        engine.restart()
+        self._soak.announce(engine)
+
+    async def say_busy(self) -> None:
+        """Let a backend server turn some calls away for a while, or all do."""
+        engines = [self._soak.random.choice(self._soak.engines)]
+        if self._soak.random.random() < 0.2:
+            engines = list(self._soak.engines)
+        for engine in engines:
+            engine.busy_text = self._soak.random.choice(("0.3", "1", "2.5", "-1", "x"))
+            engine.busy_next = self._soak.random.randint(1, 6)
+
     async def reconfigure(self) -> None:
         """Change the configuration a few times in quick succession."""
         for _ in range(self._soak.random.randint(1, 4)):
