Forget pauses of servers that are long over

Cause: each start of a server has a new name, so the table of pauses grew by one entry a paused server, and its look-up never got its short way back.

--- a/sequoiafall/server_notices.py
+++ b/sequoiafall/server_notices.py
@@ -165,8 +165,15 @@
         return min(1.0, max(0.0, share))
 
     def pauses(self) -> list[Pause]:
-        """Return the pauses that have not ended."""
+        """Return the pauses that have not ended, and forget those long over."""
         now = boot_time()
+        ended = [
+            server
+            for server, until in self._paused_until_by_server.items()
+            if until + RETURN_S < now
+        ]
+        for server in ended:
+            del self._paused_until_by_server[server]
         return [
             Pause(server, until - now)
             for server, until in self._paused_until_by_server.items()
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -156,6 +156,12 @@
         self.assertEqual(self.notices.usable([ENTRY]), [ENTRY])
         self.assertEqual(self.notices.pauses(), [])
 
+    def test_ended_pauses_are_forgotten(self):
+        """Each start of a server has a new name; the memory must stay bounded."""
+        self.now += 2.0 + RETURN_S + 0.1
+        self.notices.pauses()
+        self.assertEqual(self.notices._paused_until_by_server, {})
+
     def test_clock_counts_suspensions(self):
         self.assertIs(ServerNotices.observe.__globals__["boot_time"](), self.now)
         self.assertEqual(boot_time.__module__, "sequoiafall.boot_clock")
