Take only a later start for the return of a server that was leaving

Cause: an entry of an earlier start that is written late would have put a server back in use that said that it is leaving.

Result: a test that failed before.

--- a/sequoiafall/backend_registry.py
+++ b/sequoiafall/backend_registry.py
@@ -68,7 +68,7 @@
         """Note an entry and return whether it differs from the known one."""
         left = self._left_births_by_name.get(entry.name)
         if left is not None:
-            if _is_another_start(entry.born, left):
+            if _is_later_start(entry.born, left):
                 del self._left_births_by_name[entry.name]
             else:
                 entry = replace(entry, is_leaving=True)
@@ -94,8 +94,8 @@
     def mark_leaving(self, name: str, born: int) -> bool:
         """Note that a server said itself that it is leaving.
 
-        It counts as leaving, whatever is announced, until it is announced with
-        another start.
+        It counts as leaving, whatever is announced, until it is announced with a
+        later start: the entry of an earlier one may still be written.
 
         Parameters
         ----------
@@ -111,7 +111,7 @@
         """
         known = self._left_births_by_name.get(name)
         entry = self._entries_by_name.get(name)
-        if known == born or (entry is not None and _is_another_start(entry.born, born)):
+        if known == born or (entry is not None and _is_later_start(entry.born, born)):
             return False
         if len(self._left_births_by_name) >= MAX_LEFT:
             del self._left_births_by_name[next(iter(self._left_births_by_name))]
@@ -138,5 +138,5 @@
         return [row for row in self._entries_by_name.values() if row.service == service]
 
 
-def _is_another_start(born: int, other: int) -> bool:
-    return bool(born and other and born != other)
+def _is_later_start(born: int, other: int) -> bool:
+    return bool(born and other and born > other)
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -114,6 +114,11 @@
         self.registry.put(entry(born=8))
         self.assertTrue(self.is_used())
 
+    def test_entry_of_an_earlier_start_is_written_late(self):
+        self.registry.mark_leaving("e1", 7)
+        self.registry.put(entry(born=6))
+        self.assertFalse(self.is_used())
+
     def test_late_word_of_an_earlier_start(self):
         self.registry.put(entry(born=8))
         self.assertFalse(self.registry.mark_leaving("e1", 7))
