--- a/tests/test_place_source.py
+++ b/tests/test_place_source.py
@@ -7,7 +7,7 @@
 
 from parameterized import parameterized
 
-from sequoiafall.backend_registry import BackendEntry
+from sequoiafall.backend_registry import BackendEntry, BackendRegistry
 from sequoiafall.boot_clock import boot_time
 from sequoiafall.engine_pool import EngineReport
 from sequoiafall.place_source import (
@@ -17,6 +17,7 @@
     PlaceSource,
 )
 from sequoiafall.refusal import Reason
+from sequoiafall.server_notices import ServerNotice, ServerNotices
 
 
 class FakeRegistry:
@@ -53,6 +54,7 @@
     def __init__(self, is_election_blocked):
         self.is_election_blocked = is_election_blocked
         self.registry = FakeRegistry()
+        self.notices = ServerNotices(BackendRegistry(), random.Random(1))
         self.members = []
         self.versions_by_adapter = {}
 
@@ -107,3 +109,14 @@
         refusal, waited_s = await self._refuse(False, 4.0)
         self.assertGreaterEqual(waited_s, LEADER_WAIT_S)
         self.assertIs(refusal.reason, Reason.OWNER_UNAVAILABLE)
+
+    async def test_engines_that_pause_are_not_asked(self):
+        """Without a leader an instance reads reports itself; a pause binds it too."""
+        fleet = FakeFleet(False)
+        fleet.registry = FakeRegistry(4)
+        notice = ServerNotice(False, "20")
+        fleet.notices.observe(fleet.registry.entries[0], notice, "request", "r0")
+        control = CountingControl()
+        source = PlaceSource(fleet, control, random.Random(1))
+        await source._read_all("assist")
+        self.assertEqual(control.reports, 3)
