Keep the connections of reports and orders open

Cause: the connector that closes idle connections with surplus bytes took the client library's own call without bytes, which it makes when it goes on reading, for such bytes: each report opened a connection.

Change: only bytes count. A test of five reports on one connection, which failed before.

Five are enough; all must still be served.

--- a/sequoiafall/engine_client.py
+++ b/sequoiafall/engine_client.py
@@ -85,7 +85,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Take bytes for the answer under way; without one they end the connection."""
-        if self.is_idle:
+        # The client library passes no bytes when it goes on reading.
+        if self.is_idle and data:
             self.abort()
             return
         self._received_bytes += len(data)
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -1,6 +1,7 @@
 """Tests of servers in trouble that send bytes without end instead of an answer."""
 
 import asyncio
+import contextlib
 import tracemalloc
 import unittest
 from unittest.mock import patch
@@ -283,6 +284,30 @@
         await until(lambda: protocol._buffer or not protocol.is_connected())
         self.assertFalse(protocol.is_connected())
 
+    async def test_reports_share_a_connection(self):
+        """A connection for each report is paid for at every engine, all the time."""
+        connections = 0
+
+        async def serve(reader, writer):
+            nonlocal connections
+            connections += 1
+            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+                while await reader.readuntil(b"\r\n\r\n"):
+                    writer.write(HEAD + b"Content-Length: 14\r\n\r\n")
+                    await writer.drain()
+                    writer.write(b'{"sequence":1}')
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        engines = PlatformEngines()
+        self.addAsyncCleanup(engines.close)
+        entry = BackendEntry("e1", "assist", address, "a", 64, False)
+        for _ in range(5):
+            self.assertIsNotNone(await engines.report(entry))
+        self.assertEqual(connections, 1)
+
     async def test_library_alone_would_mix_them_up(self):
         # Shows that the server of these tests provokes the fault.
         address = await self.start()
