--- a/tests/test_fleet_overload.py
+++ b/tests/test_fleet_overload.py
@@ -54,8 +54,7 @@
 
         await wait_until(excess_refused, "the refusals")
         # A call that is cancelled gives its place to one that still waits, so that
-        # everything is looked at before.
-        recorded = (await self.get_json(engine.address, "/recorded"))["recorded"]
+        # the places are counted before.
         requests = await self.request_count("engine-0")
         answers = list(refused)
         for call in calls:
@@ -67,6 +66,7 @@
             refusal = (answer.reason, answer.ran)
             self.assertEqual(refusal, ("overloaded", "not run"), answer)
             self.assertGreaterEqual(int(answer.headers["Retry-After"]), 1)
+        recorded = (await self.get_json(engine.address, "/recorded"))["recorded"]
         received = {
             value.partition(".")[0]
             for item in recorded
