--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -80,6 +80,8 @@
 UNCERTAIN_KINDS = frozenset(
     (ResponseKind.WRONG_SERVER, ResponseKind.WRONG_REQUEST, ResponseKind.UNSIGNED)
 )
+# Identifiers of prompt parts in a log line.
+MAX_LOGGED_PARTS = 8
 # Short, because another instance can serve the request at once.
 DRAINING_RETRY_AFTER_S = 0.05
 
@@ -133,6 +135,8 @@
         Streamed response, once it has begun.
     splitter : EventSplitter
         Event parser, which drops events that the caller already has.
+    run_events : int
+        How often new events arrived in the current or last run.
     last_failure : web.Response or None
         Error response of a backend server, sent if no further attempt succeeds.
     plain_choice : PlainChoice or None
@@ -155,6 +159,7 @@
     excluded: set[str] = field(default_factory=set)
     stream: web.StreamResponse | None = None
     splitter: EventSplitter = field(default_factory=EventSplitter)
+    run_events: int = 0
     last_failure: web.Response | None = None
     plain_choice: PlainChoice | None = None
     times: ResponseTimings = field(default_factory=ResponseTimings)
@@ -538,6 +543,8 @@
             detail=outcome.detail,
             runs=exchange.runs,
             last_event=exchange.splitter.last_id,
+            run_events=exchange.run_events,
+            shared_parts=",".join(exchange.request.shared_parts[:MAX_LOGGED_PARTS]),
             since_ms=int((boot_time() - exchange.started_at) * 1e3),
             **exchange.describe_choice(),
         )
@@ -596,6 +603,7 @@
         url = URL(f"http://{place.address}{request.target}", encoded=True)
         exchange.sends += 1
         exchange.runs += 1
+        exchange.run_events = 0
         client = SingleSendClient()
         sent_at = boot_time()
         budget = self._retry_budget(exchange.service)
@@ -720,6 +728,7 @@
             # Only new events count as progress, not keep-alive bytes.
             if splitter.last_id != last_id:
                 last_id = splitter.last_id
+                exchange.run_events += 1
                 stall.restart(EVENT_GAP_TIMEOUT_S)
                 exchange.times.record_event(boot_time())
             await exchange.stream.write(events)
--- a/sequoiafall/platform/dialect.py
+++ b/sequoiafall/platform/dialect.py
@@ -29,6 +29,8 @@
 )
 # Response of a server at an address that now belongs to another one.
 WRONG_SERVER_STATUS = 421
+# Parts of a prompt that are read from its header; further ones are ignored.
+MAX_PROMPT_PARTS = 32
 _BEARER = "bearer "
 
 
@@ -67,6 +69,7 @@
             prompt_tokens,
             output_tokens,
             int(_parse_number(headers, names.LAST_EVENT, -1)),
+            _shared_parts(headers.get(names.PROMPT_PARTS, "")),
         )
 
     def attempt_headers(
@@ -159,6 +162,16 @@
         raise ValueError(f"{name}: expected a number") from None
 
 
+def _shared_parts(text: str) -> tuple[str, ...]:
+    """Return the identifiers of a prompt's parts, without the last.
+
+    The last part belongs to the request or its session alone.
+    """
+    parts = text.split(",", MAX_PROMPT_PARTS)[:-1]
+    identifiers = (part.partition(":")[0].strip().lower() for part in parts)
+    return tuple(dict.fromkeys(name for name in identifiers if name))
+
+
 def _parse_tokens(text: str) -> tuple[int | None, int | None]:
     if not text:
         return None, None
--- a/sequoiafall/serving_ports.py
+++ b/sequoiafall/serving_ports.py
@@ -45,6 +45,8 @@
         Size of the request in tokens, None if the request does not state it.
     resume_after : int
         Number of the last event that the caller has received, -1 for none.
+    shared_parts : tuple of str
+        Identifiers of the parts of the prompt that other requests may share.
     """
 
     request_id: str
@@ -61,6 +63,7 @@
     prompt_tokens: int | None = None
     output_tokens: int | None = None
     resume_after: int = -1
+    shared_parts: tuple[str, ...] = ()
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -17,7 +17,7 @@
 
 from sequoiafall.catalog import RepeatPolicy
 from sequoiafall.platform import names
-from sequoiafall.platform.dialect import PlatformDialect
+from sequoiafall.platform.dialect import MAX_PROMPT_PARTS, PlatformDialect
 from sequoiafall.platform.node_file import NodeFile, read_node_file
 from sequoiafall.platform.rows import PlatformRows
 from sequoiafall.row_store import StoreRow
@@ -285,6 +285,25 @@
         request = self._request(**{names.MODEL: text})
         self.assertEqual((request.model, request.adapter), (model, adapter))
 
+    @parameterized.expand(
+        [
+            ("absent", "", ()),
+            ("only its own", "e4:250", ()),
+            ("shared", "5c:800,91:410,e4:250", ("5c", "91")),
+            ("spaces and case", " 5C:800 , 91:410,e4:250", ("5c", "91")),
+            ("repeated", "5c:800,5c:800,e4:250", ("5c",)),
+            ("without tokens", "5c,,:7,e4", ("5c",)),
+            ("too many", ",".join(f"{n:x}:1" for n in range(40)), None),
+        ]
+    )
+    def test_shared_parts(self, _name, text, expected):
+        request = self._request(**{names.PROMPT_PARTS: text})
+        if expected is None:
+            self.assertEqual(len(request.shared_parts), MAX_PROMPT_PARTS)
+        else:
+            self.assertEqual(request.shared_parts, expected)
+        self.assertEqual(request.headers.get(names.PROMPT_PARTS), text)
+
     def test_request_without_identity(self):
         with self.assertRaises(ValueError):
             PlatformDialect().read_request("GET", "/", CIMultiDict(), b"")
