Report adapters of the engine stand-in as loaded when their load ends

The stand-in kept the report as it was at the last order, so an adapter stayed 'incoming' until the next one. Without a leader there is no next order: no engine seemed to hold an adapter, every request was refused, and test_without_a_leader of test_server_limits counted no request at an engine.

--- a/sequoiafall/standins/adapter_engine.py
+++ b/sequoiafall/standins/adapter_engine.py
@@ -108,7 +108,9 @@
         self.limit_per_s = -1.0
         self.names_limit_in_control = True
         self.calls: list[tuple[float, str]] = []
-        self._history: list[tuple[float, dict[str, Any]]] = []
+        # Time, resident adapters, whether the model is loaded, and sequence number
+        # after each order.
+        self._history: list[tuple[float, dict[str, int], bool, int]] = []
 
     def application(self) -> web.Application:
         """Return the web application."""
@@ -150,25 +152,27 @@
 
     # Reports and orders
 
-    def _current_state(self) -> dict[str, Any]:
-        now = time.monotonic()
+    def _report_at(
+        self, resident: dict[str, int], has_model: bool, sequence: int, seen_at: float
+    ) -> dict[str, Any]:
+        """Return the report of a state as it was at a time in seconds."""
         loaded = [
             f"{name}@{version}"
-            for name, version in self.resident.items()
-            if self.ready_at_by_adapter.get(name, 0.0) <= now
+            for name, version in resident.items()
+            if self.ready_at_by_adapter.get(name, 0.0) <= seen_at
         ]
         incoming = [
             f"{self.model}/{name}@{version}"
-            for name, version in self.resident.items()
-            if self.ready_at_by_adapter.get(name, 0.0) > now
+            for name, version in resident.items()
+            if self.ready_at_by_adapter.get(name, 0.0) > seen_at
         ]
         models = [{"name": self.model, "version": 1, "adapters": loaded}]
         return {
             "stage": "unified",
-            "models": models if self.has_model else [],
+            "models": models if has_model else [],
             "incoming": incoming,
             "busy": False,
-            "sequence": self.sequence,
+            "sequence": sequence,
             "waiting": 0,
             "running": self.running,
             "born": self.started_at_ms,
@@ -179,8 +183,16 @@
         if self.withholds_reports:
             await self.resume_event.wait()
         now = time.monotonic()
-        old = [state for at, state in self._history if at <= now - REPORT_LAG_S]
-        return web.json_response(old[-1] if old else self._current_state())
+        seen_at = now - REPORT_LAG_S
+        old = [state for state in self._history if state[0] <= seen_at]
+        if old:
+            _, resident, has_model, sequence = old[-1]
+            return web.json_response(
+                self._report_at(resident, has_model, sequence, seen_at)
+            )
+        return web.json_response(
+            self._report_at(self.resident, self.has_model, self.sequence, now)
+        )
 
     async def _on_order(self, request: web.Request) -> web.StreamResponse:
         self._record_call("order")
@@ -226,7 +238,9 @@
 
     def _record_change(self, status: int) -> int:
         self.sequence += 1
-        self._history.append((time.monotonic(), self._current_state()))
+        self._history.append(
+            (time.monotonic(), dict(self.resident), self.has_model, self.sequence)
+        )
         del self._history[:-50]
         return status
 
