--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -33,6 +33,8 @@
 from .test_engine_planner import Driver
 
 LEAVING = {names.LEAVING: "1"}
+# Maximum number of rounds of calls until an engine must have asked for a pause.
+MAX_ROUNDS = 20
 ENTRY = BackendEntry("e1", "assist", "10.0.0.1:80", "a", 64, False, 7)
 
 
