--- a/sequoiafall/standins/adapter_engine.py
+++ b/sequoiafall/standins/adapter_engine.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from collections import Counter
+from collections.abc import Callable
 from typing import Any
 
 from aiohttp import web
@@ -15,6 +16,7 @@
 TRICKLE_INTERVAL_S = 0.02
 # Reports show the state as it was this long ago.
 REPORT_LAG_S = 0.1
+CRASH_DOWN_S = 1.5
 
 
 class AdapterEngine:
@@ -66,6 +68,20 @@
         Whether the responses to report requests and orders name the limit as well.
     calls : list of tuple of (float, str)
         Time in seconds and kind of all calls: ``request``, ``report`` or ``order``.
+    crashing_parts : set of str
+        Parts of a prompt on which the server crashes as soon as it begins to write a
+        response. It then refuses connections for `down_s`, and restarts with nothing
+        loaded.
+    down_s : float
+        Seconds from a crash to the restart.
+    keeps_models : bool
+        Whether it holds the same models and adapters after a crash as before.
+    crashed_at : list of float
+        Times of the crashes, in seconds.
+    harmful_arrivals : list of float
+        Times of requests with one of the crashing parts, in seconds.
+    on_restart : callable or None
+        Called after each restart that follows a crash.
     """
 
     def __init__(
@@ -108,6 +124,15 @@
         self.limit_per_s = -1.0
         self.names_limit_in_control = True
         self.calls: list[tuple[float, str]] = []
+        self.crashing_parts: set[str] = set()
+        self.down_s = CRASH_DOWN_S
+        self.keeps_models = False
+        self.crashed_at: list[float] = []
+        self.harmful_arrivals: list[float] = []
+        self.on_restart: Callable[[], object] | None = None
+        self._runner: web.AppRunner | None = None
+        self._site: web.TCPSite | None = None
+        self._restart_task: asyncio.Task[None] | None = None
         # Time, resident adapters, whether the model is loaded, and sequence number
         # after each order.
         self._history: list[tuple[float, dict[str, int], bool, int]] = []
@@ -121,12 +146,55 @@
         application.router.add_route("*", "/{path:.*}", self._on_request)
         return application
 
+    async def listen(self, host: str) -> str:
+        """Start to serve on a free port and return the address."""
+        self._runner = web.AppRunner(
+            self.application(), access_log=None, handler_cancellation=True
+        )
+        await self._runner.setup()
+        self._site = web.TCPSite(self._runner, host, 0, shutdown_timeout=0.1)
+        await self._site.start()
+        return "{}:{}".format(*self._runner.addresses[0][:2])
+
+    async def close(self) -> None:
+        """Stop serving."""
+        if self._restart_task is not None:
+            self._restart_task.cancel()
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def crash(self) -> None:
+        """Reset all connections and refuse new ones until `down_s` is over."""
+        if self._runner is None or self._site is None or self._runner.server is None:
+            return
+        if self._restart_task is not None and not self._restart_task.done():
+            return
+        self.crashed_at.append(time.monotonic())
+        host, port = self._runner.addresses[0][:2]
+        self._restart_task = asyncio.get_running_loop().create_task(
+            self._restart_later(host, port)
+        )
+        await self._site.stop()
+        for connection in list(self._runner.server.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+
+    async def _restart_later(self, host: str, port: int) -> None:
+        await asyncio.sleep(self.down_s)
+        assert self._runner is not None
+        self.restart()
+        self._site = web.TCPSite(self._runner, host, port, shutdown_timeout=0.1)
+        await self._site.start()
+        if self.on_restart is not None:
+            self.on_restart()
+
     def restart(self) -> None:
         """Simulate a restart under the same name, with nothing loaded."""
         self.started_at_ms += 1
         self.sequence = self.fencing_token = 0
-        self.has_model = False
-        self.resident.clear()
+        if not self.keeps_models:
+            self.has_model = False
+            self.resident.clear()
         self._history.clear()
 
     async def _on_prepare(
@@ -251,6 +319,9 @@
         request_id = request.headers.get(names.REQUEST_ID, "")
         self.received_request_ids.append(request_id)
         self._record_call("request")
+        is_harmful = not self.crashing_parts.isdisjoint(_parts(request))
+        if is_harmful:
+            self.harmful_arrivals.append(time.monotonic())
         headers = {names.REQUEST_ID: request_id}
         if request.headers.get(names.EXPECTED_SERVER, self.name) != self.name:
             return web.Response(status=421, headers=headers)
@@ -287,6 +358,10 @@
             headers[names.REQUEST_ID] = "another"
         self.running += 1
         try:
+            if self.model and is_harmful:
+                await asyncio.sleep(self.event_interval_s)
+                await self.crash()
+                return web.Response(status=500)
             if self.model:
                 return await self._stream(request, headers)
             await asyncio.sleep(self.processing_s)
@@ -325,3 +400,9 @@
         while True:
             await response.write(b"x")
             await asyncio.sleep(TRICKLE_INTERVAL_S)
+
+
+def _parts(request: web.Request) -> list[str]:
+    """Return the identifiers of the parts of a request's prompt."""
+    parts = request.headers.get(names.PROMPT_PARTS, "").split(",")
+    return [part.partition(":")[0] for part in parts]
--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -114,6 +114,8 @@
         await asyncio.gather(*(node.stop() for node in self.nodes))
         for runner in self._runners:
             await runner.cleanup()
+        for backend in self.engines.values():
+            await backend.close()
 
     async def _listen(self, application, host):
         runner = web.AppRunner(application, access_log=None, handler_cancellation=True)
@@ -124,7 +126,8 @@
 
     async def start_backend(self, name, service="assist", model="base", **options):
         backend = AdapterEngine(name, model, **options)
-        backend.address = await self._listen(backend.application(), "127.0.0.1")
+        backend.address = await backend.listen("127.0.0.1")
+        backend.on_restart = lambda: self.announce(backend)
         backend.service = service
         self.engines[name] = backend
         self.announce(backend)
