Reset the connection of an HTTP/1.0 caller whose stream breaks off

What callers saw: a caller of HTTP/1.0 gets a stream without chunks, so the end of the connection ends it. When a server broke off inside an event, the gateway aborted the connection, which asyncio does with a regular end: the incomplete stream looked complete. Seen while the answers of servers that end with their connection were played (the engine stand-in learns them, with a length nor chunks, whole, cut inside an event, reset).

Callers of HTTP/1.1 miss the last chunk and keep the abort, as a reset may discard bytes that are on their way.

--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -18,6 +18,7 @@
 from .backend_registry import BackendEntry
 from .boot_clock import boot_time
 from .catalog import Organisation, RepeatPolicy, ServiceRoute
+from .connection_reset import abort_response
 from .crash_evidence import ServerStart
 from .engine_client import (
     BackendResponse,
@@ -803,9 +804,7 @@
         """Reset the caller's connection, so that the response is seen as incomplete."""
         self._log_end(exchange, "broken_off", 0, detail)
         assert exchange.stream is not None
-        transport = exchange.web_request.transport
-        if transport is not None:
-            transport.abort()
+        abort_response(exchange.web_request)
         return exchange.stream
 
     def _finish_refusal(
--- a/sequoiafall/standins/adapter_engine.py
+++ b/sequoiafall/standins/adapter_engine.py
@@ -10,6 +10,7 @@
 
 from aiohttp import web
 
+from ..connection_reset import reset_connection
 from ..platform import names
 
 EVENT_INTERVAL_S = 0.01
@@ -19,6 +20,16 @@
 CRASH_DOWN_S = 1.5
 
 
+class _UnframedResponse(web.StreamResponse):
+    """Response with neither a length nor chunks, which ends with its connection."""
+
+    _length_check = False
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        self.force_close()
+
+
 class AdapterEngine:
     """Serves requests, reports and load orders over HTTP, with injectable faults.
 
@@ -68,6 +79,12 @@
         Whether the responses to report requests and orders name the limit as well.
     calls : list of tuple of (float, str)
         Time in seconds and kind of all calls: ``request``, ``report`` or ``order``.
+    ends_with_connection : bool
+        Whether responses to requests have neither a length nor chunks, so that the
+        end of their connection ends them.
+    cuts_with_reset : bool
+        Whether responses that are cut off end with a reset of the connection, as
+        opposed to a regular end.
     crashing_parts : set of str
         Parts of a prompt on which the server crashes as soon as it begins to write a
         response. It then refuses connections for `down_s`, and restarts with nothing
@@ -124,6 +141,8 @@
         self.limit_per_s = -1.0
         self.names_limit_in_control = True
         self.calls: list[tuple[float, str]] = []
+        self.ends_with_connection = False
+        self.cuts_with_reset = True
         self.crashing_parts: set[str] = set()
         self.down_s = CRASH_DOWN_S
         self.keeps_models = False
@@ -176,8 +195,7 @@
         )
         await self._site.stop()
         for connection in list(self._runner.server.connections):
-            if connection.transport is not None:
-                connection.transport.abort()
+            reset_connection(connection.transport)
 
     async def _restart_later(self, host: str, port: int) -> None:
         await asyncio.sleep(self.down_s)
@@ -365,15 +383,39 @@
             if self.model:
                 return await self._stream(request, headers)
             await asyncio.sleep(self.processing_s)
+            if self.ends_with_connection:
+                return await self._respond_unframed(request, headers, b"done:" + body)
             return web.Response(body=b"done:" + body, headers=headers)
         finally:
             self.running -= 1
 
+    async def _respond_unframed(
+        self, request: web.Request, headers: dict[str, str], body: bytes
+    ) -> web.StreamResponse:
+        response = _UnframedResponse(headers=headers)
+        await response.prepare(request)
+        is_cut = self.cut_after_events >= 0
+        self.cut_after_events = -1
+        await response.write(body[:-1] if is_cut else body)
+        if is_cut and request.transport is not None:
+            self._cut(request.transport)
+            return response
+        await response.write_eof()
+        return response
+
+    def _cut(self, transport: asyncio.Transport) -> None:
+        """End a connection in the middle of a response."""
+        if self.cuts_with_reset:
+            reset_connection(transport)
+        else:
+            transport.close()
+
     async def _stream(
         self, request: web.Request, headers: dict[str, str]
     ) -> web.StreamResponse:
         first = int(request.headers.get(names.LAST_EVENT, "0")) + 1
-        response = web.StreamResponse(headers=headers)
+        kind = _UnframedResponse if self.ends_with_connection else web.StreamResponse
+        response = kind(headers=headers)
         response.content_type = "text/event-stream"
         await response.prepare(request)
         cut_after, self.cut_after_events = self.cut_after_events, -1
@@ -383,7 +425,7 @@
             if 0 <= cut_after < number:
                 await response.write(b"id: ")
                 if request.transport is not None:
-                    request.transport.abort()
+                    self._cut(request.transport)
                 return response
             await asyncio.sleep(self.event_interval_s)
             if self.trickling_streams > 0 and number > first:
