--- a/sequoiafall/caller_stream.py
+++ b/sequoiafall/caller_stream.py
@@ -10,6 +10,7 @@
 from aiohttp.abc import AbstractStreamWriter
 
 from .calls import RunningCall
+from .connection_reset import abort_response
 
 # High-water mark of the transport. One write may exceed it by the bytes that are
 # received from the backend server at a time.
@@ -109,5 +110,4 @@
 
     def abort(self) -> None:
         """Abort the connection, so that the response is seen as incomplete."""
-        if self._transport is not None:
-            self._transport.abort()
+        abort_response(self._request)
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -1,9 +1,14 @@
 """Tests of answers with neither a length nor chunks; their connection ends them."""
 
 import asyncio
+import unittest
+from types import SimpleNamespace
+from unittest.mock import AsyncMock
 
+from aiohttp import web
 from parameterized import parameterized
 
+from sequoiafall.caller_stream import CallerStream
 from sequoiafall.platform import names
 
 from .events import EVENT_TIMEOUT_S, until
@@ -17,8 +22,8 @@
 class RawCaller:
     """Caller that reads an answer from a plain connection."""
 
-    def __init__(self, node):
-        self.host, _, port = node.settings.front_address.rpartition(":")
+    def __init__(self, address):
+        self.host, _, port = address.rpartition(":")
         self.port = int(port)
 
     async def call(self, path, version, request_id="raw", **headers):
@@ -59,7 +64,7 @@
         await self.call(nodes[0], "/draft/x", adapter="a0")
         await until(lambda: all(len(node.fleet.registry) == 4 for node in nodes))
         self.node = nodes[0]
-        return RawCaller(self.node)
+        return RawCaller(self.node.settings.front_address)
 
     def event_ids(self, body):
         lines = body.decode().splitlines()
@@ -152,3 +157,27 @@
         self.assertIn(status, head.splitlines()[0])
         self.assertIn(b"done:body", body)
         self.assertLessEqual(self.runs("raw"), runs)
+
+
+class GatewayStreamTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against an aborted stream of the gateway that looks complete."""
+
+    @parameterized.expand([(version,) for version in VERSIONS])
+    async def test_abort(self, version):
+        async def handle(request):
+            call = SimpleNamespace(wait_writable=AsyncMock())
+            stream = CallerStream(request, call)
+            await stream.start(200, {"Content-Type": "text/event-stream"})
+            await stream.write(b"id: 1\n\n")
+            stream.abort()
+            return stream.response
+
+        application = web.Application()
+        application.router.add_post("/x", handle)
+        runner = web.AppRunner(application)
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        host, port = runner.addresses[0][:2]
+        _, _, is_complete = await RawCaller(f"{host}:{port}").call("/x", version)
+        self.assertFalse(is_complete)
