Play harmful prompts in the emulator

HarmfulDayTest counts crashes (five a part at most) and sound requests, and convicts nobody when all engines restart three times.

--- a/sequoiafall/day.py
+++ b/sequoiafall/day.py
@@ -128,19 +128,27 @@
         weight of the first organisation. ``shift`` makes other adapters popular.
         ``restart`` restarts `count` engines, ``slow`` makes them `x` times slower,
         during ``limit`` they take `x` requests per second. During ``no_leader`` no
-        leader places requests.
+        leader places requests. During ``harmful`` a share `x` of the requests have a
+        part in their prompts that crashes engines.
     at, for_s : float
         Start and duration in seconds.
     x : float
-        Factor or rate, see `kind`.
+        Factor, rate or share, see `kind`.
     count : int
         Number of affected engines.
     request : str
-        Kind of request that a burst affects; empty for all.
+        Kind of request that a burst or harmful prompts affect; empty for all.
     """
 
     kind: Literal[
-        "burst", "hot_organisation", "shift", "restart", "slow", "limit", "no_leader"
+        "burst",
+        "hot_organisation",
+        "shift",
+        "restart",
+        "slow",
+        "limit",
+        "no_leader",
+        "harmful",
     ]
     at: NonNegative
     for_s: Positive = 3.0
--- a/sequoiafall/day_arrivals.py
+++ b/sequoiafall/day_arrivals.py
@@ -13,6 +13,8 @@
 
 # Cost of an output token in prompt tokens, as token limits count it.
 OUTPUT_TOKEN_WEIGHT = 10.0
+# Different second parts of the prompts of one kind of request; all share the first.
+PARTS_PER_KIND = 40
 # A shift of demand moves each adapter by this many popularity ranks, so that the few
 # most popular ones become rare.
 SHIFT_RANKS = 7
@@ -47,6 +49,10 @@
         Whether it was refused because of its organisation's limit.
     excluded : frozenset of str
         Engines on which it failed.
+    shared_parts : tuple of str
+        Parts of the prompt that other requests share.
+    is_harmful : bool
+        Whether one of the parts crashes engines.
     """
 
     request_id: str
@@ -64,6 +70,8 @@
     attempts: int = 0
     is_over_limit: bool = False
     excluded: frozenset[str] = frozenset()
+    shared_parts: tuple[str, ...] = ()
+    is_harmful: bool = False
 
     @property
     def is_served(self) -> bool:
@@ -104,9 +112,26 @@
             requests.append(
                 _draw_request(day, generator, kind, cumulative_weights, at, number)
             )
+    for number, row in enumerate(day.disturbances):
+        if row.kind == "harmful":
+            _add_harmful_part(requests, row, random.Random(f"{seed}-harmful-{number}"))
     return sorted(requests, key=lambda request: request.arrived_at)
 
 
+def _add_harmful_part(
+    requests: list[DayRequest], row: Disturbance, generator: random.Random
+) -> None:
+    """Add a part that crashes engines to a share of the prompts."""
+    part = f"harmful-{row.at:g}"
+    for request in requests:
+        is_affected = row.at <= request.arrived_at < row.at + row.for_s
+        if not is_affected or row.request not in ("", request.kind.name):
+            continue
+        if generator.random() < row.x:
+            request.shared_parts += (part,)
+            request.is_harmful = True
+
+
 def _active_disturbances(day: Day, kind: str, at: float) -> list[Disturbance]:
     return [
         row
@@ -151,6 +176,7 @@
         max(1, int(prompt)),
         max(1, int(output)),
         at,
+        shared_parts=(kind.name, f"{kind.name}-{number % PARTS_PER_KIND}"),
     )
 
 
--- a/sequoiafall/day_session.py
+++ b/sequoiafall/day_session.py
@@ -9,12 +9,13 @@
 import heapq
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
 from .backend_registry import BackendEntry
 from .catalog import TokenLimit
+from .crash_evidence import CrashEvidence, ServerStart
 from .day import Day, Disturbance
 from .day_arrivals import DayRequest, draw_requests, zone_names
 from .engine_model import EngineModel, StepTimes, WeightStoreModel
@@ -28,6 +29,7 @@
     PlacementRequest,
     RefusePlace,
 )
+from .prompt_quarantine import PromptQuarantine
 from .request_allowance import RequestAllowance, update_allowances
 from .table import BackendServer
 from .token_bucket import TokenLimits
@@ -50,6 +52,10 @@
 DRAIN_S = 16.0
 # Maximum number of engines on which a request is tried.
 MAX_ATTEMPTS = 2
+# Time for which an engine is down after a crash.
+CRASH_S = 3.2
+# Tokens after which a response counts as begun.
+BEGUN_TOKENS = 2
 
 
 @dataclass(slots=True)
@@ -101,6 +107,7 @@
         self.seed = seed
         self.requests: list[DayRequest] = []
         self.max_adapters_held = 0
+        self.crashes = 0
         self._now = 0.0
         self._event_queue: list[
             tuple[float, int, Callable[..., None], tuple[Any, ...]]
@@ -142,6 +149,8 @@
         self._limit_rates_by_engine: dict[str, float] = {}
         self._allowances_by_engine: dict[str, RequestAllowance] = {}
         self._term = 0
+        # Instances share it, so it outlasts the terms of leaders.
+        self._evidence = CrashEvidence()
         self._limits = TokenLimits(0.0)
         limits = {
             row.name: TokenLimit(row.rate_per_s, row.burst)
@@ -192,6 +201,7 @@
             "warm loads": float(sum(row.counts.warm_loads for row in planners)),
             "evictions": float(sum(row.counts.evictions for row in planners)),
             "most adapters held": float(self.max_adapters_held),
+            "crashes": float(self.crashes),
         }
 
     # Arrivals
@@ -261,7 +271,11 @@
         self._allowances_by_engine = {}
         self._update_allowances()
         planner = EnginePlanner(
-            SERVICE, self._term + self.seed, self.policy, self._allowances_by_engine
+            SERVICE,
+            self._term + self.seed,
+            self.policy,
+            self._allowances_by_engine,
+            PromptQuarantine(self._evidence),
         )
         self._planner = planner
         self._execute(
@@ -415,11 +429,43 @@
             return
         key = (request.adapter, "")
         engine.model.join(request.request_id, key, request.output_tokens, self._now)
+        if request.is_harmful:
+            self._crash(engine)
+            return
+        self._schedule(
+            self._now + BEGUN_TOKENS * engine.model.first_token_s() + ONE_WAY_S,
+            self._on_begun,
+            request,
+            engine,
+            incarnation,
+        )
         if request.first_event_at < 0.0:
             step_s = engine.model.first_token_s()
             request.first_event_at = self._now + step_s + ONE_WAY_S
         self._schedule_end(engine)
 
+    def _on_begun(
+        self, request: DayRequest, engine: _SimulatedEngine, incarnation: int
+    ) -> None:
+        if engine.incarnation != incarnation:
+            return
+        self._evidence.record_begun(request.shared_parts, self._now)
+        if self._planner is not None:
+            self._execute(self._planner.on_begun(request.request_id, self._now))
+
+    def _crash(self, engine: _SimulatedEngine) -> None:
+        """Crash an engine that begins to respond to a harmful prompt."""
+        self.crashes += 1
+        start = ServerStart(engine.name, engine.incarnation)
+        tokens_by_id = engine.model.restart(self._now)
+        for request_id, tokens in tokens_by_id.items():
+            parts = self._requests_by_id[request_id].shared_parts
+            if tokens < BEGUN_TOKENS:
+                self._evidence.record_crash(start, parts, self._now)
+            else:
+                self._evidence.record_begun(parts, self._now)
+        self._restart(engine, CRASH_S, tokens_by_id)
+
     def _schedule_end(self, engine: _SimulatedEngine) -> None:
         engine.model.schedule_id += 1
         next_end = engine.model.next_end(self._now)
@@ -470,7 +516,7 @@
                 self._set_slowdown(engine, row.x)
                 self._schedule(self._now + row.for_s, self._set_slowdown, engine, 1.0)
             else:
-                self._restart(engine, row.for_s)
+                self._restart(engine, row.for_s, engine.model.restart(self._now))
 
     def _set_limit(self, name: str, rate_per_s: float | None) -> None:
         if rate_per_s is None:
@@ -492,8 +538,9 @@
         )
         self._schedule_end(engine)
 
-    def _restart(self, engine: _SimulatedEngine, for_s: float) -> None:
-        aborted_ids = engine.model.restart(self._now)
+    def _restart(
+        self, engine: _SimulatedEngine, for_s: float, aborted_ids: Iterable[str]
+    ) -> None:
         engine.model.schedule_id += 1
         engine.incarnation += 1
         engine.sequence = 0
@@ -522,4 +569,5 @@
         on_time_s,
         remaining_s,
         request.excluded,
+        request.shared_parts,
     )
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -8,6 +8,7 @@
 from parameterized import parameterized
 from typer.testing import CliRunner
 
+from sequoiafall.crash_evidence import HARMFUL_EVENTS
 from sequoiafall.day import (
     Day,
     Disturbance,
@@ -253,6 +254,51 @@
         )
 
 
+class HarmfulDayTest(unittest.TestCase):
+    """Pattern: a share of the prompts crashes each engine that responds to them."""
+
+    def simulate(self, *disturbances):
+        day = quiet_day(disturbances=list(disturbances))
+        session = DaySession(day, POLICIES_BY_NAME["sequoiafall"], 1)
+        session.run()
+        return session
+
+    @parameterized.expand(
+        [
+            ("one in twenty", [(0.05, 4.0)], []),
+            ("one in a hundred", [(0.01, 2.0)], []),
+            ("two parts", [(0.05, 4.0), (0.05, 6.0)], []),
+            ("leader changes", [(0.05, 4.0)], [5.0]),
+        ]
+    )
+    def test_few_engines_crash(self, _name, harmful, without_leader):
+        """Requests on their way at the verdict may crash one engine more for each."""
+        disturbances = [
+            Disturbance(kind="harmful", at=at, for_s=14.0, x=share)
+            for share, at in harmful
+        ]
+        disturbances += [
+            Disturbance(kind="no_leader", at=at, for_s=1.0) for at in without_leader
+        ]
+        session = self.simulate(*disturbances)
+        self.assertGreater(session.crashes, 0)
+        self.assertLessEqual(session.crashes, (HARMFUL_EVENTS + 2) * len(harmful))
+
+    def test_sound_requests_are_served(self):
+        harmful = Disturbance(kind="harmful", at=4.0, for_s=14.0, x=0.05)
+        session = self.simulate(harmful)
+        sound = [row for row in session.requests if not row.is_harmful]
+        self.assertGreater(sum(row.is_served for row in sound) / len(sound), 0.95)
+
+    def test_no_sound_part_is_convicted_when_all_engines_restart(self):
+        restarts = [
+            Disturbance(kind="restart", at=at, for_s=2.0, count=6)
+            for at in (4.0, 8.0, 12.0)
+        ]
+        session = self.simulate(*restarts)
+        self.assertEqual(session._evidence.harmful_parts(), [])
+
+
 class _CallRecorder(DaySession):
     """Records when each engine gets a request, a report request or an order."""
 
