Play harmful prompts and answers without a length in the soak

From seed 1100 on, a share of the prompts gets a part that crashes engines, and servers end answers with their connection and break one off. PromptCheck counts arrivals later than 3 s after the fifth crash, as the users judge them.

PromptCheckTest shows what the check reports.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -21,6 +21,8 @@
 FIRST_SEED_WITH_SERVER_NOTICES = 800
 # And servers name limits only from here on.
 FIRST_SEED_WITH_LIMITS = 1000
+# And prompts crash engines only from here on.
+FIRST_SEED_WITH_HARMFUL_PROMPTS = 1100
 
 
 class FaultInjector:
@@ -59,6 +61,8 @@
             faults += [self.announce_leaving, self.reject_as_busy]
         if self._soak.seed >= FIRST_SEED_WITH_LIMITS:
             faults += [self.name_limit, self.name_limit]
+        if self._soak.seed >= FIRST_SEED_WITH_HARMFUL_PROMPTS:
+            faults += [self.send_harmful_prompts, self.end_answers_with_connection]
         faults += [
             self.disrupt_store,
             self.disrupt_backend_link,
@@ -86,11 +90,11 @@
         process = self._soak.processes[number]
         if process.returncode is not None or number in self._soak.paused:
             return
-        self._soak.limits.disturb(number)
+        self._soak.disturb(number)
         process.kill()
         await process.wait()
         await asyncio.sleep(self._soak.random.uniform(0.0, 1.0))
-        self._soak.limits.disturb(number)
+        self._soak.disturb(number)
         await self._soak.start_node(number)
 
     async def stop_node(self) -> None:
@@ -99,10 +103,10 @@
         process = self._soak.processes[number]
         if process.returncode is not None or number in self._soak.paused:
             return
-        self._soak.limits.disturb(number)
+        self._soak.disturb(number)
         process.send_signal(signal.SIGTERM)
         await process.wait()
-        self._soak.limits.disturb(number)
+        self._soak.disturb(number)
         if self._soak.processes[number] is process:
             await self._soak.start_node(number)
 
@@ -113,12 +117,12 @@
         if process.returncode is not None or number in self._soak.paused:
             return
         self._soak.paused.add(number)
-        self._soak.limits.disturb(number)
+        self._soak.disturb(number)
         process.send_signal(signal.SIGSTOP)
         await asyncio.sleep(self._soak.random.uniform(0.5, 4.0))
         if process.returncode is None:
             process.send_signal(signal.SIGCONT)
-        self._soak.limits.disturb(number)
+        self._soak.disturb(number)
         self._soak.paused.discard(number)
 
     async def disrupt_store_link(self) -> None:
@@ -130,9 +134,9 @@
         await self._disrupt_node(self._random_node(), "peer")
 
     async def _disrupt_node(self, number: int, link: str) -> None:
-        self._soak.limits.disturb(number)
+        self._soak.disturb(number)
         await self._disrupt(self._soak.relays[f"{link}-{number}"])
-        self._soak.limits.disturb(number)
+        self._soak.disturb(number)
 
     async def change_settings(self) -> None:
         """Rewrite the settings file of a node.
@@ -174,6 +178,7 @@
         """Make the store unavailable, slow or lossy for all nodes, or compact it."""
         kind = self._soak.random.choice(("away", "slow", "lost", "late", "compact"))
         store = self._soak.store
+        self._soak.disturb(0)
         if kind == "compact":
             store.compact()
             return
@@ -184,6 +189,7 @@
         await asyncio.sleep(self._soak.random.uniform(0.5, 3.0))
         store.rejected_peers = set()
         store.delay_s = store.response_loss_rate = store.late_apply_delay_s = 0.0
+        self._soak.disturb(0)
 
     async def restart_engine(self) -> None:
         """Restart an engine under the same name, with nothing loaded."""
@@ -233,6 +239,29 @@
         engine.limit_per_s = -1.0
         self._soak.limits.lift(engine.name)
 
+    async def send_harmful_prompts(self) -> None:
+        """Give a share of the prompts a part that crashes engines."""
+        soak = self._soak
+        if soak.prompts.harmful_part:
+            return
+        part = f"harmful-{len(soak.prompts.crashed_at_by_part)}"
+        for engine in soak.engines:
+            if engine.model:
+                engine.crashing_parts.add(part)
+        soak.prompts.harmful_part = part
+        await asyncio.sleep(soak.random.uniform(4.0, 12.0))
+        soak.prompts.harmful_part = ""
+
+    async def end_answers_with_connection(self) -> None:
+        """Let a server end its answers with the connection, and cut one of them."""
+        engine = self._soak.random.choice(self._soak.engines)
+        engine.ends_with_connection = True
+        engine.cuts_with_reset = self._soak.random.random() < 0.5 or not engine.model
+        engine.cut_after_events = self._soak.random.randint(0, 3)
+        await asyncio.sleep(self._soak.random.uniform(1.0, 5.0))
+        engine.ends_with_connection = False
+        engine.cut_after_events = -1
+
     async def change_configuration(self) -> None:
         """Change the configuration up to four times in quick succession."""
         for _ in range(self._soak.random.randint(1, 4)):
--- a/soak/run.py
+++ b/soak/run.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import itertools
 import os
 import random
@@ -29,6 +30,7 @@
 
 from .faults import FaultInjector
 from .limits import LimitCheck
+from .prompts import PromptCheck
 from .relay import FaultyRelay
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -53,23 +55,40 @@
     ----------
     on_request : callable
         Called with the server's name and the identifier of each request.
+    on_harmful : callable
+        Called with the part and the identifier of each request that crashes engines.
+    on_crash : callable
+        Called with the part that crashed the engine.
     """
 
     def __init__(
         self,
         *arguments: Any,
         on_request: Callable[[str, str], None] = lambda _name, _request_id: None,
+        on_harmful: Callable[[str, str], None] = lambda _part, _request_id: None,
+        on_crash: Callable[[str], None] = lambda _part: None,
         **options: Any,
     ) -> None:
         super().__init__(*arguments, **options)
         self._report_request = on_request
+        self._report_harmful = on_harmful
+        self._report_crash = on_crash
         self.holders_by_token: dict[int, set[str]] = defaultdict(set)
         self.received_bodies: list[str] = []
 
     async def _on_request(self, request: web.Request) -> web.StreamResponse:
         request_id = request.headers.get(names.REQUEST_ID, "")
         self._report_request(self.name, request_id)
-        return await super()._on_request(request)
+        parts = request.headers.get(names.PROMPT_PARTS, "").split(",")
+        harmful = {part.partition(":")[0] for part in parts} & self.crashing_parts
+        for part in harmful:
+            self._report_harmful(part, request_id)
+        crashes = len(self.crashed_at)
+        response = await super()._on_request(request)
+        if len(self.crashed_at) > crashes:
+            for part in harmful:
+                self._report_crash(part)
+        return response
 
     def _execute_order(self, order: dict[str, Any]) -> int:
         status = super()._execute_order(order)
@@ -118,6 +137,7 @@
         self.request_numbers = itertools.count(1)
         self.key_withdrawn_at = 0.0
         self.limits = LimitCheck()
+        self.prompts = PromptCheck(seed)
         self.nodes_by_request: dict[str, int] = {}
 
     # Set-up
@@ -133,8 +153,15 @@
         """Start the stand-ins, relays and nodes."""
         self.store_address = await self._listen(self.store.application())
         for name, model in (("e1", "base"), ("e2", "base"), ("d1", ""), ("d2", "")):
-            engine = RecordingEngine(name, model, on_request=self._on_request)
-            relay = FaultyRelay(await self._listen(engine.application()))
+            engine = RecordingEngine(
+                name,
+                model,
+                on_request=self._on_request,
+                on_harmful=self._on_harmful,
+                on_crash=self.prompts.record_crash,
+            )
+            engine.on_restart = functools.partial(self.register_engine, engine)
+            relay = FaultyRelay(await engine.listen("127.0.0.1"))
             await relay.start()
             self.relays[name] = relay
             self.engines.append(engine)
@@ -152,6 +179,14 @@
     def _on_request(self, server: str, request_id: str) -> None:
         self.limits.record(server, self.nodes_by_request.get(request_id, 0))
 
+    def _on_harmful(self, part: str, request_id: str) -> None:
+        self.prompts.record(part, self.nodes_by_request.get(request_id, 0))
+
+    def disturb(self, node: int) -> None:
+        """Excuse a node that is stopped, paused, cut off, or back; 0 for the store."""
+        self.limits.disturb(node)
+        self.prompts.disturb(node)
+
     def register_engine(self, engine: AdapterEngine, state: str = "ready") -> None:
         """Write the entry of a backend server to the store."""
         entry = {
@@ -257,6 +292,8 @@
             await process.wait()
         for relay in self.relays.values():
             await relay.stop()
+        for engine in self.engines:
+            await engine.close()
         for runner in self.web_runners:
             await runner.cleanup()
 
@@ -281,6 +318,8 @@
             adapter = f"a{min(40, int(self.random.paretovariate(0.9)))}"
             headers[names.MODEL] = f"base/{adapter}"
             headers[names.TOKENS] = "800,20"
+            number_text = request_id.rpartition("-")[2]
+            headers[names.PROMPT_PARTS] = self.prompts.prompt(int(number_text))
         method = "GET" if route == "look" else "POST"
         url = f"http://{self.caller_address(number)}/{route}/x"
         status, body = 0, b""
@@ -375,7 +414,7 @@
             self.add_finding(
                 f"node-{number} not serving {RECOVERY_TIMEOUT_S} s after the faults"
             )
-        self.findings += self.limits.findings()
+        self.findings += self.limits.findings() + self.prompts.findings()
         for engine in self.engines:
             if engine.exceeded_slots:
                 self.add_finding(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,6 +9,7 @@
 from parameterized import parameterized
 
 from soak.limits import LimitCheck
+from soak.prompts import PromptCheck
 from soak.run import Soak, run_seed
 
 TRAFFIC_S = 4.0
@@ -17,7 +18,7 @@
 class SoakTest(unittest.TestCase):
     """Node processes are killed, paused and disconnected while requests arrive."""
 
-    @parameterized.expand([(3,), (56,), (505,), (1004,)])
+    @parameterized.expand([(3,), (56,), (505,), (1004,), (1104,)])
     def test_seed(self, seed):
         with tempfile.TemporaryDirectory() as folder:
             soak = asyncio.run(run_seed(seed, Path(folder), TRAFFIC_S))
@@ -54,6 +55,35 @@
         self.assertEqual(len(check.findings()), int(is_found))
 
 
+class PromptCheckTest(unittest.TestCase):
+    """Arrivals long after the fifth crash are reported, unless a node is excused."""
+
+    @parameterized.expand(
+        [
+            ("few", 5, 3, None, False),
+            ("too many", 5, 4, None, True),
+            ("too few crashes", 4, 9, None, False),
+            ("node was paused", 5, 4, 1, False),
+            ("another node was paused", 5, 4, 2, True),
+            ("store was away", 5, 4, 0, False),
+        ]
+    )
+    def test_arrivals(self, _name, crashes, arrivals, disturbed, is_found):
+        now = 100.0
+        check = PromptCheck(1)
+        with patch("time.monotonic", lambda: now):
+            for _ in range(crashes):
+                check.record("p", 1)
+                check.record_crash("p")
+            now = 104.0
+            if disturbed is not None:
+                check.disturb(disturbed)
+            for _ in range(arrivals):
+                now += 0.1
+                check.record("p", 1)
+        self.assertEqual(len(check.findings()), int(is_found))
+
+
 class CheckTest(unittest.TestCase):
     """Each check of a response reports a violation."""
 
