--- a/soak/relay.py
+++ b/soak/relay.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+from sequoiafall.connection_reset import reset_connection
+
 CHUNK_BYTES = 64 * 1024
 
 
@@ -44,7 +46,7 @@
     def reset(self) -> None:
         """Reset all connections."""
         for transport in list(self._transports):
-            transport.abort()
+            reset_connection(transport)
 
     def clear_faults(self) -> None:
         """Clear all faults, and reset connections that may have lost data."""
@@ -57,7 +59,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         if self.refuses:
-            writer.transport.abort()
+            reset_connection(writer.transport)
             return
         host, _, port = self.target.rpartition(":")
         self._transports.add(writer.transport)
@@ -72,7 +74,8 @@
                 self._copy(target_reader, writer, "drops_down"),
             )
         except (OSError, asyncio.CancelledError):
-            writer.transport.abort()
+            # A reset is passed on: a regular end may complete an answer.
+            reset_connection(writer.transport)
         finally:
             self._transports.discard(writer.transport)
             if target_writer is not None:
