Log the era of the platform's store

The hypotheses on a store that comes back older need the moment of the return in the instances' logs. The stand-in of the store can go back to a copy, names its era in each response, and answers 410 to a read from a version that it does not have.

--- a/sequoiafall/platform/names.py
+++ b/sequoiafall/platform/names.py
@@ -50,6 +50,10 @@
 # together; absent if it has no limit.
 LIMIT = "Server-Limit"
 
+# In every response of the store: grows by one each time that the store comes back from
+# an older copy.
+STORE_ERA = "Store-Era"
+
 DIRECTORY_PATH = "/sequoiafall/resolve"
 READY_PATH = "/sequoiafall/readyz"
 REPORT_PATH = "/sequoiafall/report"
--- a/sequoiafall/platform/store.py
+++ b/sequoiafall/platform/store.py
@@ -60,6 +60,11 @@
         ``host:port`` of the store.
     source : str, default=""
         Local IP address of connections; by default the operating system chooses.
+
+    Attributes
+    ----------
+    era : int
+        Last era that the store named, 0 if it has named none.
     """
 
     def __init__(self, address: str, source: str = "") -> None:
@@ -68,6 +73,7 @@
         self._session: aiohttp.ClientSession | None = None
         self.calls = 0
         self.failures = 0
+        self.era = 0
 
     async def close(self) -> None:
         """Close all connections."""
@@ -136,6 +142,7 @@
                 timeout=_timeout(RESPONSE_TIMEOUT_S),
             ) as response:
                 content = await response.read()
+                self._observe_era(response)
         except aiohttp.ClientConnectorError as error:
             self.failures += 1
             return Failure(Unavailable(type(error).__name__))
@@ -167,6 +174,7 @@
                 self._base_url + path, params=query, timeout=_timeout(timeout_s)
             ) as response:
                 content = await response.read()
+                self._observe_era(response)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             self.failures += 1
             return Failure(type(error).__name__)
@@ -178,6 +186,14 @@
             self.failures += 1
         return decoded
 
+    def _observe_era(self, response: aiohttp.ClientResponse) -> None:
+        """Record the era that a response names, and log a change."""
+        text = response.headers.get(names.STORE_ERA, "").strip()
+        era = int(text) if text.isascii() and text.isdigit() else 0
+        if era != self.era:
+            log_event("store_era", era=text[:20], before=self.era)
+            self.era = era
+
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             source = (self._source, 0) if self._source else None
--- a/sequoiafall/standins/row_server.py
+++ b/sequoiafall/standins/row_server.py
@@ -7,6 +7,7 @@
 import json
 import random
 import time
+from dataclasses import dataclass
 from typing import Any
 
 from aiohttp import web
@@ -19,6 +20,15 @@
 MAX_PAGE_ROWS = 500
 
 
+@dataclass(slots=True, frozen=True)
+class StoreCopy:
+    """State of a store at one moment."""
+
+    rows: dict[tuple[str, str], StoreRow]
+    version: int
+    compacted_version: int
+
+
 class RowServer:
     """Keeps rows in memory and serves them with the interface of the platform.
 
@@ -30,6 +40,8 @@
         Seconds by which each request is delayed.
     response_loss_rate : float
         Share of transactions that take effect, but get no response.
+    era : int
+        Grows by one with each return from a copy; named in every response.
     late_apply_delay_s : float
         Seconds after which a transaction that gets no response takes effect, if
         its precondition still holds.
@@ -38,6 +50,7 @@
     def __init__(self, seed: int = 0) -> None:
         self.rows: dict[tuple[str, str], StoreRow] = {}
         self.version = 0
+        self.era = 1
         self.compacted_version = 0
         self.rejected_peers: set[str] = set()
         self.delay_s = 0.0
@@ -51,11 +64,17 @@
     def application(self) -> web.Application:
         """Return the web application."""
         application = web.Application()
+        application.on_response_prepare.append(self._on_prepare)
         application.router.add_get(names.ROWS_PATH, self._on_get)
         application.router.add_get(names.FEED_PATH, self._on_feed)
         application.router.add_post(names.TRANSACTION_PATH, self._on_transaction)
         return application
 
+    async def _on_prepare(
+        self, _request: web.Request, response: web.StreamResponse
+    ) -> None:
+        response.headers[names.STORE_ERA] = str(self.era)
+
     def put(self, table: str, key: str, value: object) -> int:
         """Write a row, as the operator or a backend server does."""
         self.version += 1
@@ -78,6 +97,18 @@
         self.compacted_version = self.version
         self._notify()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of all rows, from which `restore` can go on."""
+        return StoreCopy(dict(self.rows), self.version, self.compacted_version)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy: later writes are lost and a new era begins."""
+        self.rows = dict(copy.rows)
+        self.version = copy.version
+        self.compacted_version = copy.compacted_version
+        self.era += 1
+        self._notify()
+
     def _notify(self) -> None:
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
@@ -114,7 +145,7 @@
         wait_s = min(MAX_WAIT_S, int(request.query.get("wait_ms", 0)) / 1e3)
         deadline = asyncio.get_running_loop().time() + wait_s
         while True:
-            if after < self.compacted_version:
+            if after < self.compacted_version or after > self.version:
                 return web.Response(status=410)
             rows = sorted(
                 (
