Store verdicts on prompt parts again after the store came back older

The row of the harmful parts is gone with the copy, and the leader wrote it only when a verdict changed: after a restart of all processes they would have been learned anew, with three crashes. StoredVerdictTest failed before (the row did not come back within 20 s) and passes.

--- a/sequoiafall/evidence_exchange.py
+++ b/sequoiafall/evidence_exchange.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import msgspec
@@ -94,7 +94,8 @@
         self._pushed_revision = 0
         self._is_loaded = False
         self._version = 0
-        self._stored_state: object = ()
+        # Part and failed trials of each verdict in the row.
+        self._stored_state: set[tuple[str, int]] = set()
         self._wake = asyncio.Event()
 
     def wake(self) -> None:
@@ -164,6 +165,11 @@
 
     # The stored row
 
+    def on_store_restored(self) -> None:
+        """Store the verdicts again: the store came back without the latest ones."""
+        self._is_loaded = False
+        self._wake.set()
+
     async def load(self) -> None:
         """Apply the harmful parts that an earlier leader stored."""
         read = await self._store.read(LEASE_TABLE, HARMFUL_PARTS_KEY)
@@ -173,6 +179,7 @@
         row = read.unwrap()
         self._is_loaded = True
         self._version = row.version if row is not None else 0
+        self._stored_state = set()
         if row is None:
             return
         try:
@@ -181,14 +188,14 @@
             log_warning("harmful_parts_unreadable", reason=str(error))
             return
         now = boot_time()
+        self._stored_state = {(row.part, row.failed_trials) for row in stored}
         self.evidence.merge([_from_stored(part, now) for part in stored], now)
-        self._stored_state = _stored_state(self.evidence.harmful_parts())
 
     async def _save(self) -> None:
         if not self._is_loaded:
             await self.load()
         parts = self.evidence.harmful_parts()
-        state = _stored_state(parts)
+        state = {(row.part, row.failed_trials) for row in parts}
         if not self._is_loaded or state == self._stored_state:
             return
         now = boot_time()
@@ -263,8 +270,3 @@
         evidence.crashes_by_start[start] = Crash(now - crash.age_s)
     evidence.trial_at = now + stored.trial_in_s
     return evidence
-
-
-def _stored_state(parts: Sequence[PartEvidence]) -> object:
-    """Return what a change of which has to be stored."""
-    return {(row.part, row.failed_trials) for row in parts}
--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -132,6 +132,7 @@
             self._should_read,
             self._on_store_contact,
             lambda: self.duties,
+            lambda: self.evidence_exchange.on_store_restored(),
         )
         self.registry = self.tables.registry
         self.notices = ServerNotices(self.registry, random.Random())
--- a/tests/test_harmful_prompts.py
+++ b/tests/test_harmful_prompts.py
@@ -7,6 +7,10 @@
 import aiohttp
 from parameterized import parameterized
 
+from sequoiafall.boot_clock import boot_time
+from sequoiafall.crash_evidence import ServerStart
+from sequoiafall.evidence_exchange import HARMFUL_PARTS_KEY
+from sequoiafall.lease import LEASE_TABLE
 from sequoiafall.platform import names
 
 from .events import until
@@ -181,3 +185,23 @@
         sound = await self.press("/draft/x", SOUND_AFTER_S + 2.0)
         self.assert_contained(sound)
         self.assertLessEqual(len(self.crashes()), max(before, KNOWN_CRASHES))
+
+
+class StoredVerdictTest(PlatformCase):
+    """The stored harmful parts when the store comes back without them."""
+
+    def stored(self):
+        row = self.store.rows.get((LEASE_TABLE, HARMFUL_PARTS_KEY))
+        return row.value if row is not None else b""
+
+    async def test_verdicts_are_stored_again(self):
+        await self.start_fleet(2)
+        saved = self.store.copy()
+        evidence = self.leader.fleet.crash_evidence
+        for number in range(3):
+            start = ServerStart(f"gone-{number}", 1)
+            evidence.record_crash(start, [HARMFUL_PART], boot_time() + number)
+        await until(lambda: HARMFUL_PART.encode() in self.stored())
+        self.store.restore(saved)
+        self.assertEqual(self.stored(), b"")
+        await until(lambda: HARMFUL_PART.encode() in self.stored())
