--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -349,11 +349,12 @@
             self._max_saved_retries = max_saved
             for known in self._budgets_by_service.values():
                 known.set_max_saved(max_saved)
+        share = EARNED_SHARE * self._settings.retry_share
         budget = self._budgets_by_service.get(service)
         if budget is None:
-            share = EARNED_SHARE * self._settings.retry_share
             budget = RetryBudget(self._generator, share, reserve, max_saved)
             self._budgets_by_service[service] = budget
+        budget.set_share(share)
         return budget
 
     # Attempts until the response is final
--- a/sequoiafall/retry.py
+++ b/sequoiafall/retry.py
@@ -69,6 +69,10 @@
         self.requests = 0
         self.retries = 0
 
+    def set_share(self, share: float) -> None:
+        """Change the number of retries earned per request."""
+        self._share = share
+
     def set_max_saved(self, max_saved: float) -> None:
         """Change the largest number of unused retries that is kept."""
         self._max_saved = max_saved
--- a/tests/test_fleet_shares.py
+++ b/tests/test_fleet_shares.py
@@ -78,6 +78,23 @@
         forwarder._settings.retry_extra = 26
         self.assertLessEqual(self.retries(forwarder), 2)
 
+    @parameterized.expand([("lowered", 0.2, 0.0, 0), ("raised", 0.0, 0.2, 10)])
+    def test_share_is_changed(self, _name, before, after, retries):
+        """A changed share of the requests applies to a budget that exists."""
+        forwarder = self.forwarder(FakeFleet(13))
+        forwarder._settings.retry_share = before
+        forwarder._retry_budget("assist")
+        self.retries(forwarder)
+        forwarder._settings.retry_share = after
+        earned = 0
+        for _ in range(100):
+            forwarder._retry_budget("assist").on_request()
+            earned += forwarder._retry_budget("assist").try_retry()
+        self.assertGreaterEqual(earned, retries)
+        self.assertLessEqual(earned, 0.2 * 100)
+        if not after:
+            self.assertEqual(earned, 0)
+
     @parameterized.expand([(13,), (500,)])
     def test_requests_earn_retries_at_any_size(self, members):
         forwarder = self.forwarder(FakeFleet(members))
