Let the store come back older in the soak

From seed 1200 on, the store goes back to a copy of 1 to 5 s before, and operator and servers write again what they had written. The recovery check asks for a route that only the last configuration has.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -23,6 +23,8 @@
 FIRST_SEED_WITH_LIMITS = 1000
 # And prompts crash engines only from here on.
 FIRST_SEED_WITH_HARMFUL_PROMPTS = 1100
+# And the store comes back from an older copy only from here on.
+FIRST_SEED_WITH_RESTORED_STORE = 1200
 
 
 class FaultInjector:
@@ -63,6 +65,8 @@
             faults += [self.name_limit, self.name_limit]
         if self._soak.seed >= FIRST_SEED_WITH_HARMFUL_PROMPTS:
             faults += [self.send_harmful_prompts, self.end_answers_with_connection]
+        if self._soak.seed >= FIRST_SEED_WITH_RESTORED_STORE:
+            faults += [self.restore_store, self.restore_store]
         faults += [
             self.disrupt_store,
             self.disrupt_backend_link,
@@ -191,6 +195,25 @@
         store.delay_s = store.response_loss_rate = store.late_apply_delay_s = 0.0
         self._soak.disturb(0)
 
+    async def restore_store(self) -> None:
+        """Let the store come back from a copy that is some seconds old.
+
+        The operator and the servers write again what they had written.
+        """
+        soak = self._soak
+        copy = soak.store.copy()
+        await asyncio.sleep(soak.random.uniform(1.0, 5.0))
+        soak.disturb(0)
+        soak.store.rejected_peers = {"*"}
+        await asyncio.sleep(soak.random.uniform(0.05, 1.5))
+        soak.store.restore(copy)
+        soak.store.rejected_peers = set()
+        await asyncio.sleep(soak.random.uniform(0.0, 1.0))
+        soak.write_configuration(includes_withdrawn_key=not soak.key_withdrawn_at)
+        for engine in soak.engines:
+            soak.register_engine(engine)
+        soak.disturb(0)
+
     async def restart_engine(self) -> None:
         """Restart an engine under the same name, with nothing loaded."""
         engine = self._soak.random.choice(self._soak.engines)
--- a/soak/run.py
+++ b/soak/run.py
@@ -46,6 +46,8 @@
 RECOVERY_TIMEOUT_S = 15.0
 REQUESTS_PER_S = 30.0
 REQUEST_DEADLINE_S = 4.0
+# Route that only the last configuration of a run has.
+LAST_ROUTE = "last"
 
 
 class RecordingEngine(AdapterEngine):
@@ -199,7 +201,9 @@
         }
         self.store.put(names.BACKEND_TABLE, engine.name, entry)
 
-    def write_configuration(self, includes_withdrawn_key: bool = True) -> None:
+    def write_configuration(
+        self, includes_withdrawn_key: bool = True, added_route: str = ""
+    ) -> None:
         """Write the next version of the configuration to the store."""
         self.config_version += self.random.randint(1, 4)
         routes = [
@@ -208,6 +212,8 @@
             ("order", "non_idempotent", "desk", False),
             ("look", "idempotent", "desk", False),
         ]
+        if added_route:
+            routes.append((added_route, "idempotent", "desk", False))
         tenants = [
             {"name": name, "api_keys": [key], "plain_tokens": 200}
             for name, key in KEYS_BY_ORGANISATION.items()
@@ -401,7 +407,7 @@
         waiting = set(range(1, NODE_COUNT + 1))
         if not self.key_withdrawn_at:
             self.key_withdrawn_at = time.monotonic()
-        self.write_configuration(includes_withdrawn_key=False)
+        self.write_configuration(False, added_route=LAST_ROUTE)
         async with aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=3.0)
         ) as session:
@@ -460,7 +466,24 @@
                     statuses.append(response.status)
             except (aiohttp.ClientError, TimeoutError, OSError):
                 return False
-        return statuses == [200, 401]
+        return statuses == [200, 401] and await self._serves_last_route(session, number)
+
+    async def _serves_last_route(
+        self, session: aiohttp.ClientSession, number: int
+    ) -> bool:
+        """Return whether the last configuration is in force at a node."""
+        headers = {
+            names.REQUEST_ID: f"s{self.seed}-w{next(self.request_numbers)}",
+            names.DEADLINE_MS: "2500",
+            "Host": "shop.example",
+            "Authorization": f"Bearer {KEYS_BY_ORGANISATION['org-1']}",
+        }
+        url = f"http://{self.caller_address(number)}/{LAST_ROUTE}/x"
+        try:
+            async with session.get(url, headers=headers) as response:
+                return response.status == 200
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return False
 
 
 async def run_seed(seed: int, folder: Path, traffic_s: float = TRAFFIC_S) -> Soak:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,7 +18,7 @@
 class SoakTest(unittest.TestCase):
     """Node processes are killed, paused and disconnected while requests arrive."""
 
-    @parameterized.expand([(3,), (56,), (505,), (1004,), (1104,)])
+    @parameterized.expand([(3,), (56,), (505,), (1004,), (1104,), (1206,)])
     def test_seed(self, seed):
         with tempfile.TemporaryDirectory() as folder:
             soak = asyncio.run(run_seed(seed, Path(folder), TRAFFIC_S))
