Lift a verdict on a prompt part after its crashes are forgotten

A trial later than ten minutes after the crashes cleared nothing, as no crash counted any more: requests with a wrongly convicted part ran one at a time for an hour. Found in review; test_trial_long_after_the_crashes failed before.

--- a/sequoiafall/crash_evidence.py
+++ b/sequoiafall/crash_evidence.py
@@ -181,7 +181,7 @@
             begun[part] = now
             begun.move_to_end(part)
             row = self._parts_by_name.get(part)
-            if row is not None and row.starts(now):
+            if row is not None and (row.is_harmful or row.starts(now)):
                 self._clear(row, now)
         while len(begun) > MAX_BEGUN_PARTS:
             begun.popitem(last=False)
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -90,6 +90,13 @@
         evidence.record_response("e0", NOW + sent_after_s, NOW + 4.0)
         self.assertEqual(evidence.suspect("p", NOW + 4.0) is not None, remains)
 
+    def test_trial_long_after_the_crashes(self):
+        """A wrong verdict ends with a trial even if its crashes are forgotten."""
+        evidence = CrashEvidence()
+        crash(evidence, ["p"], 0.0, 0.5, 1.0)
+        evidence.record_begun(["p"], NOW + CRASH_TTL_S + 60.0)
+        self.assertIsNone(evidence.suspect("p", NOW + CRASH_TTL_S + 61.0))
+
     def test_refuted_crash_lifts_a_conviction(self):
         evidence = CrashEvidence()
         crash(evidence, ["p"], 0.0, 0.5, 1.0)
