Bound the quarantine of a part with very many failed trials

The power of the factor overflowed for a number that another instance or the stored row may name. Found in review; test_quarantine_is_bounded raised before.

--- a/sequoiafall/crash_evidence.py
+++ b/sequoiafall/crash_evidence.py
@@ -31,6 +31,7 @@
 QUARANTINE_S = 30.0
 QUARANTINE_FACTOR = 4.0
 MAX_QUARANTINE_S = 3600.0
+MAX_COUNTED_TRIALS = 10
 # A part that is not asked for is forgotten this long after its quarantine.
 QUARANTINE_TTL_S = 3600.0
 # Other instances are told for this long that a part has been cleared.
@@ -360,7 +361,9 @@
 
 def quarantine_s(failed_trials: int) -> float:
     """Return the seconds for which a harmful part gets no request."""
-    return min(MAX_QUARANTINE_S, QUARANTINE_S * QUARANTINE_FACTOR**failed_trials)
+    # Larger powers may exceed a float.
+    factor = QUARANTINE_FACTOR ** min(failed_trials, MAX_COUNTED_TRIALS)
+    return min(MAX_QUARANTINE_S, QUARANTINE_S * factor)
 
 
 def _trim(row: PartEvidence) -> None:
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -97,6 +97,10 @@
         evidence.record_begun(["p"], NOW + CRASH_TTL_S + 60.0)
         self.assertIsNone(evidence.suspect("p", NOW + CRASH_TTL_S + 61.0))
 
+    def test_quarantine_is_bounded(self):
+        for failed_trials in (5, 100, 2**31 - 1):
+            self.assertEqual(quarantine_s(failed_trials), MAX_QUARANTINE_S)
+
     def test_refuted_crash_lifts_a_conviction(self):
         evidence = CrashEvidence()
         crash(evidence, ["p"], 0.0, 0.5, 1.0)
