Try no harmful part early once its crashes are forgotten

Without crashes, any other harmful part seemed to explain them all, so each request was a trial. Found in review; the test of that name failed before.

--- a/sequoiafall/prompt_quarantine.py
+++ b/sequoiafall/prompt_quarantine.py
@@ -101,7 +101,7 @@
     ) -> bool:
         """Whether another part, which the request lacks, explains all the crashes."""
         starts = row.starts(now)
-        return any(
+        return bool(starts) and any(
             other.part not in parts and other.starts(now) >= starts
             for other in self._evidence.harmful_parts()
         )
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -295,6 +295,12 @@
         self.quarantine.end_trial("r1")
         self.assertIs(self.decide("r2", ["harmful"], 2.3), Verdict.REFUSE)
 
+    def test_nothing_is_ambiguous_once_the_crashes_are_forgotten(self):
+        crash(self.evidence, ["p", "q"], 0.0, 0.5, 1.0)
+        crash(self.evidence, ["p", "q"], QUARANTINE_S + 2.0, first=9)
+        self.evidence.suspect("p", NOW).trial_at = NOW + 2.0 * CRASH_TTL_S
+        self.assertIs(self.decide("r", ["p"], CRASH_TTL_S + 60.0), Verdict.REFUSE)
+
     def test_two_harmful_parts(self):
         crash(self.evidence, ["p"], 0.0, 0.5, 1.0)
         crash(self.evidence, ["q"], 0.2, 0.7, 1.2, first=5)
