Let any instance refute a crash, and all of them lift the verdict

An instance that heard of a crash from another one did not take a later response of the server for a refutation, and one that had refuted it adopted the verdict of the others again. Found in review; test_refuted_crash_elsewhere_lifts_a_conviction failed before.

--- a/sequoiafall/crash_evidence.py
+++ b/sequoiafall/crash_evidence.py
@@ -201,7 +201,7 @@
                 self._add_crash(row, start, Crash(now), now)
                 suspects.append(part)
         if suspects:
-            self._unconfirmed_at_by_server[start.server] = now
+            self._expect_response(start.server, now, now)
             log_event(
                 "server_crash_suspects",
                 server=start.server,
@@ -224,9 +224,7 @@
                 if start.server == server and is_recent and not crash.is_refuted:
                     crash.is_refuted = True
                     self._change(row)
-            is_unproven = row.is_harmful and not row.failed_trials
-            if is_unproven and row.events(now) < HARMFUL_EVENTS:
-                self._lift(row, "the server has responded since")
+            self._reconsider(row, now)
         log_event("server_crash_refuted", server=server)
         self._notify()
 
@@ -244,6 +242,7 @@
                 known = row.crashes_by_start.get(start)
                 if known is None:
                     row.crashes_by_start[start] = Crash(crash.at, crash.is_refuted)
+                    self._expect_response(start.server, crash.at, now)
                 else:
                     known.is_refuted |= crash.is_refuted
             _trim(row)
@@ -296,6 +295,12 @@
 
     # State updates
 
+    def _expect_response(self, server: str, crashed_at: float, now: float) -> None:
+        """Let a response to a call after a crash refute it, if it is recent."""
+        if now - crashed_at <= RESPONSE_WINDOW_S:
+            known = self._unconfirmed_at_by_server.get(server, crashed_at)
+            self._unconfirmed_at_by_server[server] = max(known, crashed_at)
+
     def _row(self, part: str, now: float) -> PartEvidence:
         row = self._parts_by_name.get(part)
         if row is not None:
@@ -337,6 +342,9 @@
             )
         elif row.is_harmful and row.begun_at >= row.last_crash_at - BEGUN_GRACE_S:
             self._lift(row, "a response began")
+        elif row.is_harmful and not row.failed_trials and events < HARMFUL_EVENTS:
+            if any(crash.is_refuted for crash in row.crashes_by_start.values()):
+                self._lift(row, "the server has responded since")
 
     def _clear(self, row: PartEvidence, now: float) -> None:
         row.begun_at = now
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -165,6 +165,17 @@
         self.exchange(first, second, NOW + 1.4)
         self.assertIsNone(second.suspect("p", NOW + 1.4))
 
+    def test_refuted_crash_elsewhere_lifts_a_conviction(self):
+        """The one that refutes a crash does not adopt the verdict again."""
+        first, second = CrashEvidence(), CrashEvidence()
+        crash(first, ["p"], 0.0, 0.5, 1.0)
+        self.exchange(first, second, NOW + 1.05)
+        second.record_response("e2", NOW + 1.1, NOW + 1.11)
+        for sender, receiver in ((first, second), (second, first), (first, second)):
+            self.exchange(sender, receiver, NOW + 1.2)
+        for evidence in (first, second):
+            self.assertFalse(evidence.suspect("p", NOW + 1.2).is_harmful)
+
     def test_begun_response_that_was_never_sent_on(self):
         """An instance knows of a sound response when it hears of the crashes."""
         first, second = CrashEvidence(), CrashEvidence()
