Count a crash of a server of which an earlier one was refuted

A response that broke off, of a server that lived, hid the crash of the same start of the server later on.

--- a/sequoiafall/crash_evidence.py
+++ b/sequoiafall/crash_evidence.py
@@ -197,7 +197,8 @@
             if now - self._begun_at_by_part.get(part, float("-inf")) <= BEGUN_GRACE_S:
                 continue
             row = self._row(part, now)
-            if start not in row.crashes_by_start:
+            known = row.crashes_by_start.get(start)
+            if known is None or _is_later(now, known):
                 self._add_crash(row, start, Crash(now), now)
                 suspects.append(part)
         if suspects:
@@ -240,10 +241,10 @@
             )
             for start, crash in other.crashes_by_start.items():
                 known = row.crashes_by_start.get(start)
-                if known is None:
+                if known is None or _is_later(crash.at, known):
                     row.crashes_by_start[start] = Crash(crash.at, crash.is_refuted)
                     self._expect_response(start.server, crash.at, now)
-                else:
+                elif not _is_later(known.at, crash):
                     known.is_refuted |= crash.is_refuted
             _trim(row)
             if other.failed_trials > row.failed_trials:
@@ -374,6 +375,11 @@
     return min(MAX_QUARANTINE_S, QUARANTINE_S * factor)
 
 
+def _is_later(at: float, crash: Crash) -> bool:
+    """Whether a crash at a time in seconds comes after one that was refuted."""
+    return crash.is_refuted and at - crash.at > RESPONSE_WINDOW_S
+
+
 def _trim(row: PartEvidence) -> None:
     """Drop the oldest crashes beyond the limit."""
     crashes = row.crashes_by_start
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -101,6 +101,14 @@
         for failed_trials in (5, 100, 2**31 - 1):
             self.assertEqual(quarantine_s(failed_trials), MAX_QUARANTINE_S)
 
+    def test_server_that_crashes_after_a_refuted_crash(self):
+        """A response that broke off earlier must not hide the crash of its server."""
+        evidence = CrashEvidence()
+        crash(evidence, ["p"], 0.0)
+        evidence.record_response("e0", NOW + 0.1, NOW + 0.2)
+        crash(evidence, ["p"], 20.0)
+        self.assertEqual(evidence.suspect("p", NOW + 20.0).events(NOW + 20.0), 1)
+
     def test_refuted_crash_lifts_a_conviction(self):
         evidence = CrashEvidence()
         crash(evidence, ["p"], 0.0, 0.5, 1.0)
@@ -176,6 +184,18 @@
         for evidence in (first, second):
             self.assertFalse(evidence.suspect("p", NOW + 1.2).is_harmful)
 
+    def test_later_crash_of_a_refuted_one(self):
+        first, second = CrashEvidence(), CrashEvidence()
+        crash(first, ["p"], 0.0)
+        first.record_response("e0", NOW + 0.1, NOW + 0.2)
+        self.exchange(first, second, NOW + 1.0)
+        crash(second, ["p"], 20.0)
+        for sender, receiver in ((first, second), (second, first)):
+            self.exchange(sender, receiver, NOW + 21.0)
+        for evidence in (first, second):
+            row = evidence.suspect("p", NOW + 21.0)
+            self.assertEqual(row.events(NOW + 21.0), 1)
+
     def test_begun_response_that_was_never_sent_on(self):
         """An instance knows of a sound response when it hears of the crashes."""
         first, second = CrashEvidence(), CrashEvidence()
