--- a/sequoiafall/crash_evidence.py
+++ b/sequoiafall/crash_evidence.py
@@ -343,9 +343,13 @@
             )
         elif row.is_harmful and row.begun_at >= row.last_crash_at - BEGUN_GRACE_S:
             self._lift(row, "a response began")
-        elif row.is_harmful and not row.failed_trials and events < HARMFUL_EVENTS:
-            if any(crash.is_refuted for crash in row.crashes_by_start.values()):
-                self._lift(row, "the server has responded since")
+        elif row.is_harmful and events < HARMFUL_EVENTS and self._is_refuted(row):
+            self._lift(row, "the server has responded since")
+
+    def _is_refuted(self, row: PartEvidence) -> bool:
+        """Whether a verdict rests on a crash that was refuted, and on no trial."""
+        crashes = row.crashes_by_start.values()
+        return not row.failed_trials and any(crash.is_refuted for crash in crashes)
 
     def _clear(self, row: PartEvidence, now: float) -> None:
         row.begun_at = now
