Begin the short idle timeout of a test with the response

test_reader_that_does_not_wait_is_not_ended patched the idle timeout to 0.05 s for the whole call, and the wait for the head of a response has the same limit: a server that takes 0.06 s to respond fails it each time (shown with that delay, which stays in the test). It has failed once on a busy machine. The check is as strict: with pauses of the reader counted as the engine's it fails (trial).

--- a/tests/test_engine_client.py
+++ b/tests/test_engine_client.py
@@ -232,12 +232,16 @@
             await client.close()
 
     @mock.patch("sequoiafall.engine_client.IDLE_CHECK_INTERVAL_S", 0.01)
-    @mock.patch("sequoiafall.engine_client.STREAM_IDLE_TIMEOUT_S", 0.05)
     async def test_reader_that_does_not_wait_is_not_ended(self):
-        """A pause of the reader must not count as a pause of the engine."""
+        """A pause of the reader must not count as a pause of the engine.
+
+        The short timeout begins with the response: it limits the wait for its head as
+        well, which takes longer on a busy machine.
+        """
 
         async def serve(reader, writer):
             await reader.readuntil(b"\r\n\r\n")
+            await asyncio.sleep(0.06)
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab")
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
@@ -246,7 +250,8 @@
         self.addAsyncCleanup(client.close)
         url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}/"
         async with client.request("GET", url, {}, b"", lambda: None) as response:
-            # Six times the idle timeout; the response must stay open.
-            await asyncio.sleep(0.3)
+            with mock.patch("sequoiafall.engine_client.STREAM_IDLE_TIMEOUT_S", 0.05):
+                # Six times the idle timeout; the response must stay open.
+                await asyncio.sleep(0.3)
             self.assertEqual(await response.read_up_to(2), b"ab")
             self.assertIsNone(response.waiting_since)
