--- a/bench/leader.py
+++ b/bench/leader.py
@@ -88,6 +88,10 @@
     reply = ttypes.EngineAnswer("i-0123456789", 3, "", 0, True, "", "10.1.64.33:8784")
     permit = ttypes.SendPermitRequest(["i-0123456789", "i-9876543210"], 400, 7)
     permit_reply = ttypes.SendPermitReply(True, "i-0123456789", 120)
+    begun = ttypes.EngineEnd("0123456789abcdef", "assist", "i-0123456789", "ok", True)
+    parts = ttypes.EngineAsk(shared_parts=["a05928d8452a", "48720f3588ea"])
+    crash = ttypes.PartCrash("i-0123456789", 1_776_874_202_957, 240, False)
+    evidence = ttypes.PartEvidence("48720f3588ea", [crash] * 3, -1, 29_000, 0)
     limit = ttypes.ServerLimit("i-0123456789", 1_776_874_202_957, 1.7, 240)
     route = {
         "name": "route-000", "host": "shop.example", "path_prefix": "/draft/some/",
@@ -107,6 +111,9 @@
         "ask_bytes": len(encode_struct(request)) + len(encode_struct(reply)),
         "permit_bytes": len(encode_struct(permit)) + len(encode_struct(permit_reply)),
         "limit_bytes": len(encode_struct(limit)),
+        "parts_bytes": len(encode_struct(parts)),
+        "begun_bytes": len(encode_struct(begun)),
+        "evidence_bytes": len(encode_struct(evidence)),
         "newcomer_bytes": sum(len(encode_struct(row)) for row in rows),
     }
 
