--- a/sequoiafall/crash_evidence.py
+++ b/sequoiafall/crash_evidence.py
@@ -112,7 +112,7 @@
         times = (row.at for row in self.crashes_by_start.values() if not row.is_refuted)
         return max(times, default=float("-inf"))
 
-    def starts(self, now: float) -> set[ServerStart]:
+    def crashed_starts(self, now: float) -> set[ServerStart]:
         """Return the starts of servers that count as crashed by the part."""
         return {
             start
@@ -124,7 +124,9 @@
 
     def events(self, now: float) -> int:
         """Return the number of crashes; those at the same time count as one."""
-        times = sorted(self.crashes_by_start[start].at for start in self.starts(now))
+        times = sorted(
+            self.crashes_by_start[start].at for start in self.crashed_starts(now)
+        )
         count, event_at = 0, float("-inf")
         for time_s in times:
             if time_s - event_at > EVENT_WINDOW_S:
@@ -135,7 +137,7 @@
         """Return the time in seconds at which the evidence may be forgotten."""
         if self.is_harmful:
             return self.trial_at + QUARANTINE_TTL_S
-        if self.starts(now):
+        if self.crashed_starts(now):
             return self.last_crash_at + CRASH_TTL_S
         seen_at = max((row.at for row in self.crashes_by_start.values()), default=0.0)
         return max(self.begun_at, seen_at) + CLEARED_TTL_S
@@ -182,7 +184,7 @@
             begun[part] = now
             begun.move_to_end(part)
             row = self._parts_by_name.get(part)
-            if row is not None and (row.is_harmful or row.starts(now)):
+            if row is not None and (row.is_harmful or row.crashed_starts(now)):
                 self._clear(row, now)
         while len(begun) > MAX_BEGUN_PARTS:
             begun.popitem(last=False)
@@ -233,7 +235,7 @@
         """Apply evidence of another instance, with times of this one's clock."""
         for other in rows:
             row = self._row(other.part, now)
-            before = _content(row, now)
+            before = _shared_state(row, now)
             row.begun_at = max(
                 row.begun_at,
                 other.begun_at,
@@ -253,7 +255,7 @@
             elif not row.is_harmful:
                 row.trial_at = other.trial_at
             self._reconsider(row, now)
-            if _content(row, now) != before:
+            if _shared_state(row, now) != before:
                 self._change(row)
         self._notify()
 
@@ -266,7 +268,7 @@
     def suspect(self, part: str, now: float) -> PartEvidence | None:
         """Return the evidence against a part, None if there is none."""
         row = self._parts_by_name.get(part)
-        if row is None or not (row.is_harmful or row.starts(now)):
+        if row is None or not (row.is_harmful or row.crashed_starts(now)):
             return None
         return row
 
@@ -276,7 +278,7 @@
 
     def suspected_count(self, now: float) -> int:
         """Return the number of parts with a crash that nothing has cleared."""
-        return sum(1 for row in self._parts_by_name.values() if row.starts(now))
+        return sum(1 for row in self._parts_by_name.values() if row.crashed_starts(now))
 
     def since_revision(self, revision: int, now: float) -> list[PartEvidence]:
         """Return the evidence that changed after a revision."""
@@ -339,7 +341,7 @@
                 part=row.part,
                 crashes=events,
                 quarantine_s=int(row.trial_at - now),
-                servers=",".join(start.server for start in row.starts(now)),
+                servers=",".join(start.server for start in row.crashed_starts(now)),
             )
         elif row.is_harmful and row.begun_at >= row.last_crash_at - BEGUN_GRACE_S:
             self._lift(row, "a response began")
@@ -391,7 +393,7 @@
         del crashes[min(crashes, key=lambda start: crashes[start].at)]
 
 
-def _content(row: PartEvidence, now: float) -> tuple[object, ...]:
+def _shared_state(row: PartEvidence, now: float) -> tuple[object, ...]:
     """Return what other instances need to know of a part."""
     refuted = {start: crash.is_refuted for start, crash in row.crashes_by_start.items()}
-    return refuted, row.starts(now), row.is_harmful, row.failed_trials
+    return refuted, row.crashed_starts(now), row.is_harmful, row.failed_trials
--- a/sequoiafall/evidence_exchange.py
+++ b/sequoiafall/evidence_exchange.py
@@ -258,7 +258,7 @@
 def _to_stored(row: PartEvidence, now: float) -> _StoredPart:
     crashes = [
         _StoredCrash(start.server, start.born, now - row.crashes_by_start[start].at)
-        for start in row.starts(now)
+        for start in row.crashed_starts(now)
     ]
     return _StoredPart(row.part, crashes, row.failed_trials, row.trial_at - now)
 
--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -283,7 +283,7 @@
         if self.duties is not None:
             self.duties.on_evidence_changed()
 
-    def tries_alone(self, part: str) -> bool:
+    def may_try_alone(self, part: str) -> bool:
         """Whether this instance may try a suspected prompt part without a leader.
 
         All instances that know the same members choose the same one of them.
--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -749,7 +749,7 @@
                 last_id = splitter.last_id
                 exchange.run_events += 1
                 if exchange.run_events == BEGUN_EVENTS and exchange.place is not None:
-                    self._places.begin(
+                    self._places.report_begun(
                         exchange.request, exchange.service, exchange.place
                     )
                 stall.restart(EVENT_GAP_TIMEOUT_S)
--- a/sequoiafall/place_source.py
+++ b/sequoiafall/place_source.py
@@ -189,7 +189,9 @@
                 )
             await asyncio.sleep(LEADER_POLL_S)
 
-    def begin(self, request: CallerRequest, service: str, place: GatewayPlace) -> None:
+    def report_begun(
+        self, request: CallerRequest, service: str, place: GatewayPlace
+    ) -> None:
         """Record that the response to a request with a place has begun."""
         self._fleet.crash_evidence.record_begun(request.shared_parts, boot_time())
         self._quarantine.end_trial(request.request_id)
@@ -384,7 +386,7 @@
             return verdict
         evidence = self._fleet.crash_evidence
         suspects = [part for part in parts if evidence.suspect(part, now) is not None]
-        if all(self._fleet.tries_alone(part) for part in suspects):
+        if all(self._fleet.may_try_alone(part) for part in suspects):
             return verdict
         return Verdict.WAIT
 
--- a/sequoiafall/prompt_quarantine.py
+++ b/sequoiafall/prompt_quarantine.py
@@ -100,8 +100,8 @@
         self, row: PartEvidence, parts: Sequence[str], now: float
     ) -> bool:
         """Whether another part, which the request lacks, explains all the crashes."""
-        starts = row.starts(now)
+        starts = row.crashed_starts(now)
         return bool(starts) and any(
-            other.part not in parts and other.starts(now) >= starts
+            other.part not in parts and other.crashed_starts(now) >= starts
             for other in self._evidence.harmful_parts()
         )
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -245,7 +245,7 @@
 
     def describe(self, evidence, now):
         return {
-            part: (row.is_harmful, frozenset(row.starts(now)))
+            part: (row.is_harmful, frozenset(row.crashed_starts(now)))
             for part in ("p", "q")
             if (row := evidence.suspect(part, now)) is not None
         }
