Judge an entry of the store's copy again when it is read again

Cause: content that was carried over gives way to the row that it was preferred to, so that an entry that is still there after 4 s can count; the check did not tell this row from a later one. Three cases of TablesTest failed before.

--- a/sequoiafall/fleet_tables.py
+++ b/sequoiafall/fleet_tables.py
@@ -183,8 +183,12 @@
         counts when the server writes it again, or when it is still there although the
         store would have removed it.
         """
-        if era_of(row.version) == era_of(before.version) or row.deleted:
+        is_read_again = row.version == before.version
+        is_of_same_era = era_of(row.version) == era_of(before.version)
+        if row.deleted or (is_of_same_era and not is_read_again):
             return True
+        if before.deleted and is_read_again:
+            return row.key not in self._returning_by_server
         if before.deleted:
             due = boot_time() + RETURNING_ENTRY_S
             self._returning_by_server[row.key] = (due, row)
--- a/sequoiafall/mirror.py
+++ b/sequoiafall/mirror.py
@@ -125,7 +125,7 @@
 def _has_greater_version(row: StoreRow, before: StoreRow) -> bool:
     """Whether a row may replace a known one.
 
-    Content that was carried over gives way to the row that it was preferred to.
+    The row to which known content was preferred may replace it later.
     """
     is_carried_over = bool(before.written_version)
     if row.version == before.version:
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -457,6 +457,52 @@
         self.tables.add_known_digests(range(10 * MAX_KNOWN_CONFIGURATIONS))
         self.assertEqual(len(self.tables._known_digests), MAX_KNOWN_CONFIGURATIONS)
 
+    def entry_row(self, state, version, era=0, born=7):
+        value = json.dumps(
+            {
+                "service": "desk",
+                "address": "10.0.0.1:80",
+                "zone": "z1",
+                "slots": 6,
+                "state": state,
+                "born": born,
+            }
+        )
+        version += era * VERSIONS_PER_ERA
+        return StoreRow("servers", "d1", value.encode(), version)
+
+    def scan(self, *rows):
+        scanned = Rows(list(rows), VERSIONS_PER_ERA + 50)
+        self.tables.mirror.apply_scan("servers", scanned)
+        return self.tables.registry.find("d1")
+
+    def test_copy_is_read_again(self):
+        """The table is read anew whenever its history is lost or the leader changes."""
+        self.tables.mirror.apply([self.entry_row("ready", 5)])
+        self.tables.mirror.apply([self.entry_row("draining", 9)])
+        copy = self.entry_row("ready", 5, 1)
+        for _ in range(3):
+            self.assertTrue(self.scan(copy).is_leaving)
+        self.assertTrue(self.scan(self.entry_row("draining", 12, 1)).is_leaving)
+
+    def test_entry_of_an_earlier_start_is_read_again(self):
+        self.tables.mirror.apply([self.entry_row("ready", 5)])
+        self.tables.mirror.apply([self.entry_row("ready", 9, born=8)])
+        for _ in range(3):
+            self.assertEqual(self.scan(self.entry_row("ready", 5, 1)).born, 8)
+
+    def test_entry_that_was_removed_is_read_again(self):
+        self.tables.mirror.apply([self.entry_row("ready", 5)])
+        removed = StoreRow("servers", "d1", b"", 9, deleted=True)
+        self.tables.mirror.apply([removed])
+        self.tables.registry.drop("d1")
+        copy = self.entry_row("ready", 5, 1)
+        for _ in range(3):
+            self.assertIsNone(self.scan(copy))
+        # It is still there when the store would have removed it.
+        self.tables._returning_by_server.clear()
+        self.assertIsNotNone(self.scan(copy))
+
     def version_row(self, number, version, era=0):
         value = json.dumps({"model": "base", "adapter": "a1", "version": number})
         version += era * VERSIONS_PER_ERA
