Take the era of a row from the response that has it

The client stamped rows with the era that any response had named last. Leaving a response may suspend, so a row of the earlier era could get a version of the new one, and what is written next would count as older.

--- a/sequoiafall/platform/store.py
+++ b/sequoiafall/platform/store.py
@@ -53,21 +53,22 @@
     row_version: int = 0
     rows: list[_Row] = []
     has_more: bool = False
+    # Era in which the store responded; set from the header of the response.
+    era: int = 1
 
-    def store_rows(self, era: int) -> list[StoreRow]:
-        """Return the rows of the empty part, the only one that sequoiafall uses.
+    @property
+    def version(self) -> int:
+        """Newest version of the store."""
+        return _version(self.row_version, self.era)
 
-        Parameters
-        ----------
-        era : int
-            Era in which the store responded, as it names it.
-        """
+    def store_rows(self) -> list[StoreRow]:
+        """Return the rows of the empty part, the only one that sequoiafall uses."""
         return [
             StoreRow(
                 row.table,
                 row.key,
                 row.value or b"",
-                _version(row.row_version, era),
+                _version(row.row_version, self.era),
                 row.deleted,
             )
             for row in self.rows
@@ -110,27 +111,27 @@
         response = await self._get(names.ROWS_PATH, query, RESPONSE_TIMEOUT_S)
         if not isinstance(response, Success):
             return _unavailable_result(response)
-        rows = response.unwrap().store_rows(self.era)
+        rows = response.unwrap().store_rows()
         return Success(rows[0] if rows and rows[0].key == key else None)
 
     async def scan(self, table: str) -> Result[Rows, Unavailable]:
         """Return all rows of a table, with the version of the first page."""
         rows: list[StoreRow] = []
         version = -1
-        era = self.era
+        era = 0
         query = {"table": table, "part": "", "limit": str(MAX_PAGE_ROWS)}
         while True:
             response = await self._get(names.ROWS_PATH, query, RESPONSE_TIMEOUT_S)
             if not isinstance(response, Success):
                 return _unavailable_result(response)
             body = response.unwrap()
-            if version >= 0 and era != self.era:
+            if version >= 0 and era != body.era:
                 return Failure(Unavailable("the store came back older meanwhile"))
-            era = self.era
-            page_rows = body.store_rows(era)
+            era = body.era
+            page_rows = body.store_rows()
             rows.extend(page_rows)
             if version < 0:
-                version = _version(body.row_version, era)
+                version = body.version
             if not body.has_more or not page_rows:
                 return Success(Rows(rows, version))
             # The range starts with the key itself; a zero byte gives the next key.
@@ -153,12 +154,12 @@
             return Failure(
                 HistoryLost() if failure == 410 else _as_unavailable(failure)
             )
-        if self._is_of_earlier_era(after):
+        body = response.unwrap()
+        if era_of(after) != body.era - FIRST_ERA:
             # The version may have been given out again meanwhile.
             return Failure(HistoryLost())
-        body = response.unwrap()
-        version = _version(body.row_version, self.era) if body.row_version else after
-        return Success(Rows(body.store_rows(self.era), version))
+        version = body.version if body.row_version else after
+        return Success(Rows(body.store_rows(), version))
 
     async def replace(
         self, table: str, key: str, value: bytes, version: int
@@ -189,7 +190,7 @@
                 timeout=_timeout(RESPONSE_TIMEOUT_S),
             ) as response:
                 content = await response.read()
-                counts = self._observe_era(response)
+                counts, answered_era = self._observe_era(response), self.era
         except aiohttp.ClientConnectorError as error:
             self.failures += 1
             return Failure(Unavailable(type(error).__name__))
@@ -202,21 +203,21 @@
         if response.status not in (200, 412):
             self.failures += 1
             return Failure(Unavailable(f"status {response.status}"))
-        decoded = _decode(names.TRANSACTION_PATH, content)
+        decoded = _decode(names.TRANSACTION_PATH, content, answered_era)
         if not isinstance(decoded, Success):
             self.failures += 1
             return Failure(Unknown(decoded.failure()))
         if response.status == 412:
-            rows = decoded.unwrap().store_rows(self.era)
+            rows = decoded.unwrap().store_rows()
             return Failure(Rejected(rows[0] if rows else None))
-        new_version = decoded.unwrap().row_version
-        if new_version <= 0:
+        answer = decoded.unwrap()
+        if answer.row_version <= 0:
             self.failures += 1
             return Failure(Unknown("the answer names no version"))
-        if version and era != self.era:
+        if version and era != answered_era:
             self.failures += 1
             return Failure(Unknown("the store came back older meanwhile"))
-        return Success(_version(new_version, self.era))
+        return Success(answer.version)
 
     async def _get(
         self, path: str, query: dict[str, str], timeout_s: float
@@ -227,7 +228,7 @@
                 self._base_url + path, params=query, timeout=_timeout(timeout_s)
             ) as response:
                 content = await response.read()
-                counts = self._observe_era(response)
+                counts, era = self._observe_era(response), self.era
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             self.failures += 1
             return Failure(type(error).__name__)
@@ -237,7 +238,7 @@
         if response.status != 200:
             self.failures += 1
             return Failure(response.status)
-        decoded = _decode(path, content)
+        decoded = _decode(path, content, era)
         if not isinstance(decoded, Success):
             self.failures += 1
         return decoded
@@ -298,9 +299,11 @@
     return Failure(_as_unavailable(response.failure()))
 
 
-def _decode(path: str, content: bytes) -> Result[_StoreResponse, str]:
+def _decode(path: str, content: bytes, era: int) -> Result[_StoreResponse, str]:
     try:
-        return Success(msgspec.json.decode(content, type=_StoreResponse))
+        response = msgspec.json.decode(content, type=_StoreResponse)
+        response.era = era
+        return Success(response)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         reason = str(error)[:MAX_REASON_CHARS]
         log_event(
