Do not let a restarted server refute a stored verdict

A leader that reads the stored verdicts took the crashes for as old as they were at the time of the write, so the first response of the restarted engines refuted them.

--- a/sequoiafall/evidence_exchange.py
+++ b/sequoiafall/evidence_exchange.py
@@ -15,7 +15,13 @@
 from returns.result import Failure, Success
 
 from .boot_clock import boot_time
-from .crash_evidence import Crash, CrashEvidence, PartEvidence, ServerStart
+from .crash_evidence import (
+    RESPONSE_WINDOW_S,
+    Crash,
+    CrashEvidence,
+    PartEvidence,
+    ServerStart,
+)
 from .lease import LEASE_TABLE
 from .log import log_event, log_warning
 from .row_store import Rejected, RowStore
@@ -267,6 +273,9 @@
     evidence = PartEvidence(stored.part, failed_trials=stored.failed_trials)
     for crash in stored.crashes:
         start = ServerStart(crash.server, crash.born)
-        evidence.crashes_by_start[start] = Crash(now - crash.age_s)
+        # The age is that at the time of the write. A server that responds now has
+        # restarted, which does not refute its crash.
+        crashed_at = now - crash.age_s - RESPONSE_WINDOW_S
+        evidence.crashes_by_start[start] = Crash(crashed_at)
     evidence.trial_at = now + stored.trial_in_s
     return evidence
