--- a/tests/test_harmful_prompts.py
+++ b/tests/test_harmful_prompts.py
@@ -28,6 +28,8 @@
 # Share of the sound requests that must begin at the first attempt.
 SOUND_SHARE = 0.5
 SOUND_AFTER_S = 2.0 * CONTACT_S
+# Sound requests after that time that a test judges at least.
+LATE_CALLS = 20
 PRESSED_S = 11.0
 CALL_PAUSE_S = 0.1
 ENGINES = 5
@@ -36,6 +38,8 @@
 class HarmfulPromptCase(PlatformCase):
     """Presses callers of sound and of harmful requests against a fleet."""
 
+    judges_late_calls = True
+
     async def start_fleet_of_engines(self, nodes):
         self.configure()
         for number in range(1, ENGINES + 1):
@@ -60,6 +64,9 @@
     async def press(self, path, pressed_s=PRESSED_S):
         """Send sound and harmful requests to all nodes.
 
+        It goes on until enough sound requests were sent long after the crashes, which
+        takes longer on a busy machine.
+
         Returns the times at which sound requests were sent, and whether each was
         served.
         """
@@ -68,7 +75,9 @@
         ends_at = time.monotonic() + pressed_s
 
         async def caller(node, is_harmful):
-            while time.monotonic() < ends_at and node in self.nodes:
+            while node in self.nodes and (
+                time.monotonic() < ends_at or self.lacks_late_calls(sound)
+            ):
                 number = next(numbers)
                 shared = HARMFUL_PART if is_harmful else f"b{number % 5}"
                 parts = f"{FIRST_PART}:568,{shared}:200,own{number}:250"
@@ -97,6 +106,16 @@
         )
         return sound
 
+    def late_calls(self, sound):
+        """Return whether each sound request long after the crashes was served."""
+        known_at = self.crashes()[:KNOWN_CRASHES][-1]
+        return [ok for sent_at, ok in sound if sent_at > known_at + SOUND_AFTER_S]
+
+    def lacks_late_calls(self, sound):
+        if not self.judges_late_calls or not self.crashes():
+            return False
+        return len(self.late_calls(sound)) < LATE_CALLS
+
     def crashes(self):
         return sorted(
             time_s for engine in self.engines.values() for time_s in engine.crashed_at
@@ -113,12 +132,12 @@
             for time_s in engine.harmful_arrivals
             if time_s > known_at + CONTACT_S
         ]
-        late_sound = [ok for sent_at, ok in sound if sent_at > known_at + SOUND_AFTER_S]
+        late_sound = self.late_calls(sound)
         served = sum(late_sound) / max(1, len(late_sound))
         seen = f"{len(crashes)} crashes, {len(arrivals)} arrivals, {served:.2f} served"
         if len(crashes) >= KNOWN_CRASHES:
             self.assertLessEqual(len(arrivals), ALLOWED_ARRIVALS, seen)
-        self.assertGreaterEqual(len(late_sound), 20, seen)
+        self.assertGreaterEqual(len(late_sound), LATE_CALLS, seen)
         self.assertGreaterEqual(served, SOUND_SHARE, seen)
 
 
@@ -164,7 +183,9 @@
     async def test_newcomer(self):
         """An instance that starts later refuses the part without a crash."""
         await self.start_fleet_of_engines(2)
+        self.judges_late_calls = False
         await self.press("/draft/x", 4.0)
+        self.judges_late_calls = True
         before = len(self.crashes())
         await self.start_node(3)
         await until(lambda: self.nodes[-1].fleet.has_leader)
@@ -175,7 +196,9 @@
     async def test_all_instances_restart(self):
         """What is known outlasts all processes of the system."""
         await self.start_fleet_of_engines(2)
+        self.judges_late_calls = False
         await self.press("/draft/x", 4.0)
+        self.judges_late_calls = True
         before = len(self.crashes())
         for node in list(self.nodes):
             self.nodes.remove(node)
