--- a/soak/run.py
+++ b/soak/run.py
@@ -141,6 +141,8 @@
         self.limits = LimitCheck()
         self.prompts = PromptCheck(seed)
         self.nodes_by_request: dict[str, int] = {}
+        # Last responses to a valid and to a withdrawn key, for the findings.
+        self.recovery_statuses_by_node: dict[int, list[int]] = {}
 
     # Set-up
 
@@ -418,7 +420,8 @@
                 await asyncio.sleep(0.1)
         for number in waiting:
             self.add_finding(
-                f"node-{number} not serving {RECOVERY_TIMEOUT_S} s after the faults"
+                f"node-{number} not serving {RECOVERY_TIMEOUT_S} s after the faults, "
+                f"statuses {self.recovery_statuses_by_node.get(number)}"
             )
         self.findings += self.limits.findings() + self.prompts.findings()
         for engine in self.engines:
@@ -466,6 +469,7 @@
                     statuses.append(response.status)
             except (aiohttp.ClientError, TimeoutError, OSError):
                 return False
+        self.recovery_statuses_by_node[number] = statuses
         return statuses == [200, 401] and await self._serves_last_route(session, number)
 
     async def _serves_last_route(
