Let stand-ins crash on whole requests and fall silent for a time

Engines and plain services of the tests can now crash on requests with given paths and bodies, and send nothing for some seconds and go on.

--- a/sequoiafall/standins/adapter_engine.py
+++ b/sequoiafall/standins/adapter_engine.py
@@ -95,8 +95,11 @@
         Whether it holds the same models and adapters after a crash as before.
     crashed_at : list of float
         Times of the crashes, in seconds.
+    crashing_requests : set of (str, bytes)
+        Paths, with their queries, and bodies of requests that crash the server as
+        soon as it begins to run them.
     harmful_arrivals : list of float
-        Times of requests with one of the crashing parts, in seconds.
+        Times of requests that crash the server, in seconds.
     on_restart : callable or None
         Called after each restart that follows a crash.
     """
@@ -144,6 +147,8 @@
         self.ends_with_connection = False
         self.cuts_with_reset = True
         self.crashing_parts: set[str] = set()
+        self.crashing_requests: set[tuple[str, bytes]] = set()
+        self._silent_until = 0.0
         self.down_s = CRASH_DOWN_S
         self.keeps_models = False
         self.crashed_at: list[float] = []
@@ -182,6 +187,13 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
+    def fall_silent(self, seconds: float) -> None:
+        """Send nothing for some time, then go on as if nothing had happened."""
+        self._silent_until = time.monotonic() + seconds
+
+    async def _wait_silence_over(self) -> None:
+        await asyncio.sleep(max(0.0, self._silent_until - time.monotonic()))
+
     async def crash(self) -> None:
         """Reset all connections and refuse new ones until `down_s` is over."""
         if self._runner is None or self._site is None or self._runner.server is None:
@@ -268,6 +280,7 @@
         self._record_call("report")
         if self.withholds_reports:
             await self.resume_event.wait()
+        await self._wait_silence_over()
         now = time.monotonic()
         seen_at = now - REPORT_LAG_S
         old = [state for state in self._history if state[0] <= seen_at]
@@ -283,6 +296,7 @@
     async def _on_order(self, request: web.Request) -> web.StreamResponse:
         self._record_call("order")
         order = await request.json()
+        await self._wait_silence_over()
         if request.headers.get(names.EXPECTED_SERVER, self.name) != self.name:
             return web.Response(status=421)
         if self.unanswered_orders > 0:
@@ -338,8 +352,10 @@
         self.received_request_ids.append(request_id)
         self._record_call("request")
         is_harmful = not self.crashing_parts.isdisjoint(_parts(request))
+        is_harmful |= (request.raw_path, body) in self.crashing_requests
         if is_harmful:
             self.harmful_arrivals.append(time.monotonic())
+        await self._wait_silence_over()
         headers = {names.REQUEST_ID: request_id}
         if request.headers.get(names.EXPECTED_SERVER, self.name) != self.name:
             return web.Response(status=421, headers=headers)
@@ -376,13 +392,14 @@
             headers[names.REQUEST_ID] = "another"
         self.running += 1
         try:
-            if self.model and is_harmful:
+            if is_harmful:
                 await asyncio.sleep(self.event_interval_s)
                 await self.crash()
                 return web.Response(status=500)
             if self.model:
                 return await self._stream(request, headers)
             await asyncio.sleep(self.processing_s)
+            await self._wait_silence_over()
             if self.ends_with_connection:
                 return await self._respond_unframed(request, headers, b"done:" + body)
             return web.Response(body=b"done:" + body, headers=headers)
@@ -433,6 +450,7 @@
                 return await self._trickle(response)
             if 0 <= self.pause_after_events < number:
                 await self.resume_event.wait()
+            await self._wait_silence_over()
             await response.write(f"id: {number}\ndata: piece {number}\n\n".encode())
         await response.write_eof()
         return response
