Count the first place of a request while it waits for a second one

A gateway that wants to move a stream to another engine must keep the first place until it has the second one. The planner held one place for each request and released it with the next request for a place, so the adapter of the running stream could be evicted. It holds a place for each request and engine now. A place at an engine that the request does not exclude is still released at once, as the end of an attempt may be lost.

A gateway that needs no further place withdraws its request: the end of a place without a server answers a waiting request and keeps its places. The wire format does not change. An earlier leader ends all places of the request then, as it does with the next request for a place anyway.

Without the change:

FAIL: test_first_place_counts_while_a_second_one_is_requested AssertionError: 0 != 1 ERROR: test_withdrawn_request_keeps_its_place AttributeError: 'EnginePlanner' object has no attribute 'withdraw'

--- a/sequoiafall/engine_planner.py
+++ b/sequoiafall/engine_planner.py
@@ -10,7 +10,7 @@
 import math
 import random
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field, replace
 
 from .backend_registry import BackendEntry
@@ -150,7 +150,9 @@
         self._random = random.Random(seed)
         self._chooser = EngineChooser(self.pool, self._policy)
         self._waiting_by_id: dict[str, _Waiting] = {}
-        self._placed_by_id: dict[str, _Placed] = {}
+        # Places by request and engine: a request has two while its gateway moves it
+        # from one engine to another.
+        self._places_by_id: dict[str, dict[str, _Placed]] = {}
         self._release_interval_s = 0.05
         self._released_at = 0.0
         self._has_changed = False
@@ -200,9 +202,9 @@
     ) -> None:
         """Record a place that was granted by an earlier leader."""
         engine = self.pool.engines_by_name.get(server)
-        if engine is None or request.request_id in self._placed_by_id:
+        if engine is None or server in self._places_by_id.get(request.request_id, ()):
             return
-        self._placed_by_id[request.request_id] = _Placed(request, server, version, now)
+        self._add_place(_Placed(request, server, version, now))
         engine.running += 1
         slot = engine.slots_by_adapter.get(request.adapter)
         if slot is not None:
@@ -217,24 +219,27 @@
         gateway may not have received them yet.
         """
         ended = [
-            request_id
-            for request_id, placed in self._placed_by_id.items()
+            placed
+            for placed in self._places()
             if placed.request.gateway == gateway
-            and request_id not in kept
+            and placed.request.request_id not in kept
             and now - placed.placed_at > GRANT_DELIVERY_S
         ]
-        for request_id in ended:
-            self._release(request_id, now)
+        for placed in ended:
+            self._release(placed.request.request_id, placed.server, now)
         return self._on_change(now) if ended else []
 
     def submit(self, request: PlacementRequest, now: float) -> list[Action]:
         """Place, queue or refuse a request.
 
-        A request that is already placed is placed anew; its old place is released.
+        A request that is already placed is placed anew. Its old place is released,
+        except at an engine that the request excludes: it may run there until it has
+        the new place, so that one counts until its end is reported.
         """
         self._chooser.record_request(request, now)
-        if request.request_id in self._placed_by_id:
-            self._release(request.request_id, now)
+        for server in list(self._places_by_id.get(request.request_id, ())):
+            if server not in request.excluded:
+                self._release(request.request_id, server, now)
         on_time_until = now + request.on_time_s
         wait_s = request.on_time_s - self._min_start_s(request)
         if wait_s <= 0.0:
@@ -253,11 +258,19 @@
         return self._advance(waiting, now) + self._load_replica(request.adapter, now)
 
     def cancel(self, request_id: str, now: float) -> list[Action]:
-        """Remove a request whose gateway no longer waits, or end its place."""
+        """Remove a request whose gateway no longer waits, or end its places."""
         if self._waiting_by_id.pop(request_id, None) is not None:
             return []
         return self.end(request_id, "cancelled", now)
 
+    def withdraw(self, request_id: str, now: float) -> list[Action]:
+        """Remove a waiting request that needs no further place; keep its places."""
+        waiting = self._waiting_by_id.get(request_id)
+        if waiting is None:
+            return []
+        self._drop(waiting)
+        return self._on_change(now)
+
     def end(
         self, request_id: str, outcome: str, now: float, server: str = ""
     ) -> list[Action]:
@@ -273,26 +286,21 @@
         now : float
             Time in seconds.
         server : str, default=""
-            Engine of the place. If the request has since got a place at another
-            engine, the call is ignored.
+            Engine of the place; empty for all places of the request.
         """
-        held = self._placed_by_id.get(request_id)
-        if held is not None and server and held.server != server:
-            return []
-        placed = self._release(request_id, now)
-        if placed is None:
-            return []
-        engine = self.pool.engines_by_name.get(placed.server)
-        if engine is not None:
-            self._record_outcome(engine, placed, outcome, now)
-        return self._on_change(now)
+        held = self._places_by_id.get(request_id, {})
+        servers = [server] if server else list(held)
+        released = [self._release(request_id, name, now) for name in servers]
+        for placed in released:
+            engine = self.pool.engines_by_name.get(placed.server) if placed else None
+            if placed is not None and engine is not None:
+                self._record_outcome(engine, placed, outcome, now)
+        return self._on_change(now) if any(released) else []
 
     def shared_parts(self, request_id: str, server: str) -> tuple[str, ...]:
         """Return the shared prompt parts of a request with a place at an engine."""
-        placed = self._placed_by_id.get(request_id)
-        if placed is None or placed.server != server:
-            return ()
-        return placed.request.shared_parts
+        placed = self._places_by_id.get(request_id, {}).get(server)
+        return placed.request.shared_parts if placed is not None else ()
 
     def on_begun(self, request_id: str, now: float) -> list[Action]:
         """Record that the response to a placed request has begun."""
@@ -700,9 +708,8 @@
         if engine.allowance is not None:
             engine.allowance.count(now)
         engine.add_request(request.prompt_tokens, now)
-        self._placed_by_id[request.request_id] = _Placed(
-            request, engine.name, version, now
-        )
+        self._release(request.request_id, engine.name, now)
+        self._add_place(_Placed(request, engine.name, version, now))
         self.counts.granted += 1
         is_trial = self._quarantine.begin_trial(
             request.request_id, request.shared_parts, now
@@ -716,11 +723,22 @@
             is_trial,
         )
 
-    def _release(self, request_id: str, now: float) -> _Placed | None:
-        placed = self._placed_by_id.pop(request_id, None)
+    def _places(self) -> Iterator[_Placed]:
+        for places_by_server in self._places_by_id.values():
+            yield from places_by_server.values()
+
+    def _add_place(self, placed: _Placed) -> None:
+        places = self._places_by_id.setdefault(placed.request.request_id, {})
+        places[placed.server] = placed
+
+    def _release(self, request_id: str, server: str, now: float) -> _Placed | None:
+        places = self._places_by_id.get(request_id, {})
+        placed = places.pop(server, None)
         if placed is None:
             return None
-        self._quarantine.end_trial(request_id)
+        if not places:
+            del self._places_by_id[request_id]
+            self._quarantine.end_trial(request_id)
         engine = self.pool.engines_by_name.get(placed.server)
         if engine is None:
             return placed
@@ -741,13 +759,9 @@
         if now - self._expired_at < EXPIRY_INTERVAL_S:
             return
         self._expired_at = now
-        expired = [
-            request_id
-            for request_id, placed in self._placed_by_id.items()
-            if now >= placed.expires_at
-        ]
-        for request_id in expired:
-            self._release(request_id, now)
+        expired = [placed for placed in self._places() if now >= placed.expires_at]
+        for placed in expired:
+            self._release(placed.request.request_id, placed.server, now)
         self.counts.expired_places += len(expired)
 
     def _record_release(self, now: float) -> None:
--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -123,7 +123,7 @@
         self.over_limit: frozenset[str] = frozenset()
         self.members_by_instance: dict[str, Any] = {}
         self._started_at = boot_time()
-        self.places_by_request: dict[str, Any] = {}
+        self.places_by_request_and_server: dict[tuple[str, str], Any] = {}
         self.is_leaving = False
         self.reaches_store = False
         self.tables = FleetTables(
@@ -337,7 +337,7 @@
 
     def release_place(self, end: Any) -> None:
         """Report to the leader that a request no longer needs its place."""
-        self.places_by_request.pop(end.request_id, None)
+        self.places_by_request_and_server.pop((end.request_id, end.server), None)
         if self.duties is not None:
             self.duties.on_releases(
                 ttypes.EngineEnds(term=self.duties.term, ended=[end])
@@ -531,7 +531,7 @@
             revision=link.revision,
             tokens_by_organisation=tokens,
             rows=[] if is_first else self._rows_to_wire(rows),
-            held=list(self.places_by_request.values()) if is_first else [],
+            held=list(self.places_by_request_and_server.values()) if is_first else [],
             recent_tokens_by_organisation={
                 name: int(used)
                 for name, used in self.recent_use.sums(boot_time()).items()
@@ -653,7 +653,7 @@
             revision=0,
             tokens_by_organisation={},
             rows=[],
-            held=list(self.places_by_request.values()),
+            held=list(self.places_by_request_and_server.values()),
             recent_tokens_by_organisation={
                 name: int(used)
                 for name, used in self.recent_use.sums(boot_time()).items()
--- a/sequoiafall/fleet_leader.py
+++ b/sequoiafall/fleet_leader.py
@@ -414,10 +414,15 @@
         try:
             result = await reply
         except asyncio.CancelledError:
-            # The gateway cancelled the request or lost its connection.
-            self._apply(
-                planner, planner.cancel(placement_request.request_id, boot_time())
-            )
+            # The gateway cancelled the request or lost its connection. The request
+            # may still run at the place that it had before.
+            now, request_id = boot_time(), placement_request.request_id
+            if reply.done() and not reply.cancelled() and reply.result().server:
+                server = reply.result().server
+                actions = planner.end(request_id, "cancelled", now, server)
+            else:
+                actions = planner.withdraw(request_id, now)
+            self._apply(planner, actions)
             raise
         finally:
             if self._replies_by_request.get(placement_request.request_id) is reply:
@@ -453,12 +458,23 @@
                 if planner is None:
                     continue
                 self._record_evidence(planner, end, now)
+                if not end.server:
+                    self._withdraw(planner, end.request_id, now)
+                    continue
                 if end.outcome == BEGUN_OUTCOME:
                     self._apply(planner, planner.on_begun(end.request_id, now))
                     continue
                 actions = planner.end(end.request_id, end.outcome, now, end.server)
                 self._apply(planner, actions)
 
+    def _withdraw(self, planner: EnginePlanner, request_id: str, now: float) -> None:
+        """Answer a waiting request whose gateway needs no further place for it."""
+        self._apply(planner, planner.withdraw(request_id, now))
+        reply = self._replies_by_request.get(request_id)
+        if reply is not None and not reply.done():
+            detail = "withdrawn by the gateway"
+            reply.set_result(_refusal(Reason.OVERLOADED, 0.0, detail, False))
+
     def _record_evidence(self, planner: EnginePlanner, end: Any, now: float) -> None:
         """Record whether a response began, or its server crashed before that."""
         if end.has_begun:
@@ -503,7 +519,7 @@
         reply = self._replies_by_request.get(grant.request_id)
         entry = self._registry.find(grant.server)
         if reply is None or reply.done() or entry is None:
-            planner.end(grant.request_id, "cancelled", boot_time())
+            planner.end(grant.request_id, "cancelled", boot_time(), grant.server)
             return
         now = boot_time()
         log_event(
--- a/sequoiafall/place_source.py
+++ b/sequoiafall/place_source.py
@@ -331,7 +331,8 @@
         self, pending: PendingPlacement, server: str, version: int
     ) -> None:
         request = pending.request
-        self._fleet.places_by_request[request.request_id] = ttypes.HeldPlace(
+        key = request.request_id, server
+        self._fleet.places_by_request_and_server[key] = ttypes.HeldPlace(
             request_id=request.request_id,
             pool=pending.service,
             server=server,
--- a/tests/test_engine_planner.py
+++ b/tests/test_engine_planner.py
@@ -551,6 +551,54 @@
         driver.apply(driver.planner.end("r1", "ok", driver.now, second))
         self.assertEqual(engine.slots_by_adapter["a1"].uses, 0)
 
+    def test_first_place_counts_while_a_second_one_is_requested(self):
+        """The adapter of a running stream must not be evicted during a move.
+
+        The planner released the first place as soon as a second one was requested.
+        """
+        driver = Driver(engines=2, slots=1)
+        driver.ask("r1")
+        driver.run(COLD_LOAD_S + LOAD_MARGIN_S + 0.01)
+        first = driver.granted["r1"].server
+        driver.ask("r1", excluded=frozenset({first}), on_time_s=3.0)
+        slots = driver.planner.pool.engines_by_name[first].slots_by_adapter
+        self.assertEqual(slots["a1"].uses, 1)
+        driver.run(COLD_LOAD_S + LOAD_MARGIN_S + 0.01)
+        second = driver.granted["r1"].server
+        self.assertEqual(slots["a1"].uses, 1)
+        driver.apply(driver.planner.end("r1", "cancelled", driver.now, second))
+        self.assertEqual(slots["a1"].uses, 1)
+        driver.ask("other", "b1", excluded=frozenset({second}))
+        driver.run(0.9)
+        self.assertIn("other", driver.refused)
+        driver.apply(driver.planner.end("r1", "ok", driver.now, first))
+        self.assertEqual(slots["a1"].uses, 0)
+
+    def test_withdrawn_request_keeps_its_place(self):
+        """A stream that goes on at its engine withdraws its request for another."""
+        driver = Driver(engines=2, slots=1)
+        driver.ask("r1")
+        driver.run(COLD_LOAD_S + LOAD_MARGIN_S + 0.01)
+        first = driver.granted["r1"].server
+        driver.ask("r1", excluded=frozenset({first}), on_time_s=3.0)
+        self.assertEqual(driver.planner.waiting_count, 1)
+        driver.apply(driver.planner.withdraw("r1", driver.now))
+        driver.run(COLD_LOAD_S + LOAD_MARGIN_S + 0.01)
+        self.assertEqual(driver.planner.waiting_count, 0)
+        self.assertEqual(driver.granted["r1"].server, first)
+        engines = driver.planner.pool.engines_by_name.values()
+        uses = {row.name: row.slots_by_adapter["a1"].uses for row in engines}
+        self.assertEqual([name for name in uses if uses[name]], [first])
+
+    def test_place_at_an_engine_that_is_not_excluded_is_placed_anew(self):
+        """The end of an attempt may be lost before its request is placed again."""
+        driver = Driver(engines=1, slots=1)
+        driver.ask("r1")
+        driver.run(COLD_LOAD_S + LOAD_MARGIN_S + 0.01)
+        driver.ask("r1")
+        engine = driver.planner.pool.engines_by_name["e0"]
+        self.assertEqual((engine.running, engine.slots_by_adapter["a1"].uses), (1, 1))
+
     def test_nothing_is_ordered_after_a_conflict_until_a_report(self):
         """A conflict means that another leader has loaded an adapter.
 
