Free the adapter slot of a request that is cancelled during a load

A request that waits for a load claims the adapter's slot. When its caller disconnected, or its gateway asked again, the planner dropped it with the claim, so the slot counted as in use for the rest of the leader's term and could not be evicted. Callers of other adapters were refused for want of a slot.

Without the change:

FAIL: test_request_that_is_cancelled_during_a_load_frees_its_slot AssertionError: 'r2' not found in {}

--- a/sequoiafall/engine_planner.py
+++ b/sequoiafall/engine_planner.py
@@ -247,6 +247,9 @@
                 self._policy.late_wait_max_s,
                 self._policy.late_wait_share * request.time_left_s,
             )
+        known = self._waiting_by_id.get(request.request_id)
+        if known is not None:
+            self._drop(known)
         waiting = _Waiting(request, now, on_time_until, now + wait_s)
         refused = self._immediate_refusal(waiting, now)
         if refused is not None:
@@ -259,8 +262,8 @@
 
     def cancel(self, request_id: str, now: float) -> list[Action]:
         """Remove a request whose gateway no longer waits, or end its places."""
-        if self._waiting_by_id.pop(request_id, None) is not None:
-            return []
+        if request_id in self._waiting_by_id:
+            return self.withdraw(request_id, now)
         return self.end(request_id, "cancelled", now)
 
     def withdraw(self, request_id: str, now: float) -> list[Action]:
--- a/tests/test_engine_planner.py
+++ b/tests/test_engine_planner.py
@@ -599,6 +599,16 @@
         engine = driver.planner.pool.engines_by_name["e0"]
         self.assertEqual((engine.running, engine.slots_by_adapter["a1"].uses), (1, 1))
 
+    def test_request_that_is_cancelled_during_a_load_frees_its_slot(self):
+        """The slot stayed in use for the rest of the leader's term."""
+        driver = Driver(engines=1, slots=1)
+        driver.ask("r1", on_time_s=3.0)
+        driver.apply(driver.planner.cancel("r1", driver.now))
+        driver.run(COLD_LOAD_S + LOAD_MARGIN_S + 0.01)
+        driver.ask("r2", "b1", on_time_s=3.0)
+        driver.run(COLD_LOAD_S + LOAD_MARGIN_S + 0.01)
+        self.assertIn("r2", driver.granted)
+
     def test_nothing_is_ordered_after_a_conflict_until_a_report(self):
         """A conflict means that another leader has loaded an adapter.
 
