Keep a silent stream until another engine has a place for it

Callers saw responses that ended without an answer or a refusal, or 502, although the engine was sound and went on after a second or so. A stream that may be resumed was given up after 1.0 s without an event (1.6 s before the first) if the retry budget had a retry left. Only then a place elsewhere was requested, and every refusal, missing leader or rejected send ended the response.

The present engine is read on now while a place elsewhere is requested (StreamMove). The connection is closed, and a retry taken, only when there is a place; the second send starts after that. A server that goes on first keeps its stream, and the request for a place is withdrawn; a place that was granted meanwhile is released as cancelled. A refused move is tried again every 0.25 s. A stream that has begun, or has left a server that may be sound, looks for a place until its deadline, also at the servers that it left, as its caller cannot be told of a refusal.

--- a/sequoiafall/engine_planner.py
+++ b/sequoiafall/engine_planner.py
@@ -285,7 +285,7 @@
             The request.
         outcome : str
             ``ok``, ``cancelled``, ``withheld``, ``busy``, ``not_run``, ``failed``,
-            ``broken`` or ``unreachable``.
+            ``broken``, ``moved`` or ``unreachable``.
         now : float
             Time in seconds.
         server : str, default=""
--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -40,12 +40,8 @@
 from .server_limits import REQUEST_SOURCE
 from .server_notices import ServerNotice, spread_retry_s
 from .serving_ports import Attempt, CallerRequest, Dialect, ResponseKind
-from .stall_timeout import (
-    EVENT_GAP_TIMEOUT_S,
-    StalledError,
-    StallTimeout,
-    stall_timeout,
-)
+from .stall_timeout import EVENT_GAP_TIMEOUT_S, FIRST_EVENT_TIMEOUT_S, LOOK_AGAIN_S
+from .stream_move import MovedError, StreamMove
 
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 # The gateway responds this long before the caller's or the route's timeout, so that
@@ -101,7 +97,7 @@
     ----------
     name : str
         ``ok``, ``cancelled``, ``withheld``, ``busy``, ``not_run``, ``failed``,
-        ``broken``, ``withdrawn`` or ``unreachable``.
+        ``broken``, ``moved``, ``withdrawn`` or ``unreachable``.
     response : web.StreamResponse or None, default=None
         Response for the caller, if there is one.
     detail : str, default=""
@@ -141,6 +137,8 @@
         it refused the request or could not be reached.
     excluded : set of str
         Servers that are not tried again.
+    move : StreamMove or None
+        Looks for places of a request to an engine.
     stream : web.StreamResponse or None
         Streamed response, once it has begun.
     splitter : EventSplitter
@@ -169,6 +167,7 @@
     runs: int = 0
     rejected_sends: int = 0
     excluded: set[str] = field(default_factory=set)
+    move: StreamMove | None = None
     stream: web.StreamResponse | None = None
     splitter: EventSplitter = field(default_factory=EventSplitter)
     place: GatewayPlace | None = None
@@ -184,6 +183,21 @@
             return self.runs == 0
         return self.runs < self.route.max_attempts
 
+    @property
+    def may_be_refused(self) -> bool:
+        """Whether a refusal is better than a search for a server until the deadline.
+
+        The caller cannot be told of a refusal once its stream has begun.
+        """
+        has_moved = self.move is not None and self.move.has_moved
+        return self.stream is None and not has_moved
+
+    def watch(self, server: str) -> contextlib.AbstractAsyncContextManager[None]:
+        """Return the context of a send that may move; without a server, it may not."""
+        if self.move is None or not server:
+            return contextlib.nullcontext()
+        return self.move.watch(server, FIRST_EVENT_TIMEOUT_S)
+
     def describe_choice(self) -> dict[str, object]:
         """Return log fields on the choice of a plain server; empty for engines."""
         return self.plain_choice.describe() if self.plain_choice is not None else {}
@@ -412,31 +426,32 @@
             exchange.deadline,
         )
         notices = self._fleet.notices
-        while True:
-            entries = self._fleet.registry.active_servers(exchange.service)
-            pause_s = notices.shortest_pause_s(entries)
-            if pause_s > 0.0:
-                return self._refuse_paused(exchange, pause_s)
-            paused = {row.server for row in notices.pauses()}
-            place = await self._places.take(
-                pending, frozenset(exchange.excluded | paused)
-            )
-            if isinstance(place, Refusal):
-                return self._finish_refusal(exchange, place)
-            exchange.times.placed_at = boot_time()
-            exchange.place = place
-            entry = self._fleet.registry.find(place.server)
-            outcome = Outcome("cancelled")
-            try:
-                outcome = await self._send(exchange, place)
-            finally:
-                self._places.end(pending, place, _run_end(exchange, outcome, entry))
-            if outcome.is_cut:
-                # Lets the leader hear from all gateways which requests a crash cut.
-                await asyncio.sleep(CRASH_NEWS_PAUSE_S)
-            final = await self._handle_outcome(exchange, place.server, outcome)
-            if final is not None:
-                return final
+        budget = self._retry_budget(exchange.service)
+        move = StreamMove(pending, self._places, notices, budget, exchange.excluded)
+        exchange.move = move
+        with contextlib.closing(move):
+            while True:
+                entries = self._fleet.registry.active_servers(exchange.service)
+                pause_s = notices.shortest_pause_s(entries)
+                if pause_s > 0.0 and exchange.may_be_refused:
+                    return self._refuse_paused(exchange, pause_s)
+                place = await move.take(exchange.may_be_refused)
+                if isinstance(place, Refusal):
+                    return self._finish_refusal(exchange, place)
+                exchange.times.placed_at = boot_time()
+                exchange.place = place
+                entry = self._fleet.registry.find(place.server)
+                outcome = Outcome("cancelled")
+                try:
+                    outcome = await self._send(exchange, place)
+                finally:
+                    self._places.end(pending, place, _run_end(exchange, outcome, entry))
+                if outcome.is_cut:
+                    # Lets the leader hear from all gateways which requests a crash cut.
+                    await asyncio.sleep(CRASH_NEWS_PAUSE_S)
+                final = await self._handle_outcome(exchange, place.server, outcome)
+                if final is not None:
+                    return final
 
     async def _serve_plain(self, exchange: Exchange) -> web.StreamResponse:
         refused = await self._check_rate_limit(exchange)
@@ -570,6 +585,9 @@
         if outcome.name == "withdrawn":
             refusal = Refusal(Reason.INVALID_KEY, detail=outcome.detail)
             return self._finish_refusal(exchange, refusal)
+        if outcome.name == "moved":
+            exchange.excluded.add(server)
+            return None
         if outcome.name == "withheld":
             # Needs no retry budget: nothing was sent, and each server is excluded
             # only once.
@@ -583,6 +601,12 @@
             if exchange.rejected_sends <= MAX_REJECTED_SENDS and has_budget:
                 await asyncio.sleep(NOT_RUN_PAUSE_S)
                 return None
+            if not exchange.may_be_refused:
+                # The server that was left before may be the only one that is sound.
+                exchange.excluded.clear()
+                exchange.excluded.add(server)
+                await asyncio.sleep(LOOK_AGAIN_S)
+                return None
             refusal = Refusal(Reason.OVERLOADED, retry_after_s=DEFAULT_RETRY_AFTER_S)
             return self._finish_refusal(exchange, refusal)
         exchange.excluded.add(server)
@@ -625,14 +649,13 @@
         exchange.run_events = 0
         client = SingleSendClient()
         sent_at = boot_time()
-        budget = self._retry_budget(exchange.service)
         entry = self._fleet.registry.find(place.server)
         can_move = exchange.route.repeat is RepeatPolicy.RESUMABLE and (
             exchange.runs < exchange.route.max_attempts
         )
         try:
             async with (
-                stall_timeout(can_move, budget.can_retry) as stall,
+                exchange.watch(place.server if can_move else ""),
                 client.request(
                     request.method,
                     url,
@@ -652,7 +675,7 @@
                     return Outcome(
                         "busy", detail="the backend server asked for a pause"
                     )
-                return await self._receive(exchange, backend_response, kind, stall)
+                return await self._receive(exchange, backend_response, kind)
         except WithheldError as error:
             exchange.runs -= 1
             return Outcome("withheld", detail=str(error))
@@ -661,8 +684,8 @@
             return Outcome("unreachable", detail=str(error))
         except BrokenResponseError as error:
             return Outcome("broken", detail=str(error), is_cut=error.is_cut)
-        except StalledError:
-            return Outcome("broken", detail="the stream stalled")
+        except MovedError:
+            return Outcome("moved", detail="the stream stalled")
 
     def _apply_notice(
         self,
@@ -698,7 +721,6 @@
         exchange: Exchange,
         backend_response: BackendResponse,
         kind: ResponseKind,
-        stall: StallTimeout,
     ) -> Outcome:
         if kind in (ResponseKind.NOT_RUN, ResponseKind.WRONG_SERVER):
             exchange.runs -= 1
@@ -707,7 +729,7 @@
             detail = f"response is {kind.value}, status {backend_response.status}"
             return Outcome("broken", detail=detail)
         if kind is ResponseKind.SUCCESS and exchange.route.is_stream:
-            return await self._relay_stream(exchange, backend_response, stall)
+            return await self._relay_stream(exchange, backend_response)
         body = await backend_response.read_up_to(MAX_RESPONSE_BYTES)
         if body is None:
             return Outcome("broken", detail="the response body is too long")
@@ -724,7 +746,7 @@
         return Outcome("ok", response)
 
     async def _relay_stream(
-        self, exchange: Exchange, backend_response: BackendResponse, stall: StallTimeout
+        self, exchange: Exchange, backend_response: BackendResponse
     ) -> Outcome:
         splitter = exchange.splitter
         splitter.discard_partial_event()
@@ -752,7 +774,8 @@
                     self._places.report_begun(
                         exchange.request, exchange.service, exchange.place
                     )
-                stall.restart(EVENT_GAP_TIMEOUT_S)
+                if exchange.move is not None:
+                    exchange.move.on_event(EVENT_GAP_TIMEOUT_S)
                 exchange.times.record_event(boot_time())
             await exchange.stream.write(events)
         if splitter.has_partial_event:
@@ -761,7 +784,8 @@
         if exchange.stream is None:
             detail = "the stream ended without an event"
             return Outcome("broken", detail=detail, is_cut=True)
-        stall.cancel()
+        if exchange.move is not None:
+            exchange.move.close()
         await exchange.stream.write_eof()
         return Outcome("ok", exchange.stream)
 
--- a/sequoiafall/place_source.py
+++ b/sequoiafall/place_source.py
@@ -233,6 +233,20 @@
             )
         )
 
+    def withdraw(self, pending: PendingPlacement) -> None:
+        """Tell the leader that a request needs no further place; its places are kept.
+
+        A place that the leader grants meanwhile has to be released with `end`.
+        """
+        self._fleet.release_place(
+            ttypes.EngineEnd(
+                request_id=pending.request.request_id,
+                pool=pending.service,
+                server="",
+                outcome="cancelled",
+            )
+        )
+
     def admit_without_leader(self, organisation: Organisation, tokens: int) -> bool:
         """Charge tokens to this gateway's share of the limit without a leader.
 
--- a/sequoiafall/stall_timeout.py
+++ b/sequoiafall/stall_timeout.py
@@ -1,99 +1,49 @@
-"""Timeout between events of streams that can be resumed on another server."""
+"""Decides when another server is looked for, for a stream without events."""
 
 from __future__ import annotations
 
-import asyncio
-import contextlib
-from collections.abc import AsyncIterator, Callable
-
-# Time to the first event, after which the request is sent to another server. Prefill
-# of all prompts of a full batch takes about 0.5 s.
+# Time to the first event, after which another server is looked for. Prefill of all
+# prompts of a full batch takes about 0.5 s.
 FIRST_EVENT_TIMEOUT_S = 1.6
-# Longest gap between events, after which the stream is resumed on another server.
+# Longest gap between events, after which another server is looked for.
 EVENT_GAP_TIMEOUT_S = 1.0
+# Delay before the next look after one that found no server.
+LOOK_AGAIN_S = 0.25
 
 
-class StalledError(Exception):
-    """No event arrived within the timeout, and the stream can be resumed elsewhere."""
-
-
-class StallTimeout:
-    """Timeout between events of a stream that can be resumed on another server.
+class StallClock:
+    """Time without events of one send, and when to look for another server.
 
-    If the stream cannot be moved when the timeout expires, it goes on, and the timeout
-    is restarted: the server may just be slow, and aborting the stream would lose what
-    the caller has received.
+    Sound servers send nothing for a second or so at times. So the send goes on in any
+    case until another server has a place for the stream.
 
     Parameters
     ----------
-    scope : asyncio.Timeout or None
-        Scope that is cancelled on a timeout; None to disable the timeout.
-    may_move : callable
-        Returns whether the stream may be resumed on another server now.
+    now : float
+        Time of the send in seconds.
+    timeout_s : float
+        Seconds to the first event.
     """
 
-    __slots__ = ("_may_move", "_scope", "_timeout_s", "_timer")
-
-    def __init__(
-        self, scope: asyncio.Timeout | None, may_move: Callable[[], bool]
-    ) -> None:
-        self._scope = scope
-        self._may_move = may_move
-        self._timeout_s = 0.0
-        self._timer: asyncio.TimerHandle | None = None
-
-    def restart(self, seconds: float) -> None:
-        """Restart the timeout with a new duration in seconds."""
-        self.cancel()
-        if self._scope is not None:
-            self._timeout_s = seconds
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(seconds, self._on_timer)
+    __slots__ = ("_due_at", "_event_at")
 
-    def cancel(self) -> None:
-        """Cancel the timeout."""
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+    def __init__(self, now: float, timeout_s: float) -> None:
+        self._event_at = now
+        self._due_at = now + timeout_s
 
-    def _on_timer(self) -> None:
-        if not self._may_move():
-            self.restart(self._timeout_s)
-        elif self._scope is not None:
-            self._scope.reschedule(asyncio.get_running_loop().time())
+    def on_event(self, now: float, timeout_s: float) -> None:
+        """Record new events, and the seconds until the next ones are due."""
+        self._event_at = now
+        self._due_at = now + timeout_s
 
+    def on_not_found(self, now: float) -> None:
+        """Record that there is no other server at present."""
+        self._due_at = now + LOOK_AGAIN_S
 
-@contextlib.asynccontextmanager
-async def stall_timeout(
-    is_limited: bool, may_move: Callable[[], bool]
-) -> AsyncIterator[StallTimeout]:
-    """Run a send under a timeout for its first event and between events.
+    def due_s(self, now: float) -> float:
+        """Return the seconds until another server should be looked for."""
+        return max(0.0, self._due_at - now)
 
-    Parameters
-    ----------
-    is_limited : bool
-        Whether the timeout applies; False for streams that can never be resumed.
-    may_move : callable
-        Returns, when the timeout expires, whether the stream may be resumed on another
-        server.
-
-    Raises
-    ------
-    StalledError
-        If no event arrived in time.
-    """
-    if not is_limited:
-        yield StallTimeout(None, may_move)
-        return
-    scope = asyncio.timeout(None)
-    stall = StallTimeout(scope, may_move)
-    stall.restart(FIRST_EVENT_TIMEOUT_S)
-    try:
-        async with scope:
-            yield stall
-    except TimeoutError as error:
-        if scope.expired():
-            raise StalledError from error
-        raise
-    finally:
-        stall.cancel()
+    def silent_s(self, now: float) -> float:
+        """Return the seconds without events."""
+        return now - self._event_at
--- /dev/null
+++ b/sequoiafall/stream_move.py
@@ -0,0 +1,257 @@
+"""Moves streams without events to another engine that has a place for them.
+
+The stream stays at its engine until another one has a place: the engine may be sound
+and go on. Only then is the connection closed and the stream resumed elsewhere.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+from .boot_clock import boot_time
+from .log import log_event, log_warning
+from .place_source import GatewayPlace, PendingPlacement, PlaceSource, RunEnd
+from .refusal import Reason, Refusal
+from .retry import RetryBudget
+from .server_notices import ServerNotices
+from .stall_timeout import LOOK_AGAIN_S, StallClock
+
+# Refused moves of a request that are logged.
+MAX_LOGGED_REFUSALS = 3
+
+
+class MovedError(Exception):
+    """Another engine has a place for the stream, which is resumed there."""
+
+
+class StreamMove:
+    """Places of one request: its next one, and one elsewhere while it runs.
+
+    Parameters
+    ----------
+    pending : PendingPlacement
+        The request.
+    places : PlaceSource
+        Assigns the places.
+    notices : ServerNotices
+        Servers that asked for a pause.
+    budget : RetryBudget
+        Limits the moves.
+    excluded : set of str
+        Servers that are not tried again. It is cleared if no other server takes a
+        stream that cannot be refused any more.
+
+    Attributes
+    ----------
+    has_moved : bool
+        Whether a server was left that may be sound.
+    """
+
+    __slots__ = (
+        "_budget",
+        "_clock",
+        "_excluded",
+        "_found",
+        "_is_closed",
+        "_is_wanted",
+        "_logged_refusals",
+        "_notices",
+        "_pending",
+        "_places",
+        "_scope",
+        "_search",
+        "_server",
+        "_timer",
+        "has_moved",
+    )
+
+    def __init__(
+        self,
+        pending: PendingPlacement,
+        places: PlaceSource,
+        notices: ServerNotices,
+        budget: RetryBudget,
+        excluded: set[str],
+    ) -> None:
+        self._pending = pending
+        self._places = places
+        self._notices = notices
+        self._budget = budget
+        self._excluded = excluded
+        self._server = ""
+        self._clock = StallClock(0.0, 0.0)
+        self._scope: asyncio.Timeout | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._search: asyncio.Task[GatewayPlace | Refusal] | None = None
+        # Whether the stream still has no events since the search began.
+        self._is_wanted = False
+        self._found: GatewayPlace | None = None
+        self._is_closed = False
+        self._logged_refusals = 0
+        self.has_moved = False
+
+    # Between two sends
+
+    async def take(self, may_refuse: bool) -> GatewayPlace | Refusal:
+        """Return the place of the next send.
+
+        Parameters
+        ----------
+        may_refuse : bool
+            Whether the request may still be refused. Otherwise the search goes on
+            until the caller cancels it.
+        """
+        while True:
+            if self._search is not None:
+                await asyncio.wait({self._search})
+            place, self._found = self._found, None
+            if place is not None:
+                return place
+            reply = await self._places.take(self._pending, self._avoided())
+            if isinstance(reply, GatewayPlace) or may_refuse:
+                return reply
+            self._log_refusal(reply)
+            # A server that was left because it sent nothing may be sound.
+            self._excluded.clear()
+            await asyncio.sleep(LOOK_AGAIN_S)
+
+    def close(self) -> None:
+        """Stop to look for a place, and release one that is not used."""
+        self._is_closed = True
+        self._stop_timer()
+        self._give_up()
+
+    # During a send
+
+    @contextlib.asynccontextmanager
+    async def watch(self, server: str, timeout_s: float) -> AsyncIterator[None]:
+        """Run a send to a server until another one has a place for its stream.
+
+        Parameters
+        ----------
+        server : str
+            Server that the request is sent to.
+        timeout_s : float
+            Seconds to the first event, after which a place elsewhere is requested.
+
+        Raises
+        ------
+        MovedError
+            If another server has a place; `take` returns it.
+        """
+        self._server = server
+        self._clock = StallClock(boot_time(), timeout_s)
+        self._scope = scope = asyncio.timeout(None)
+        self._schedule()
+        try:
+            async with scope:
+                yield
+        except TimeoutError as error:
+            if not scope.expired() or self._found is None:
+                raise
+            self.has_moved = True
+            self._budget.try_retry()
+            log_event(
+                "stream_moved",
+                request_id=self._pending.request.request_id,
+                silent_ms=int(self._clock.silent_s(boot_time()) * 1e3),
+                **{"from": server, "to": self._found.server},
+            )
+            raise MovedError from error
+        finally:
+            self._scope = None
+            self._stop_timer()
+
+    def on_event(self, timeout_s: float) -> None:
+        """Record new events of the stream, and the seconds until the next are due."""
+        if self._scope is None:
+            return
+        self._clock.on_event(boot_time(), timeout_s)
+        self._give_up()
+        self._schedule()
+
+    def _schedule(self) -> None:
+        self._stop_timer()
+        delay_s = self._clock.due_s(boot_time())
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(delay_s, self._on_timer)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _on_timer(self) -> None:
+        if self._budget.can_retry() and self._search is None:
+            self._is_wanted = True
+            avoided = self._avoided() | {self._server}
+            self._search = asyncio.get_running_loop().create_task(
+                self._places.take(self._pending, avoided)
+            )
+            self._search.add_done_callback(self._on_search_done)
+            return
+        self._clock.on_not_found(boot_time())
+        self._schedule()
+
+    def _on_search_done(self, search: asyncio.Task[GatewayPlace | Refusal]) -> None:
+        self._search = None
+        reply = _result_of(search)
+        if isinstance(reply, GatewayPlace):
+            self._found = reply
+            # Without a send in progress, `take` is waiting for the place.
+            is_moving = self._is_wanted and self._budget.can_retry()
+            if self._is_closed or (self._scope is not None and not is_moving):
+                self._release_found()
+            elif self._scope is not None:
+                self._scope.reschedule(asyncio.get_running_loop().time())
+                return
+        elif self._is_wanted:
+            self._log_refusal(reply)
+        if self._scope is not None and self._is_wanted:
+            self._clock.on_not_found(boot_time())
+            self._schedule()
+
+    def _avoided(self) -> frozenset[str]:
+        paused = (row.server for row in self._notices.pauses())
+        return frozenset(self._excluded.union(paused))
+
+    def _give_up(self) -> None:
+        """Withdraw the request for a place elsewhere, or release that place."""
+        if self._found is not None:
+            if self._scope is not None:
+                self._scope.reschedule(None)
+            self._release_found()
+        if self._search is not None and self._is_wanted:
+            self._places.withdraw(self._pending)
+        self._is_wanted = False
+
+    def _release_found(self) -> None:
+        if self._found is not None:
+            self._places.end(self._pending, self._found, RunEnd("cancelled"))
+            self._found = None
+
+    def _log_refusal(self, refusal: Refusal) -> None:
+        self._logged_refusals += 1
+        if self._logged_refusals > MAX_LOGGED_REFUSALS:
+            return
+        log_event(
+            "stream_move_refused",
+            request_id=self._pending.request.request_id,
+            server=self._server,
+            reason=refusal.reason.value,
+            detail=refusal.detail,
+            silent_ms=int(self._clock.silent_s(boot_time()) * 1e3),
+        )
+
+
+def _result_of(search: asyncio.Task[GatewayPlace | Refusal]) -> GatewayPlace | Refusal:
+    """Return the result of a search; a refusal if it failed."""
+    if search.cancelled():
+        return Refusal(Reason.OVERLOADED, detail="the search was cancelled")
+    error = search.exception()
+    if error is not None:
+        log_warning("place_search_failed", error=repr(error))
+        return Refusal(Reason.OVERLOADED, detail="the search failed")
+    return search.result()
--- /dev/null
+++ b/tests/test_silent_servers.py
@@ -0,0 +1,243 @@
+"""Tests of sound backend servers that send nothing for a second or so and go on."""
+
+import asyncio
+from unittest.mock import patch
+
+from parameterized import parameterized
+
+from sequoiafall.boot_clock import boot_time
+from sequoiafall.fleet_leader import LeaderDuties
+from sequoiafall.platform import names
+from sequoiafall.refusal import Reason
+from sequoiafall.wire.gen import ttypes
+
+from .events import until
+from .platform_case import KEY, PlatformCase
+from .test_operator_faults import event_ids
+
+# Longer than the time after which a place elsewhere is requested.
+SILENCE_S = 1.2
+FIRST_SILENCE_S = 1.9
+CONFIGURATION_INTERVAL_S = 0.05
+
+_request_place = LeaderDuties.request_place
+
+
+def refuse_moves(reason):
+    """Patch the leader so that it refuses second places for a reason."""
+
+    async def request_place(duties, request):
+        if not request.excluded:
+            return await _request_place(duties, request)
+        return ttypes.EngineAnswer(
+            server="",
+            version=0,
+            reason=reason.value,
+            retry_after_ms=500,
+            charged=False,
+            detail=reason.value,
+            address="",
+        )
+
+    return patch.object(LeaderDuties, "request_place", request_place)
+
+
+class SilentServerCase(PlatformCase):
+    """Starts a fleet whose two engines both hold the adapter ``a1``."""
+
+    async def start(self, count=1):
+        await self.start_fleet(count)
+        for engine in self.assist:
+            engine.resident["a1"] = 1
+        planner = self.planner
+        await until(
+            lambda: all(
+                "a1" in row.slots_by_adapter
+                for row in planner.pool.engines_by_name.values()
+            )
+        )
+        return self.nodes[0]
+
+    @property
+    def assist(self):
+        return [self.engines[name] for name in ("e1", "e2")]
+
+    @property
+    def planner(self):
+        return self.leader.fleet.duties.planners_by_service["assist"]
+
+    def entry(self, engine):
+        return self.nodes[0].fleet.registry.find(engine.name)
+
+    async def begin(self, node, path="/draft/x", request_id="r", events=2, **headers):
+        """Send a request; return its response, and its engine and the other one.
+
+        The engine pauses after `events` events, which the response has received.
+        """
+        for engine in self.assist:
+            engine.pause_after_events = events
+        sent = {
+            names.REQUEST_ID: request_id,
+            names.DEADLINE_MS: "4000",
+            names.MODEL: "base/a1",
+            names.TOKENS: "1000,20",
+            "Host": "shop.example",
+            "Authorization": f"Bearer {KEY}",
+            **headers,
+        }
+        url = f"http://{node.settings.front_address}{path}"
+        call = asyncio.create_task(
+            self.session.post(url, headers=sent, data=b"body"), name=request_id
+        )
+        await until(lambda: self.runs(request_id))
+        present, other = sorted(self.assist, key=lambda row: -row.runs[request_id])
+        received = b""
+        if events:
+            response = await call
+            while f"piece {events}\n\n".encode() not in received:
+                received += await response.content.readany()
+        return call, received, present, other
+
+    async def finish(self, call, received=b""):
+        response = await call
+        async with response:
+            return response.status, event_ids(received + await response.read())
+
+    def silence(self, engine, seconds):
+        """Let an engine that pauses be silent, and then go on."""
+        engine.fall_silent(seconds)
+        for row in self.assist:
+            row.resume_event.set()
+
+
+class CompleteResponseTest(SilentServerCase):
+    """A caller gets its whole response from a server that is silent for a while.
+
+    Guards against responses that were given up before there was another server.
+    """
+
+    async def _remove(self, node, other):
+        self.store.remove(names.BACKEND_TABLE, other.name)
+        await until(lambda: len(node.fleet.registry.active_servers("assist")) == 1)
+
+    async def _pause(self, _node, other):
+        self.planner.pause(other.name, boot_time() + 20.0)
+
+    async def _unload(self, _node, other):
+        other.unanswered_orders = 1000
+        other.resident.clear()
+        engine = self.planner.pool.engines_by_name[other.name]
+        await until(lambda: "a1" not in engine.slots_by_adapter)
+
+    async def _refuse(self, reason):
+        self.enterContext(refuse_moves(reason))
+
+    async def _refuse_full(self, _node, _other):
+        await self._refuse(Reason.OVERLOADED)
+
+    async def _refuse_unknown(self, _node, _other):
+        await self._refuse(Reason.NO_BACKEND_SERVER)
+
+    async def _refuse_rate(self, _node, _other):
+        await self._refuse(Reason.RATE_EXCEEDED)
+
+    async def _refuse_harmful(self, _node, _other):
+        await self._refuse(Reason.HARMFUL_PROMPT)
+
+    async def _lose_leader(self, node, other):
+        other.resident.clear()
+        self.store.rejected_peers.add("*")
+        node.fleet._lose_lease("test")
+
+    async def _change_leader(self, node, other):
+        await self._remove(node, other)
+        node.fleet._lose_lease("test")
+
+    async def _change_configurations(self, node, other):
+        await self._remove(node, other)
+
+        async def change():
+            for version in range(2, 40):
+                self.configure(version)
+                await asyncio.sleep(CONFIGURATION_INTERVAL_S)
+
+        self.changes = asyncio.create_task(change())
+        self.addCleanup(self.changes.cancel)
+
+    async def _empty_budget(self, node, _other):
+        node.forwarder._retry_budget("assist")._saved = -100.0
+
+    async def _shed(self, _node, other):
+        other.shed_next = 1
+
+    async def _shed_all(self, node, other):
+        """Leave one retry, which the move takes, and reject every send."""
+        other.shed_next = 1000
+        node.forwarder._retry_budget("assist")._saved = 1.0
+
+    async def _rename(self, _node, other):
+        other.name = "another"
+
+    async def _refuse_connections(self, _node, other):
+        other.down_s = 30.0
+        await other.crash()
+
+    CASES = (
+        ("one engine", _remove),
+        ("the other pauses", _pause),
+        ("the other cannot load", _unload),
+        ("no free slot", _refuse_full),
+        ("unknown service", _refuse_unknown),
+        ("over the rate", _refuse_rate),
+        ("harmful", _refuse_harmful),
+        ("no leader", _lose_leader),
+        ("leader changes", _change_leader),
+        ("configurations change", _change_configurations),
+        ("no retry left", _empty_budget),
+        ("next server rejects", _shed),
+        ("next server always rejects", _shed_all),
+        ("next server is another one", _rename),
+        ("next server refuses connections", _refuse_connections),
+    )
+
+    @parameterized.expand(CASES)
+    async def test_silent_in_the_middle(self, _name, disturb):
+        node = await self.start()
+        call, received, present, other = await self.begin(node)
+        await disturb(self, node, other)
+        self.silence(present, SILENCE_S)
+        result = await self.finish(call, received)
+        self.assertEqual(result, (200, [1, 2, 3, 4, 5]))
+        self.assertLessEqual(self.runs("r"), 2)
+
+    @parameterized.expand(CASES)
+    async def test_silent_before_the_first_event(self, _name, disturb):
+        node = await self.start()
+        call, _, present, other = await self.begin(node, events=0)
+        await disturb(self, node, other)
+        self.silence(present, FIRST_SILENCE_S)
+        self.assertEqual(await self.finish(call), (200, [1, 2, 3, 4, 5]))
+        self.assertLessEqual(self.runs("r"), 2)
+
+    @parameterized.expand(
+        [
+            ("idempotent call", "/look/x"),
+            ("non-idempotent call", "/order/x"),
+            ("stream that must not run twice", "/check/x"),
+        ]
+    )
+    async def test_silent_server_of_another_route(self, _name, path):
+        node = await self.start()
+        for backend in self.engines.values():
+            backend.fall_silent(SILENCE_S)
+        status, *_ = await self.call(node, path, request_id="r")
+        self.assertEqual((status, self.runs("r")), (200, 1))
+
+    async def test_stream_moves_to_another_engine(self):
+        """A server that stays silent for long loses the stream to another one."""
+        node = await self.start()
+        call, received, present, other = await self.begin(node)
+        self.silence(present, 30.0)
+        result = await self.finish(call, received)
+        self.assertEqual(result, (200, [1, 2, 3, 4, 5]))
+        self.assertEqual((present.runs["r"], other.runs["r"]), (1, 1))
--- /dev/null
+++ b/tests/test_stream_move.py
@@ -0,0 +1,213 @@
+"""Tests of when streams without events are moved, with a scripted place source."""
+
+import asyncio
+import random
+import unittest
+from types import SimpleNamespace
+from unittest.mock import patch
+
+from parameterized import parameterized
+
+from sequoiafall import stream_move
+from sequoiafall.place_source import GatewayPlace
+from sequoiafall.refusal import Reason, Refusal
+from sequoiafall.retry import RetryBudget
+from sequoiafall.stall_timeout import LOOK_AGAIN_S, StallClock
+from sequoiafall.stream_move import MAX_LOGGED_REFUSALS, MovedError, StreamMove
+
+from .events import until
+
+PLACE = GatewayPlace("e2", "10.0.0.2:80", 1)
+REFUSAL = Refusal(Reason.OVERLOADED, detail="no free slot")
+
+
+class ScriptedPlaces:
+    """Answers requests for places when the test says so."""
+
+    def __init__(self):
+        self.requests = []
+        self.excluded = []
+        self.ended = []
+        self.withdrawn = 0
+
+    async def take(self, _pending, excluded):
+        """Return what the test sets as the result of the request."""
+        self.excluded.append(excluded)
+        self.requests.append(asyncio.get_running_loop().create_future())
+        return await self.requests[-1]
+
+    def answer(self, reply):
+        """Answer the last request."""
+        self.requests[-1].set_result(reply)
+
+    def withdraw(self, _pending):
+        """Refuse the last request, as the leader does."""
+        self.withdrawn += 1
+        if not self.requests[-1].done():
+            self.answer(REFUSAL)
+
+    def end(self, _pending, place, run):
+        """Record the end of a place."""
+        self.ended.append((place.server, run.outcome))
+
+
+class StallClockTest(unittest.TestCase):
+    """Another server is looked for only when events are overdue."""
+
+    def test_due_after_the_timeout(self):
+        clock = StallClock(10.0, 1.6)
+        self.assertAlmostEqual(clock.due_s(10.6), 1.0)
+        self.assertEqual(clock.due_s(12.0), 0.0)
+        clock.on_event(12.0, 1.0)
+        self.assertAlmostEqual(clock.due_s(12.0), 1.0)
+        self.assertAlmostEqual(clock.silent_s(12.5), 0.5)
+
+    def test_looks_again_after_a_refusal(self):
+        clock = StallClock(10.0, 1.0)
+        clock.on_not_found(11.5)
+        self.assertAlmostEqual(clock.due_s(11.5), LOOK_AGAIN_S)
+        self.assertAlmostEqual(clock.silent_s(11.5), 1.5)
+
+
+class StreamMoveTest(unittest.IsolatedAsyncioTestCase):
+    """A stream stays at its server until another one has a place for it."""
+
+    def setUp(self):
+        self.places = ScriptedPlaces()
+        self.budget = RetryBudget(random.Random(1), reserve=1.0)
+        self.excluded = {"e9"}
+        request = SimpleNamespace(request_id="r1")
+        self.move = StreamMove(
+            SimpleNamespace(request=request),
+            self.places,
+            SimpleNamespace(pauses=lambda: [SimpleNamespace(server="e8")]),
+            self.budget,
+            self.excluded,
+        )
+        self.can_end = asyncio.Event()
+        self.enterContext(patch.object(stream_move, "LOOK_AGAIN_S", 0.0))
+
+    async def send(self, timeout_s=0.0):
+        async with self.move.watch("e1", timeout_s):
+            await self.can_end.wait()
+
+    async def start(self):
+        send = asyncio.create_task(self.send())
+        await until(lambda: self.places.requests)
+        return send
+
+    async def finish(self, send):
+        self.can_end.set()
+        await send
+
+    async def test_granted_place_moves_the_stream(self):
+        send = await self.start()
+        self.assertFalse(send.done())
+        self.assertEqual(self.budget.retries, 0)
+        self.places.answer(PLACE)
+        with self.assertRaises(MovedError):
+            await send
+        self.assertEqual(self.budget.retries, 1)
+        self.assertEqual(await self.move.take(True), PLACE)
+        self.move.close()
+        self.assertEqual(self.places.ended, [])
+
+    async def test_place_is_not_requested_at_the_same_server(self):
+        send = await self.start()
+        self.assertEqual(self.places.excluded, [frozenset(("e1", "e8", "e9"))])
+        self.places.answer(REFUSAL)
+        await self.finish(send)
+
+    async def test_refused_move_leaves_the_stream_and_is_tried_again(self):
+        send = await self.start()
+        self.places.answer(REFUSAL)
+        await until(lambda: len(self.places.requests) == 2)
+        self.assertFalse(send.done())
+        self.places.answer(PLACE)
+        with self.assertRaises(MovedError):
+            await send
+
+    async def test_server_that_goes_on_keeps_its_stream(self):
+        """Guards against a place that stays taken after its request was withdrawn."""
+        send = await self.start()
+        self.move.on_event(60.0)
+        self.assertEqual(self.places.withdrawn, 1)
+        await until(lambda: self.move._search is None)
+        await self.finish(send)
+        self.assertEqual(self.budget.retries, 0)
+
+    @parameterized.expand([("goes on", False), ("ends", True)])
+    async def test_place_that_is_granted_too_late_is_released(self, _name, has_ended):
+        """The grant may be on its way when the server goes on."""
+        self.places.withdraw = lambda _pending: None
+        send = await self.start()
+        if has_ended:
+            await self.finish(send)
+            self.move.close()
+        else:
+            self.move.on_event(60.0)
+        self.places.answer(PLACE)
+        await until(lambda: self.places.ended)
+        self.assertEqual(self.places.ended, [("e2", "cancelled")])
+        await self.finish(send)
+        self.assertEqual(self.budget.retries, 0)
+
+    async def test_event_between_the_grant_and_the_move(self):
+        """The stream goes on, and its unused place is released."""
+        send = await self.start()
+        self.places.answer(PLACE)
+        for _ in range(100):
+            if self.move._found is not None:
+                break
+            await asyncio.sleep(0)
+        self.move.on_event(60.0)
+        self.assertEqual(self.places.ended, [("e2", "cancelled")])
+        await self.finish(send)
+
+    async def test_nothing_is_requested_without_a_retry(self):
+        self.budget.try_retry()
+        send = asyncio.create_task(self.send())
+        await until(lambda: self.move._timer is not None)
+        for _ in range(5):
+            self.move._on_timer()
+        self.assertEqual(self.places.requests, [])
+        await self.finish(send)
+
+    async def test_retry_that_others_take_meanwhile_leaves_the_stream(self):
+        send = await self.start()
+        self.budget.try_retry()
+        self.places.answer(PLACE)
+        await until(lambda: self.places.ended)
+        self.assertFalse(send.done())
+        await self.finish(send)
+
+    async def test_search_goes_on_when_the_server_breaks_off(self):
+        """The place that was requested for the move serves the next send."""
+        send = await self.start()
+        await self.finish(send)
+        take = asyncio.create_task(self.move.take(True))
+        self.places.answer(PLACE)
+        self.assertEqual(await take, PLACE)
+        self.assertEqual(len(self.places.requests), 1)
+
+    async def test_stream_that_has_begun_is_not_refused(self):
+        """It tries the servers again that it left, in case that they are sound."""
+        take = asyncio.create_task(self.move.take(False))
+        await until(lambda: len(self.places.requests) == 1)
+        self.places.answer(REFUSAL)
+        await until(lambda: len(self.places.requests) == 2)
+        self.assertEqual(self.places.excluded[1], frozenset(("e8",)))
+        self.places.answer(PLACE)
+        self.assertEqual(await take, PLACE)
+
+    async def test_request_that_has_not_begun_is_refused(self):
+        take = asyncio.create_task(self.move.take(True))
+        await until(lambda: self.places.requests)
+        self.places.answer(REFUSAL)
+        self.assertEqual(await take, REFUSAL)
+
+    async def test_refused_moves_in_the_log_are_bounded(self):
+        with patch.object(stream_move, "log_event") as log_event:
+            for _ in range(MAX_LOGGED_REFUSALS + 5):
+                self.move._log_refusal(REFUSAL)
+        self.assertEqual(log_event.call_count, MAX_LOGGED_REFUSALS)
