Do not count a wait for the caller as silence of its server

A stream whose caller did not read for a second was moved to another engine, although its own had sent events that the gateway did not read. The stall clock stands still while the gateway waits for the caller. The timer is only set anew when it would be too late, as two settings for each event would cost more than one did before.

Without the change:

FAIL: test_caller_that_stops_reading_for_a_while AssertionError: 2 != 1

--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -198,6 +198,10 @@
             return contextlib.nullcontext()
         return self.move.watch(server, FIRST_EVENT_TIMEOUT_S)
 
+    def hold(self) -> contextlib.AbstractContextManager[None]:
+        """Return the context of a wait for the caller."""
+        return self.move.hold() if self.move is not None else contextlib.nullcontext()
+
     def describe_choice(self) -> dict[str, object]:
         """Return log fields on the choice of a plain server; empty for engines."""
         return self.plain_choice.describe() if self.plain_choice is not None else {}
@@ -777,7 +781,8 @@
                 if exchange.move is not None:
                     exchange.move.on_event(EVENT_GAP_TIMEOUT_S)
                 exchange.times.record_event(boot_time())
-            await exchange.stream.write(events)
+            with exchange.hold():
+                await exchange.stream.write(events)
         if splitter.has_partial_event:
             detail = "the stream ended inside an event"
             return Outcome("broken", detail=detail, is_cut=True)
--- a/sequoiafall/stall_timeout.py
+++ b/sequoiafall/stall_timeout.py
@@ -25,11 +25,28 @@
         Seconds to the first event.
     """
 
-    __slots__ = ("_due_at", "_event_at")
+    __slots__ = ("_due_at", "_event_at", "_held_at")
 
     def __init__(self, now: float, timeout_s: float) -> None:
         self._event_at = now
         self._due_at = now + timeout_s
+        self._held_at: float | None = None
+
+    def hold(self, now: float) -> None:
+        """Stop the clock while nothing is read from the server."""
+        self._held_at = now
+
+    def resume(self, now: float) -> None:
+        """Let the clock go on where it was stopped."""
+        if self._held_at is not None:
+            self._event_at += now - self._held_at
+            self._due_at += now - self._held_at
+            self._held_at = None
+
+    @property
+    def is_held(self) -> bool:
+        """Whether the clock is stopped."""
+        return self._held_at is not None
 
     def on_event(self, now: float, timeout_s: float) -> None:
         """Record new events, and the seconds until the next ones are due."""
--- a/sequoiafall/standins/adapter_engine.py
+++ b/sequoiafall/standins/adapter_engine.py
@@ -65,6 +65,8 @@
         ``Retry-After`` header.
     event_interval_s : float
         Seconds between two events of a stream.
+    padding_bytes : int
+        Additional bytes of each event.
     trickling_streams : int
         Number of streams that send single bytes after their first event, but never
         complete another event.
@@ -138,6 +140,7 @@
         self.reject_next = 0
         self.retry_after = "1"
         self.event_interval_s = EVENT_INTERVAL_S
+        self.padding_bytes = 0
         self.trickling_streams = 0
         self.withholds_reports = False
         self.received_request_ids: list[str] = []
@@ -451,7 +454,8 @@
             if 0 <= self.pause_after_events < number:
                 await self.resume_event.wait()
             await self._wait_silence_over()
-            await response.write(f"id: {number}\ndata: piece {number}\n\n".encode())
+            text = f"piece {number}" + " " * self.padding_bytes
+            await response.write(f"id: {number}\ndata: {text}\n\n".encode())
         await response.write_eof()
         return response
 
--- a/sequoiafall/stream_move.py
+++ b/sequoiafall/stream_move.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 
 from .boot_clock import boot_time
 from .log import log_event, log_warning
@@ -172,11 +172,27 @@
         self._give_up()
         self._schedule()
 
+    @contextlib.contextmanager
+    def hold(self) -> Iterator[None]:
+        """Do not count the time in which the gateway waits for the caller.
+
+        The server's events are not read meanwhile.
+        """
+        self._clock.hold(boot_time())
+        try:
+            yield
+        finally:
+            self._clock.resume(boot_time())
+            if self._scope is not None and self._search is None:
+                self._schedule()
+
     def _schedule(self) -> None:
-        self._stop_timer()
-        delay_s = self._clock.due_s(boot_time())
+        # A timer that is too early is kept: events arrive far more often than it ends.
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(delay_s, self._on_timer)
+        due_at = loop.time() + self._clock.due_s(boot_time())
+        if self._timer is None or self._timer.when() > due_at:
+            self._stop_timer()
+            self._timer = loop.call_at(due_at, self._on_timer)
 
     def _stop_timer(self) -> None:
         if self._timer is not None:
@@ -184,6 +200,12 @@
             self._timer = None
 
     def _on_timer(self) -> None:
+        self._timer = None
+        if self._clock.is_held:
+            return
+        if self._clock.due_s(boot_time()) > 0.0:
+            self._schedule()
+            return
         if self._budget.can_retry() and self._search is None:
             self._is_wanted = True
             avoided = self._avoided() | {self._server}
@@ -202,6 +224,7 @@
             self._found = reply
             # Without a send in progress, `take` is waiting for the place.
             is_moving = self._is_wanted and self._budget.can_retry()
+            is_moving = is_moving and not self._clock.is_held
             if self._is_closed or (self._scope is not None and not is_moving):
                 self._release_found()
             elif self._scope is not None:
@@ -211,7 +234,8 @@
             self._log_refusal(reply)
         if self._scope is not None and self._is_wanted:
             self._clock.on_not_found(boot_time())
-            self._schedule()
+            if not self._clock.is_held:
+                self._schedule()
 
     def _avoided(self) -> frozenset[str]:
         paused = (row.server for row in self._notices.pauses())
--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -5,6 +5,7 @@
 
 from parameterized import parameterized
 
+from sequoiafall import forwarding
 from sequoiafall.boot_clock import boot_time
 from sequoiafall.fleet_leader import LeaderDuties
 from sequoiafall.platform import names
@@ -19,6 +20,10 @@
 SILENCE_S = 1.2
 FIRST_SILENCE_S = 1.9
 CONFIGURATION_INTERVAL_S = 0.05
+# Short timeout between events for a caller that does not read.
+GAP_S = 0.2
+# More of them than the buffers between an engine and its caller hold.
+LARGE_EVENT_BYTES = 900_000
 
 _request_place = LeaderDuties.request_place
 
@@ -69,22 +74,24 @@
     def entry(self, engine):
         return self.nodes[0].fleet.registry.find(engine.name)
 
-    async def begin(self, node, path="/draft/x", request_id="r", events=2, **headers):
-        """Send a request; return its response, and its engine and the other one.
-
-        The engine pauses after `events` events, which the response has received.
-        """
-        for engine in self.assist:
-            engine.pause_after_events = events
-        sent = {
+    def headers(self, request_id):
+        return {
             names.REQUEST_ID: request_id,
             names.DEADLINE_MS: "4000",
             names.MODEL: "base/a1",
             names.TOKENS: "1000,20",
             "Host": "shop.example",
             "Authorization": f"Bearer {KEY}",
-            **headers,
         }
+
+    async def begin(self, node, path="/draft/x", request_id="r", events=2, **headers):
+        """Send a request; return its response, and its engine and the other one.
+
+        The engine pauses after `events` events, which the response has received.
+        """
+        for engine in self.assist:
+            engine.pause_after_events = events
+        sent = {**self.headers(request_id), **headers}
         url = f"http://{node.settings.front_address}{path}"
         call = asyncio.create_task(
             self.session.post(url, headers=sent, data=b"body"), name=request_id
@@ -233,6 +240,24 @@
         status, *_ = await self.call(node, path, request_id="r")
         self.assertEqual((status, self.runs("r")), (200, 1))
 
+    async def test_caller_that_stops_reading_for_a_while(self):
+        """The time in which a caller does not read is not silence of its server."""
+        self.enterContext(patch.object(forwarding, "EVENT_GAP_TIMEOUT_S", GAP_S))
+        node = await self.start()
+        for engine in self.assist:
+            engine.events_per_stream = 20
+            engine.padding_bytes = LARGE_EVENT_BYTES
+        url = f"http://{node.settings.front_address}/draft/x"
+        headers = self.headers("r")
+        async with self.session.post(url, headers=headers, data=b"body") as response:
+            # Long enough for a server of this silence to be left several times.
+            await asyncio.sleep(5.0 * GAP_S)
+            self.assertEqual(self.runs("r"), 1)
+            self.assertEqual(sum(engine.running for engine in self.assist), 1)
+            ids = event_ids(await response.read())
+        self.assertEqual(ids, list(range(1, 21)))
+        self.assertEqual(self.runs("r"), 1)
+
     async def test_stream_moves_to_another_engine(self):
         """A server that stays silent for long loses the stream to another one."""
         node = await self.start()
--- a/tests/test_stream_move.py
+++ b/tests/test_stream_move.py
@@ -1,6 +1,7 @@
 """Tests of when streams without events are moved, with a scripted place source."""
 
 import asyncio
+import math
 import random
 import unittest
 from types import SimpleNamespace
@@ -62,6 +63,13 @@
         self.assertAlmostEqual(clock.due_s(12.0), 1.0)
         self.assertAlmostEqual(clock.silent_s(12.5), 0.5)
 
+    def test_stands_still_while_the_gateway_waits_for_the_caller(self):
+        clock = StallClock(10.0, 1.0)
+        clock.hold(10.5)
+        clock.resume(20.5)
+        self.assertAlmostEqual(clock.due_s(20.5), 0.5)
+        self.assertAlmostEqual(clock.silent_s(20.5), 0.5)
+
     def test_looks_again_after_a_refusal(self):
         clock = StallClock(10.0, 1.0)
         clock.on_not_found(11.5)
@@ -164,6 +172,27 @@
         self.assertEqual(self.places.ended, [("e2", "cancelled")])
         await self.finish(send)
 
+    async def test_wait_for_the_caller_is_not_silence_of_the_server(self):
+        """The server of a slow caller was left, although it was not read."""
+        send = asyncio.create_task(self.send(60.0))
+        await until(lambda: self.move._timer is not None)
+        with self.move.hold():
+            self.move._clock._due_at = 0.0
+            self.move._on_timer()
+            self.assertEqual(self.places.requests, [])
+            self.move._clock._due_at = math.inf
+        self.assertIsNotNone(self.move._timer)
+        self.assertEqual(self.places.requests, [])
+        await self.finish(send)
+
+    async def test_place_that_is_granted_while_the_caller_is_slow_is_released(self):
+        send = await self.start()
+        with self.move.hold():
+            self.places.answer(PLACE)
+            await until(lambda: self.places.ended)
+        self.assertFalse(send.done())
+        await self.finish(send)
+
     async def test_nothing_is_requested_without_a_retry(self):
         self.budget.try_retry()
         send = asyncio.create_task(self.send())
