Price an engine whose streams were moved like one failure

Streams that leave a silent engine at the same time counted as failures in a row, so a sound engine got no work for up to 4 s after it had gone on. With the outcome `moved` alone an engine that stalls all streams would not be priced at all. It counts as one failure now, however many streams leave, and is not avoided.

The tests of a silent engine also show what was right before: no running request ends and no place is dropped when reports are not answered, a time-out is no evidence of a crash, and orders and plain calls wait for the server.

With the outcome `broken` for moved streams, as before:

FAIL: test_engine_that_lost_streams_gets_work_when_it_goes_on AssertionError: <EngineCondition.FAILING: 'failing'> is not <EngineCondition.USABLE: 'usable'>

Without record_stall:

FAIL: test_engine_that_stalls_is_priced_like_one_failure_and_not_avoided AssertionError: 0.0 != 0.25

--- a/sequoiafall/engine_planner.py
+++ b/sequoiafall/engine_planner.py
@@ -781,6 +781,8 @@
             engine.record_success()
         elif outcome in ("failed", "broken", "unreachable", "busy"):
             engine.record_failure(now, is_unreachable=outcome == "unreachable")
+        elif outcome == "moved":
+            engine.record_stall(now)
         elif outcome == "not_run":
             slot = engine.slots_by_adapter.get(placed.request.adapter)
             if slot is not None and slot.state is SlotState.RESIDENT:
--- a/sequoiafall/engine_pool.py
+++ b/sequoiafall/engine_pool.py
@@ -432,6 +432,15 @@
                 now + back_off_s(AVOID_S, self.consecutive_failures, AVOID_LIMIT_S),
             )
 
+    def record_stall(self, now: float) -> None:
+        """Record a stream that was moved elsewhere after a time without events.
+
+        The engine may be sound, so it is not avoided, and many streams that are moved
+        at the same time cost it no more than one failure.
+        """
+        self.failure_share = max(self.current_failure_share(now), FAILURE_WEIGHT)
+        self.failed_at = now
+
     def excess_failure_share(self, now: float) -> float:
         """Return the share of failures above the median of the pool."""
         return max(
--- a/sequoiafall/standins/adapter_engine.py
+++ b/sequoiafall/standins/adapter_engine.py
@@ -194,6 +194,11 @@
         """Send nothing for some time, then go on as if nothing had happened."""
         self._silent_until = time.monotonic() + seconds
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether it sends nothing at present."""
+        return time.monotonic() < self._silent_until
+
     async def _wait_silence_over(self) -> None:
         await asyncio.sleep(max(0.0, self._silent_until - time.monotonic()))
 
--- a/tests/test_engine_planner.py
+++ b/tests/test_engine_planner.py
@@ -10,6 +10,7 @@
 from sequoiafall.engine_choice import COLD_LOAD_S, MAX_TRANSFERS
 from sequoiafall.engine_planner import FAILED_LOAD_PAUSE_S, LOAD_MARGIN_S, EnginePlanner
 from sequoiafall.engine_pool import (
+    FAILURE_WEIGHT,
     Engine,
     EngineCondition,
     EngineReport,
@@ -280,6 +281,17 @@
         driver.run(0.01)
         self.assertIn("r2", driver.granted)
 
+    def test_engine_that_stalls_is_priced_like_one_failure_and_not_avoided(self):
+        """Many streams leave a silent engine at once, which may be sound."""
+        driver = Driver(engines=1)
+        for number in range(8):
+            driver.ask(f"r{number}", "")
+        for number in range(8):
+            driver.apply(driver.planner.end(f"r{number}", "moved", driver.now, "e0"))
+        engine = driver.planner.pool.engines_by_name["e0"]
+        self.assertEqual(engine.failure_share, FAILURE_WEIGHT)
+        self.assertIs(engine.condition(driver.now), EngineCondition.USABLE)
+
     def test_engine_that_is_silent_or_fails_for_long_is_only_avoided(self):
         """Guards against an overflow of the back-off: 2 ** 1024 exceeds a float.
 
--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -7,6 +7,7 @@
 
 from sequoiafall import forwarding
 from sequoiafall.boot_clock import boot_time
+from sequoiafall.engine_pool import EngineCondition
 from sequoiafall.fleet_leader import LeaderDuties
 from sequoiafall.platform import names
 from sequoiafall.refusal import Reason
@@ -20,6 +21,7 @@
 SILENCE_S = 1.2
 FIRST_SILENCE_S = 1.9
 CONFIGURATION_INTERVAL_S = 0.05
+LONG_DEADLINE = {names.DEADLINE_MS: "6000"}
 # Short timeout between events for a caller that does not read.
 GAP_S = 0.2
 # More of them than the buffers between an engine and its caller hold.
@@ -266,3 +268,86 @@
         result = await self.finish(call, received)
         self.assertEqual(result, (200, [1, 2, 3, 4, 5]))
         self.assertEqual((present.runs["r"], other.runs["r"]), (1, 1))
+
+
+class ReputationTest(SilentServerCase):
+    """A server that was silent for a while is not treated like one that failed."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.node = await self.start()
+
+    def engine(self, backend):
+        return self.planner.pool.engines_by_name[backend.name]
+
+    async def test_engine_that_lost_streams_gets_work_when_it_goes_on(self):
+        """Streams that moved counted as failures in a row, so it was avoided."""
+        silent, other = self.assist
+        self.planner.pause(other.name, boot_time() + 60.0)
+        calls = [
+            await self.begin(self.node, request_id=f"r{number}") for number in range(6)
+        ]
+        self.engine(other).paused_until = 0.0
+        self.silence(silent, SILENCE_S)
+        for call, received, *_ in calls:
+            result = await self.finish(call, received)
+            self.assertEqual(result, (200, [1, 2, 3, 4, 5]))
+        self.assertEqual(len(other.runs), len(calls))
+        engine = self.engine(silent)
+        await until(lambda: not silent.is_silent and not engine.missed_reports)
+        self.assertIs(engine.condition(boot_time()), EngineCondition.USABLE)
+
+    async def test_no_crash_is_suspected(self):
+        """A time-out is not a crash, whatever parts the prompts have."""
+        headers = {names.PROMPT_PARTS: "p1:500,p2:300,own:200"}
+        calls = [
+            await self.begin(
+                self.node, request_id=f"r{number}", events=0, path=path, **headers
+            )
+            for number, path in enumerate(("/draft/x", "/draft/x", "/check/x"))
+        ]
+        for backend in self.assist:
+            self.silence(backend, FIRST_SILENCE_S)
+        for call, *_ in calls:
+            self.assertEqual((await self.finish(call))[0], 200)
+        self.assertTrue(self.node.fleet.crash_evidence.is_empty())
+
+    async def test_running_requests_and_places_are_kept(self):
+        """Reports that are not answered end no request and drop no place."""
+        call, received, present, _ = await self.begin(self.node, path="/check/x")
+        self.silence(present, SILENCE_S)
+        engine = self.engine(present)
+        await until(lambda: engine.missed_reports)
+        self.assertIs(engine.condition(boot_time()), EngineCondition.SILENT)
+        self.assertEqual(engine.running, 1)
+        result = await self.finish(call, received)
+        self.assertEqual(result, (200, [1, 2, 3, 4, 5]))
+        self.assertEqual(self.runs("r"), 1)
+        await until(lambda: not engine.missed_reports)
+        self.assertIs(engine.condition(boot_time()), EngineCondition.USABLE)
+        self.assertIsNotNone(self.node.fleet.registry.find(present.name))
+
+    async def test_order_that_waits_for_a_silent_engine(self):
+        """The request whose adapter is to be loaded waits, and is served."""
+        await self.call(self.node, "/draft/x", adapter="a1")
+        for backend in self.assist:
+            backend.fall_silent(SILENCE_S)
+        status, *_ = await self.call(
+            self.node, "/draft/x", adapter="a2", request_id="r", **LONG_DEADLINE
+        )
+        self.assertEqual((status, self.runs("r")), (200, 1))
+
+    async def test_plain_server_gets_work_when_it_goes_on(self):
+        backend = self.engines["d1"]
+        self.store.remove(names.BACKEND_TABLE, "d2")
+        await until(lambda: len(self.node.fleet.registry.active_servers("desk")) == 1)
+        backend.fall_silent(SILENCE_S)
+        calls = [
+            self.call(self.node, path, request_id=f"r{number}")
+            for number, path in enumerate(("/look/x", "/order/x") * 4)
+        ]
+        statuses = {status for status, *_ in await asyncio.gather(*calls)}
+        self.assertEqual(statuses, {200})
+        self.assertEqual(set(backend.runs.values()), {1})
+        status, *_ = await self.call(self.node, "/look/x", request_id="next")
+        self.assertEqual((status, backend.runs["next"]), (200, 1))
