Count requests that fail together as one failure to connect

A server that takes no connections for a second may be sound. The requests and calls that timed out together in that second each doubled its pause, to 4 s after four of them, so it got no work for seconds after it had gone on. Those that fail while it is avoided or paused were sent before and do not extend the pause.

Without the change:

FAIL: test_requests_that_fail_together_avoid_an_engine_once AssertionError: 104.09 != 100.5 FAIL: test_calls_that_fail_together_pause_a_server_once AssertionError: Lists differ: [0.4, 0.8, 1.6, 3.2, 4.0, 4.0, 4.0, 4.0, 4.0, 4.0] != [0.4, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0]

--- a/sequoiafall/engine_pool.py
+++ b/sequoiafall/engine_pool.py
@@ -418,14 +418,18 @@
         """Record a failed request.
 
         The engine is avoided for a while if it was unreachable or this is at least
-        its third consecutive failure.
+        its third consecutive failure. Requests that do not reach it while it is
+        avoided were sent before, and show nothing new: an engine that takes no
+        connections for a second may be sound.
         """
         share = self.current_failure_share(now)
         self.failure_share = share + FAILURE_WEIGHT * (1.0 - share)
         if now - self.failed_at > FAILURE_MEMORY_S:
             self.consecutive_failures = 0
-        self.consecutive_failures += 1
         self.failed_at = now
+        if is_unreachable and now < self.avoided_until:
+            return
+        self.consecutive_failures += 1
         if is_unreachable or self.consecutive_failures >= 3:
             self.avoided_until = max(
                 self.avoided_until,
--- a/sequoiafall/plain_routing.py
+++ b/sequoiafall/plain_routing.py
@@ -146,6 +146,9 @@
         stats.failure_share = share + SAMPLE_WEIGHT * (failed - share)
         stats.failed_at = now
         if outcome == "unreachable":
+            if now < stats.paused_until:
+                # The call was sent before the pause, and shows nothing new.
+                return 0.0
             stats.unreachable_count += 1
             pause_s = back_off_s(
                 INITIAL_PAUSE_S, stats.unreachable_count, PAUSE_LIMIT_S
