Test the leader's places while streams move

A stream at an instance that follows the leader: while a place elsewhere is requested the first place stays counted, a withdrawn request leaves the queue, and no place is left at the end. A moved stream runs at one engine only. Stand-ins can end their silence early.

--- a/sequoiafall/standins/adapter_engine.py
+++ b/sequoiafall/standins/adapter_engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from collections import Counter
 from collections.abc import Callable
@@ -152,6 +153,7 @@
         self.crashing_parts: set[str] = set()
         self.crashing_requests: set[tuple[str, bytes]] = set()
         self._silent_until = 0.0
+        self._speaks = asyncio.Event()
         self.down_s = CRASH_DOWN_S
         self.keeps_models = False
         self.crashed_at: list[float] = []
@@ -193,6 +195,12 @@
     def fall_silent(self, seconds: float) -> None:
         """Send nothing for some time, then go on as if nothing had happened."""
         self._silent_until = time.monotonic() + seconds
+        self._speaks.clear()
+
+    def end_silence(self) -> None:
+        """Go on at once."""
+        self._silent_until = 0.0
+        self._speaks.set()
 
     @property
     def is_silent(self) -> bool:
@@ -200,7 +208,9 @@
         return time.monotonic() < self._silent_until
 
     async def _wait_silence_over(self) -> None:
-        await asyncio.sleep(max(0.0, self._silent_until - time.monotonic()))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max(0.0, self._silent_until - time.monotonic())):
+                await self._speaks.wait()
 
     async def crash(self) -> None:
         """Reset all connections and refuse new ones until `down_s` is over."""
--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -261,15 +261,76 @@
         self.assertEqual(self.runs("r"), 1)
 
     async def test_stream_moves_to_another_engine(self):
-        """A server that stays silent for long loses the stream to another one."""
+        """A server that stays silent for long loses the stream to another one.
+
+        It does not run at both: the first connection is closed.
+        """
         node = await self.start()
         call, received, present, other = await self.begin(node)
-        self.silence(present, 30.0)
+        present.fall_silent(30.0)
+        present.resume_event.set()
+        await until(lambda: other.runs["r"])
+        await until(lambda: not present.running)
+        self.assertEqual(other.running, 1)
+        other.resume_event.set()
         result = await self.finish(call, received)
         self.assertEqual(result, (200, [1, 2, 3, 4, 5]))
         self.assertEqual((present.runs["r"], other.runs["r"]), (1, 1))
 
 
+class LeaderPlacesTest(SilentServerCase):
+    """The leader's places during and after a move at an instance that follows it."""
+
+    async def start_member(self):
+        await self.start(2)
+        return next(node for node in self.nodes if node is not self.leader)
+
+    def running(self):
+        engines = self.planner.pool.engines_by_name
+        return [engines[name].running for name in ("e1", "e2")]
+
+    async def test_moved_stream(self):
+        member = await self.start_member()
+        call, received, present, other = await self.begin(member)
+        present.fall_silent(30.0)
+        present.resume_event.set()
+        await until(lambda: other.runs["r"])
+        engines = self.planner.pool.engines_by_name
+        await until(lambda: not engines[present.name].running)
+        self.assertEqual(engines[other.name].running, 1)
+        held = member.fleet.places_by_request_and_server
+        self.assertEqual(list(held), [("r", other.name)])
+        other.resume_event.set()
+        result = await self.finish(call, received)
+        self.assertEqual(result, (200, [1, 2, 3, 4, 5]))
+        await until(lambda: self.running() == [0, 0])
+        self.assertEqual(held, {})
+
+    async def test_stream_that_goes_on_while_a_place_is_requested(self):
+        """The request is withdrawn from the leader's queue; its place stays."""
+        member = await self.start_member()
+        call, received, present, other = await self.begin(member)
+        self.planner.pause(other.name, boot_time() + 60.0)
+        present.fall_silent(30.0)
+        present.resume_event.set()
+        await until(lambda: self.planner.waiting_count)
+        engine = self.planner.pool.engines_by_name[present.name]
+        self.assertEqual(engine.running, 1)
+        self.assertEqual(engine.slots_by_adapter["a1"].uses, 1)
+        present.pause_after_events = 3
+        present.resume_event.clear()
+        present.end_silence()
+        await until(lambda: not self.planner.waiting_count)
+        self.assertEqual(engine.running, 1)
+        self.assertEqual(engine.slots_by_adapter["a1"].uses, 1)
+        present.resume_event.set()
+        result = await self.finish(call, received)
+        self.assertEqual(result, (200, [1, 2, 3, 4, 5]))
+        self.assertEqual(self.runs("r"), 1)
+        await until(lambda: self.running() == [0, 0])
+        self.assertEqual(member.fleet.places_by_request_and_server, {})
+
+
 class ReputationTest(SilentServerCase):
     """A server that was silent for a while is not treated like one that failed."""
 
