Request no more places for silent streams than there are retries

When a whole site is silent, each of its streams requests a place elsewhere, but only as many can move as there are retries. The other places were granted, and adapters loaded for them, in vain. A stream reserves a retry while it requests a place. The reservation takes no retry from other requests; a retry is taken when the move happens.

Without the change:

--- a/sequoiafall/retry.py
+++ b/sequoiafall/retry.py
@@ -49,6 +49,7 @@
     __slots__ = (
         "_generator",
         "_max_saved",
+        "_reserved",
         "_saved",
         "_share",
         "requests",
@@ -66,6 +67,7 @@
         self._share = share
         self._max_saved = max_saved
         self._saved = reserve
+        self._reserved = 0
         self.requests = 0
         self.retries = 0
 
@@ -87,6 +89,20 @@
         """Return whether `try_retry` would allow a retry now."""
         return self._saved >= 1.0
 
+    def try_reserve(self) -> bool:
+        """Reserve a retry that may not be needed, if one is not reserved yet.
+
+        It limits how many requests prepare for a retry, and takes none from others.
+        """
+        if self._saved < self._reserved + 1.0:
+            return False
+        self._reserved += 1
+        return True
+
+    def release(self) -> None:
+        """Release a reserved retry."""
+        self._reserved -= 1
+
     def try_retry(self) -> bool:
         """Take one retry from the budget, if there is one.
 
--- a/sequoiafall/stream_move.py
+++ b/sequoiafall/stream_move.py
@@ -206,7 +206,7 @@
         if self._clock.due_s(boot_time()) > 0.0:
             self._schedule()
             return
-        if self._budget.can_retry() and self._search is None:
+        if self._search is None and self._budget.try_reserve():
             self._is_wanted = True
             avoided = self._avoided() | {self._server}
             self._search = asyncio.get_running_loop().create_task(
@@ -219,6 +219,7 @@
 
     def _on_search_done(self, search: asyncio.Task[GatewayPlace | Refusal]) -> None:
         self._search = None
+        self._budget.release()
         reply = _result_of(search)
         if isinstance(reply, GatewayPlace):
             self._found = reply
--- a/tests/test_stream_move.py
+++ b/tests/test_stream_move.py
@@ -193,6 +193,19 @@
         self.assertFalse(send.done())
         await self.finish(send)
 
+    async def test_streams_without_events_do_not_request_more_places_than_retries(self):
+        """When a whole site is silent, each stream took a place that few could use."""
+        send = await self.start()
+        other = StreamMove(
+            self.move._pending, self.places, self.move._notices, self.budget, set()
+        )
+        async with other.watch("e1", 0.0):
+            other._on_timer()
+            self.assertIsNone(other._search)
+        self.places.answer(REFUSAL)
+        await until(lambda: len(self.places.requests) == 2)
+        await self.finish(send)
+
     async def test_nothing_is_requested_without_a_retry(self):
         self.budget.try_retry()
         send = asyncio.create_task(self.send())
