Let streams without a server request places ever less often

A stream that cannot be refused any more requests a place every 0.25 s until its deadline. When all engines of a service are gone, all its streams would do so at the same time. The delay doubles up to 1 s. A test shows that a new leader adopts both places of a stream that moves.

With a constant delay the new test fails:

AssertionError: Lists differ: [0.25, 0.25, 0.25, 0.25] != [0.25, 0.5, 1.0, 1.0]

--- a/sequoiafall/stream_move.py
+++ b/sequoiafall/stream_move.py
@@ -14,10 +14,13 @@
 from .log import log_event, log_warning
 from .place_source import GatewayPlace, PendingPlacement, PlaceSource, RunEnd
 from .refusal import Reason, Refusal
-from .retry import RetryBudget
+from .retry import RetryBudget, back_off_s
 from .server_notices import ServerNotices
 from .stall_timeout import FIRST_EVENT_TIMEOUT_S, LOOK_AGAIN_S, StallClock
 
+# Longest delay before the next look for a server of a stream that has none. It
+# bounds the requests to the leader when all engines of a service are gone.
+MAX_LOOK_AGAIN_S = 1.0
 # Refused moves of a request that are logged.
 MAX_LOGGED_REFUSALS = 3
 
@@ -103,6 +106,7 @@
             Whether the request may still be refused. Otherwise the search goes on
             until the caller cancels it.
         """
+        refusals = 0
         while True:
             if self._search is not None:
                 await asyncio.wait({self._search})
@@ -115,7 +119,9 @@
             self._log_refusal(reply)
             # A server that was left because it sent nothing may be sound.
             self._excluded.clear()
-            await asyncio.sleep(LOOK_AGAIN_S)
+            refusals += 1
+            pause_s = back_off_s(LOOK_AGAIN_S, refusals, MAX_LOOK_AGAIN_S)
+            await asyncio.sleep(pause_s)
 
     def close(self) -> None:
         """Stop to look for a place, and release one that is not used."""
--- a/tests/test_engine_planner.py
+++ b/tests/test_engine_planner.py
@@ -601,6 +601,16 @@
         driver.apply(driver.planner.end("r1", "ok", driver.now, first))
         self.assertEqual(slots["a1"].uses, 0)
 
+    def test_both_places_of_a_moving_request_are_adopted(self):
+        """The leader may change while a stream moves."""
+        driver = Driver(engines=2)
+        for server in ("e0", "e1", "e1"):
+            driver.planner.adopt(driver.make_ask("r1"), server, 1, driver.now)
+        engines = driver.planner.pool.engines_by_name
+        self.assertEqual([engines[name].running for name in ("e0", "e1")], [1, 1])
+        driver.apply(driver.planner.end("r1", "moved", driver.now, "e0"))
+        self.assertEqual([engines[name].running for name in ("e0", "e1")], [0, 1])
+
     def test_withdrawn_request_keeps_its_place(self):
         """A stream that goes on at its engine withdraws its request for another."""
         driver = Driver(engines=2, slots=1)
--- a/tests/test_stream_move.py
+++ b/tests/test_stream_move.py
@@ -242,6 +242,26 @@
         self.places.answer(PLACE)
         self.assertEqual(await take, PLACE)
 
+    async def test_streams_without_a_server_request_places_ever_less_often(self):
+        """All streams of a service whose engines are gone ask the leader."""
+        delays_s = []
+
+        async def sleep(seconds):
+            delays_s.append(seconds)
+
+        take = asyncio.create_task(self.move.take(False))
+        with (
+            patch.object(stream_move, "LOOK_AGAIN_S", LOOK_AGAIN_S),
+            patch.object(stream_move.asyncio, "sleep", sleep),
+        ):
+            for number in range(1, 5):
+                await until(lambda wanted=number: len(self.places.requests) == wanted)
+                self.places.answer(REFUSAL)
+            await until(lambda: len(self.places.requests) == 5)
+        self.places.answer(PLACE)
+        await take
+        self.assertEqual(delays_s, [0.25, 0.5, 1.0, 1.0])
+
     async def test_request_that_has_not_begun_is_refused(self):
         take = asyncio.create_task(self.move.take(True))
         await until(lambda: self.places.requests)
