--- a/sequoiafall/engine_pool.py
+++ b/sequoiafall/engine_pool.py
@@ -418,20 +418,33 @@
         """Record a failed request.
 
         The engine is avoided for a while if it was unreachable or this is at least
-        its third consecutive failure.
+        its third consecutive failure. Requests that do not reach it while it is
+        avoided were sent before, and show nothing new: an engine that takes no
+        connections for a second may be sound.
         """
         share = self.current_failure_share(now)
         self.failure_share = share + FAILURE_WEIGHT * (1.0 - share)
         if now - self.failed_at > FAILURE_MEMORY_S:
             self.consecutive_failures = 0
-        self.consecutive_failures += 1
         self.failed_at = now
+        if is_unreachable and now < self.avoided_until:
+            return
+        self.consecutive_failures += 1
         if is_unreachable or self.consecutive_failures >= 3:
             self.avoided_until = max(
                 self.avoided_until,
                 now + back_off_s(AVOID_S, self.consecutive_failures, AVOID_LIMIT_S),
             )
 
+    def record_stall(self, now: float) -> None:
+        """Record a stream that was moved elsewhere after a time without events.
+
+        The engine may be sound, so it is not avoided, and many streams that are moved
+        at the same time cost it no more than one failure.
+        """
+        self.failure_share = max(self.current_failure_share(now), FAILURE_WEIGHT)
+        self.failed_at = now
+
     def excess_failure_share(self, now: float) -> float:
         """Return the share of failures above the median of the pool."""
         return max(
--- a/sequoiafall/standins/adapter_engine.py
+++ b/sequoiafall/standins/adapter_engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from collections import Counter
 from collections.abc import Callable
@@ -65,6 +66,8 @@
         ``Retry-After`` header.
     event_interval_s : float
         Seconds between two events of a stream.
+    padding_bytes : int
+        Additional bytes of each event.
     trickling_streams : int
         Number of streams that send single bytes after their first event, but never
         complete another event.
@@ -138,6 +141,7 @@
         self.reject_next = 0
         self.retry_after = "1"
         self.event_interval_s = EVENT_INTERVAL_S
+        self.padding_bytes = 0
         self.trickling_streams = 0
         self.withholds_reports = False
         self.received_request_ids: list[str] = []
@@ -149,6 +153,7 @@
         self.crashing_parts: set[str] = set()
         self.crashing_requests: set[tuple[str, bytes]] = set()
         self._silent_until = 0.0
+        self._speaks = asyncio.Event()
         self.down_s = CRASH_DOWN_S
         self.keeps_models = False
         self.crashed_at: list[float] = []
@@ -190,9 +195,22 @@
     def fall_silent(self, seconds: float) -> None:
         """Send nothing for some time, then go on as if nothing had happened."""
         self._silent_until = time.monotonic() + seconds
+        self._speaks.clear()
+
+    def end_silence(self) -> None:
+        """Go on at once."""
+        self._silent_until = 0.0
+        self._speaks.set()
+
+    @property
+    def is_silent(self) -> bool:
+        """Whether it sends nothing at present."""
+        return time.monotonic() < self._silent_until
 
     async def _wait_silence_over(self) -> None:
-        await asyncio.sleep(max(0.0, self._silent_until - time.monotonic()))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max(0.0, self._silent_until - time.monotonic())):
+                await self._speaks.wait()
 
     async def crash(self) -> None:
         """Reset all connections and refuse new ones until `down_s` is over."""
@@ -451,7 +469,8 @@
             if 0 <= self.pause_after_events < number:
                 await self.resume_event.wait()
             await self._wait_silence_over()
-            await response.write(f"id: {number}\ndata: piece {number}\n\n".encode())
+            text = f"piece {number}" + " " * self.padding_bytes
+            await response.write(f"id: {number}\ndata: {text}\n\n".encode())
         await response.write_eof()
         return response
 
