Test that time-outs of servers never count as crashes

A server that sends nothing for longer than a timeout may be sound. Only the end of a connection is evidence of a crash.

--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -1,12 +1,15 @@
 """Tests of sound backend servers that send nothing for a second or so and go on."""
 
 import asyncio
+import unittest
 from unittest.mock import patch
 
+import aiohttp
 from parameterized import parameterized
 
 from sequoiafall import forwarding
 from sequoiafall.boot_clock import boot_time
+from sequoiafall.engine_client import _broken_response
 from sequoiafall.engine_pool import EngineCondition
 from sequoiafall.fleet_leader import LeaderDuties
 from sequoiafall.platform import names
@@ -412,3 +415,20 @@
         self.assertEqual(set(backend.runs.values()), {1})
         status, *_ = await self.call(self.node, "/look/x", request_id="next")
         self.assertEqual((status, backend.runs["next"]), (200, 1))
+
+
+class TimeoutTest(unittest.TestCase):
+    """Only an ended connection may count as a crash, never a time-out."""
+
+    @parameterized.expand(
+        [
+            ("read", aiohttp.SocketTimeoutError(), False),
+            ("response", aiohttp.ServerTimeoutError(), False),
+            ("own time-out", TimeoutError(), False),
+            ("end of the connection", aiohttp.ServerDisconnectedError(), True),
+            ("incomplete body", aiohttp.ClientPayloadError(), True),
+            ("reset", ConnectionResetError(), True),
+        ]
+    )
+    def test_cut(self, _name, error, expected):
+        self.assertEqual(_broken_response(error).is_cut, expected)
