--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -25,6 +25,7 @@
 FIRST_SILENCE_S = 1.9
 CONFIGURATION_INTERVAL_S = 0.05
 LONG_DEADLINE = {names.DEADLINE_MS: "6000"}
+STREAMS = 24
 # Short timeout between events for a caller that does not read.
 GAP_S = 0.2
 # More of them than the buffers between an engine and its caller hold.
@@ -333,6 +334,30 @@
         await until(lambda: self.running() == [0, 0])
         self.assertEqual(member.fleet.places_by_request_and_server, {})
 
+    @parameterized.expand([("all engines", 2), ("one engine", 1)])
+    async def test_many_streams_of_silent_engines(self, _name, silent):
+        """No stream is lost, no place is left, and none runs more than twice."""
+        member = await self.start_member()
+        nodes = [member, self.leader]
+        begun = await asyncio.gather(
+            *(
+                self.begin(nodes[number % 2], request_id=f"r{number}")
+                for number in range(STREAMS)
+            )
+        )
+        for engine in self.assist[:silent]:
+            self.silence(engine, SILENCE_S)
+        results = await asyncio.gather(
+            *(self.finish(call, received) for call, received, *_ in begun)
+        )
+        self.assertEqual(results, [(200, [1, 2, 3, 4, 5])] * STREAMS)
+        runs = [self.runs(f"r{number}") for number in range(STREAMS)]
+        self.assertLessEqual(max(runs), 2)
+        await until(lambda: self.running() == [0, 0])
+        self.assertEqual(self.planner.waiting_count, 0)
+        for node in nodes:
+            self.assertEqual(node.fleet.places_by_request_and_server, {})
+
 
 class ReputationTest(SilentServerCase):
     """A server that was silent for a while is not treated like one that failed."""
