--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -281,6 +281,19 @@
         self.assertEqual(result, (200, [1, 2, 3, 4, 5]))
         self.assertEqual((present.runs["r"], other.runs["r"]), (1, 1))
 
+    async def test_stream_moves_without_a_leader(self):
+        """The instance itself finds another engine that holds the adapter."""
+        node = await self.start()
+        call, received, present, other = await self.begin(node)
+        self.store.rejected_peers.add("*")
+        node.fleet._lose_lease("test")
+        self.silence(present, 30.0)
+        result = await self.finish(call, received)
+        self.assertEqual(result, (200, [1, 2, 3, 4, 5]))
+        self.assertEqual((present.runs["r"], other.runs["r"]), (1, 1))
+        self.assertEqual(node.fleet.places_by_request_and_server, {})
+        self.assertEqual(node.forwarder._places._leaderless_running, {})
+
 
 class LeaderPlacesTest(SilentServerCase):
     """The leader's places during and after a move at an instance that follows it."""
