--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -1,12 +1,15 @@
 """Tests of sound backend servers that send nothing for a second or so and go on."""
 
 import asyncio
+import unittest
 from unittest.mock import patch
 
+import aiohttp
 from parameterized import parameterized
 
 from sequoiafall import forwarding
 from sequoiafall.boot_clock import boot_time
+from sequoiafall.engine_client import _broken_response
 from sequoiafall.engine_pool import EngineCondition
 from sequoiafall.fleet_leader import LeaderDuties
 from sequoiafall.platform import names
@@ -22,6 +25,7 @@
 FIRST_SILENCE_S = 1.9
 CONFIGURATION_INTERVAL_S = 0.05
 LONG_DEADLINE = {names.DEADLINE_MS: "6000"}
+STREAMS = 24
 # Short timeout between events for a caller that does not read.
 GAP_S = 0.2
 # More of them than the buffers between an engine and its caller hold.
@@ -277,6 +281,19 @@
         self.assertEqual(result, (200, [1, 2, 3, 4, 5]))
         self.assertEqual((present.runs["r"], other.runs["r"]), (1, 1))
 
+    async def test_stream_moves_without_a_leader(self):
+        """The instance itself finds another engine that holds the adapter."""
+        node = await self.start()
+        call, received, present, other = await self.begin(node)
+        self.store.rejected_peers.add("*")
+        node.fleet._lose_lease("test")
+        self.silence(present, 30.0)
+        result = await self.finish(call, received)
+        self.assertEqual(result, (200, [1, 2, 3, 4, 5]))
+        self.assertEqual((present.runs["r"], other.runs["r"]), (1, 1))
+        self.assertEqual(node.fleet.places_by_request_and_server, {})
+        self.assertEqual(node.forwarder._places._leaderless_running, {})
+
 
 class LeaderPlacesTest(SilentServerCase):
     """The leader's places during and after a move at an instance that follows it."""
@@ -330,6 +347,30 @@
         await until(lambda: self.running() == [0, 0])
         self.assertEqual(member.fleet.places_by_request_and_server, {})
 
+    @parameterized.expand([("all engines", 2), ("one engine", 1)])
+    async def test_many_streams_of_silent_engines(self, _name, silent):
+        """No stream is lost, no place is left, and none runs more than twice."""
+        member = await self.start_member()
+        nodes = [member, self.leader]
+        begun = await asyncio.gather(
+            *(
+                self.begin(nodes[number % 2], request_id=f"r{number}")
+                for number in range(STREAMS)
+            )
+        )
+        for engine in self.assist[:silent]:
+            self.silence(engine, SILENCE_S)
+        results = await asyncio.gather(
+            *(self.finish(call, received) for call, received, *_ in begun)
+        )
+        self.assertEqual(results, [(200, [1, 2, 3, 4, 5])] * STREAMS)
+        runs = [self.runs(f"r{number}") for number in range(STREAMS)]
+        self.assertLessEqual(max(runs), 2)
+        await until(lambda: self.running() == [0, 0])
+        self.assertEqual(self.planner.waiting_count, 0)
+        for node in nodes:
+            self.assertEqual(node.fleet.places_by_request_and_server, {})
+
 
 class ReputationTest(SilentServerCase):
     """A server that was silent for a while is not treated like one that failed."""
@@ -412,3 +453,20 @@
         self.assertEqual(set(backend.runs.values()), {1})
         status, *_ = await self.call(self.node, "/look/x", request_id="next")
         self.assertEqual((status, backend.runs["next"]), (200, 1))
+
+
+class TimeoutTest(unittest.TestCase):
+    """Only an ended connection may count as a crash, never a time-out."""
+
+    @parameterized.expand(
+        [
+            ("read", aiohttp.SocketTimeoutError(), False),
+            ("response", aiohttp.ServerTimeoutError(), False),
+            ("own time-out", TimeoutError(), False),
+            ("end of the connection", aiohttp.ServerDisconnectedError(), True),
+            ("incomplete body", aiohttp.ClientPayloadError(), True),
+            ("reset", ConnectionResetError(), True),
+        ]
+    )
+    def test_cut(self, _name, error, expected):
+        self.assertEqual(_broken_response(error).is_cut, expected)
