--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import functools
 import math
 import random
