Choose among all services of a route whose weights are all zero

Callers of a route that a change of the configuration left without a positive weight got an unexpected error (500 without a reason): `random.choices` raises ValueError for weights that sum to zero or to no finite number.

Weights that are no positive finite numbers count as 0; if no other is left, all services of the route have the same share.

tests.test_final_responses.ConfigurationTest.test_change_*_weights_zero, on the code before: {('internal_error', 'complete')} not less than or equal to {('completed', 'complete'), ('refused', 'complete')}.

--- a/sequoiafall/catalog.py
+++ b/sequoiafall/catalog.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -77,10 +78,16 @@
     pause_target_s: float = 0.0
 
     def choose_service(self, generator: random.Random) -> str:
-        """Choose a service at random in proportion to the weights."""
+        """Choose a service at random in proportion to the weights.
+
+        Weights that are not positive finite numbers count as 0; if there are no
+        others, all services have the same share.
+        """
         if len(self.targets) == 1:
             return self.targets[0].service
-        weights = [target.weight for target in self.targets]
+        weights = [_usable_weight(target.weight) for target in self.targets]
+        if not any(weights):
+            weights = [1.0] * len(weights)
         return generator.choices(self.targets, weights)[0].service
 
 
@@ -211,3 +218,7 @@
     def find_organisation(self, key: str) -> Organisation | None:
         """Return the organisation to which an API key belongs."""
         return self._organisations_by_key.get(key)
+
+
+def _usable_weight(weight: float) -> float:
+    return weight if 0.0 < weight < math.inf else 0.0
