Give requests that a planned stop ends a final response

Callers whose requests waited for a place or for a response when the grace period of an instance was over got a closed connection. The same happened to requests on kept connections that arrived while the process closed: once no request was open, the fleet member was stopped first, requests were still accepted meanwhile, and those that took longer than 0.1 s were cut.

The process now ends the open requests itself at its deadline: 503 ("not run") or 502, and begun streams are aborted with the cause `stopped`. From then on every request is refused, for 0.1 s at least before connections are closed, and callers' connections are closed before the fleet member stops.

--- a/sequoiafall/node.py
+++ b/sequoiafall/node.py
@@ -35,6 +35,9 @@
 STOP_CHECK_INTERVAL_S = 0.25
 # TTL of a directory response.
 DIRECTORY_TTL_S = 1.5
+# Time for the last refusals: of requests that are under way on kept connections when
+# the others have ended, and again for callers that read slowly.
+LAST_REQUESTS_S = 0.1
 # Time for closing the remaining connections when the process ends.
 CLOSE_TIMEOUT_S = 0.1
 # Instances listed in one directory response.
@@ -95,6 +98,7 @@
             settings, self.fleet, places, dialect, self.metrics, generator
         )
         self._runners: list[web.AppRunner] = []
+        self._caller_runner: web.AppRunner | None = None
         self._caller_site: web.TCPSite | None = None
 
     async def on_start(self) -> None:
@@ -105,6 +109,7 @@
         callers = web.Application(client_max_size=MAX_BODY_BYTES)
         callers.router.add_route("*", "/{path:.*}", self.forwarder.handle)
         self._caller_site = await self._listen(callers, self.settings.front_address)
+        self._caller_runner = self._runners[-1]
         await self._listen(self._applications.ready(self), self.settings.ready_address)
         if self.settings.directory_address:
             await self._listen(
@@ -138,6 +143,20 @@
             if remaining_s <= 0.0:
                 break
             await asyncio.sleep(min(remaining_s, STOP_CHECK_INTERVAL_S))
+        open_requests = await self._finish_requests()
+        await self.fleet.stop()
+        for runner in self._runners:
+            await runner.cleanup()
+        await self._control.close()
+        await self._store.close()
+        log_event("stopped", open_requests=open_requests)
+
+    async def _finish_requests(self) -> int:
+        """Close the callers' listener; return the number of requests that it ended.
+
+        Requests that callers still send on kept connections are refused, as those
+        that have not ended by the deadline.
+        """
         if self._caller_site is not None:
             await self._caller_site.stop()
         while self.forwarder.open_requests:
@@ -145,15 +164,16 @@
             if remaining_s <= 0.0:
                 break
             await self.forwarder.wait_idle(min(remaining_s, STOP_CHECK_INTERVAL_S))
-        await self.fleet.stop()
         open_requests = self.forwarder.open_requests
         if open_requests:
             log_warning("requests_cut", count=open_requests)
-        for runner in self._runners:
-            await runner.cleanup()
-        await self._control.close()
-        await self._store.close()
-        log_event("stopped", open_requests=open_requests)
+        self.forwarder.stop()
+        await asyncio.sleep(LAST_REQUESTS_S)
+        await self.forwarder.wait_idle(LAST_REQUESTS_S)
+        if self._caller_runner is not None:
+            self._runners.remove(self._caller_runner)
+            await self._caller_runner.cleanup()
+        return open_requests
 
     @property
     def is_ready(self) -> bool:
--- a/tests/test_final_responses.py
+++ b/tests/test_final_responses.py
@@ -1,7 +1,9 @@
 """Tests that every request that was read gets a complete response or a refusal."""
 
 import asyncio
+import contextlib
 import json
+import socket
 import unittest
 from unittest.mock import patch
 
@@ -62,9 +64,14 @@
         lines += [f"{name}: {value}" for name, value in fields.items() if value]
         return "\r\n".join([*lines, "", ""]).encode("utf-8", "surrogateescape")
 
-    async def connect(self, node):
+    async def connect(self, node, receive_buffer_bytes=0):
         host, _, port = node.settings.front_address.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
+        opened = socket.socket()
+        opened.setblocking(False)
+        if receive_buffer_bytes:
+            opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
+        await asyncio.get_running_loop().sock_connect(opened, (host, int(port)))
+        reader, writer = await asyncio.open_connection(sock=opened)
         self.addCleanup(writer.close)
         return reader, writer
 
@@ -490,5 +497,114 @@
         self.assert_logged("r1", "end=caller_left", "route=check", "runs=1")
 
 
+class PlannedStopTest(FinalResponseCase):
+    """A process that ends gives every request that it read a final response."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.lines = self.enterContext(capture_log())
+        self.node, *_ = await self.start_fleet(1)
+        # The last second of the grace period is for the end of the process.
+        self.node.settings.grace_s = 1.5
+
+    async def stop(self):
+        """Stop the node, and wait until its listener is closed."""
+        stopping = asyncio.create_task(self.node.stop())
+        self.nodes.remove(self.node)
+        site = self.node._caller_site
+        await until(lambda: site not in self.node._runners[0].sites)
+        return stopping
+
+    @parameterized.expand(
+        [
+            ("place", "/draft/x", 503, "not run"),
+            ("head of a stream", "/draft/x", 502, "unknown"),
+            ("head of a call", "/order/x", 502, "unknown"),
+        ]
+    )
+    async def test_request_that_waits_at_the_deadline(self, wait, path, status, ran):
+        """Guards against connections that are closed without a response."""
+        adapter = "a1" if path == "/draft/x" else ""
+        if wait != "place":
+            await self.call(self.node, path, adapter=adapter)
+        for server in self.engines.values():
+            server.load_s = 30.0
+            if wait != "place":
+                server.fall_silent(3.0)
+        call = asyncio.create_task(self.call(self.node, path, adapter=adapter))
+        await until(lambda: self.node.forwarder.open_requests)
+        stopping = await self.stop()
+        got, body, headers = await call
+        await stopping
+        self.assertEqual(got, status, body)
+        self.assertEqual(json.loads(body)["error"]["ran"], ran)
+        self.assertEqual(headers["Connection"], "close")
+        self.nodes.append(self.node)
+        ends = {(EndCause.STOPPED.value, COMPLETE): 1}
+        if wait != "place":
+            ends[EndCause.COMPLETED.value, COMPLETE] = 1
+        await self.assert_ends_add_up(len(ends), ends)
+
+    async def test_body_that_is_not_read_by_the_deadline(self):
+        reader, writer = await self.connect(self.node)
+        writer.write(self.head("/order/x") + b"bo")
+        await until(lambda: self.node.forwarder.open_requests)
+        stopping = await self.stop()
+        response = RawResponse(await reader.read())
+        await stopping
+        self.assertEqual(response.status, 503, response.text)
+        self.assertEqual(self.runs("raw1"), 0)
+
+    async def test_begun_stream_at_the_deadline(self):
+        for name in ("e1", "e2"):
+            self.engines[name].pause_after_events = 2
+        call = asyncio.create_task(self.call(self.node, "/check/x", adapter="a1"))
+        await until(lambda: self.engines["e1"].running + self.engines["e2"].running)
+        await (await self.stop())
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            await call
+        self.nodes.append(self.node)
+        cause = EndCause.STOPPED.value
+        await self.assert_ends_add_up(1, {(cause, ResponseState.CUT.value): 1})
+
+    async def test_requests_on_a_kept_connection(self):
+        """Guards against requests that are read while the process closes."""
+        reader, writer = await self.connect(self.node)
+        fleet_stop = self.node.fleet.stop
+        ends = []
+
+        async def stop_slowly():
+            await asyncio.sleep(0.1)
+            await fleet_stop()
+
+        async def call_until_closed():
+            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+                while True:
+                    writer.write(self.head("/order/x", Connection="") + b"body")
+                    ends.append(await reader.readuntil(b"\r\n\r\n"))
+                    length = ends[-1].partition(b"Content-Length: ")[2]
+                    await reader.readexactly(int(length.partition(b"\r\n")[0]))
+                    # The order of the ends of two processes is not known.
+                    await asyncio.sleep(0.01)
+
+        for server in self.engines.values():
+            server.processing_s = 0.4
+        # Requests are accepted until there is less than a second left.
+        self.node.settings.grace_s = 2.5
+        with (
+            patch.object(self.node.fleet, "stop", stop_slowly),
+            patch("sequoiafall.node.ACCEPTING_SHARE", 0.1),
+        ):
+            stopping = await self.stop()
+            calling = asyncio.create_task(call_until_closed())
+            await stopping
+            await calling
+        self.assertIn(b" 503 ", ends[-1])
+        self.nodes.append(self.node)
+        ends = self.node.metrics.ends_by_cause
+        self.assertEqual(self.node.metrics.requests_read, ends.total())
+        self.assertEqual({response for _, response in ends}, {COMPLETE}, ends)
+
+
 if __name__ == "__main__":
     unittest.main()
