Refuse header values that cannot be read or forwarded unchanged

Callers whose headers had one of these values got an unexpected error instead of a refusal: an event number without end (OverflowError), a deadline that is no number ("nan", ValueError), a header that is not UTF-8 (UnicodeEncodeError in the search for the key; the HTTP library would have dropped its bytes). Counts of tokens beyond 32 bits cannot be sent to the leader, and negative ones would raise an organisation's bucket.

The dialect refuses them with "invalid_request"; an event number that is none counts as absent, as before. The line of such a refusal names the request's id.

--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -302,9 +302,9 @@
                 web_request.method, web_request.raw_path, web_request.headers, body
             )
         except ValueError as error:
-            return self._refuse(
-                "", Refusal(Reason.INVALID_REQUEST, detail=str(error)), started_at
-            )
+            refusal = Refusal(Reason.INVALID_REQUEST, detail=str(error))
+            request_id = self._dialect.request_id(web_request.headers)
+            return self._refuse(request_id, refusal, started_at)
         if catalog is None:
             refusal = Refusal(
                 Reason.STALE_CONFIGURATION, retry_after_s=NO_CONFIGURATION_RETRY_AFTER_S
--- a/sequoiafall/platform/dialect.py
+++ b/sequoiafall/platform/dialect.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 
 from multidict import CIMultiDict
@@ -31,6 +32,8 @@
 WRONG_SERVER_STATUS = 421
 # Parts of a prompt that are read from its header; further ones are ignored.
 MAX_PROMPT_PARTS = 32
+# Messages between instances hold the sum of both counts of tokens in 32 bits.
+MAX_TOKENS = 2**30 - 1
 _BEARER = "bearer "
 
 
@@ -49,11 +52,13 @@
         Raises
         ------
         ValueError
-            If the request identifier is missing or a number is malformed.
+            If the request identifier is missing, a number is malformed or out of
+            range, or the target or a header is not UTF-8.
         """
         request_id = self.request_id(headers)
         if not request_id:
             raise ValueError(f"{names.REQUEST_ID}: a value is missing")
+        _check_encoding(target, headers)
         model, _, adapter = headers.get(names.MODEL, "").partition("/")
         prompt_tokens, output_tokens = _parse_tokens(headers.get(names.TOKENS, ""))
         authorization = headers.get("Authorization", "")
@@ -159,11 +164,23 @@
     if text is None:
         return default
     try:
-        return float(text)
+        number = float(text)
     except ValueError:
-        if name == names.LAST_EVENT:
-            return default
-        raise ValueError(f"{name}: expected a number") from None
+        number = math.nan
+    if math.isfinite(number):
+        return number
+    if name == names.LAST_EVENT:
+        return default
+    raise ValueError(f"{name}: expected a number")
+
+
+def _check_encoding(target: str, headers: Mapping[str, str]) -> None:
+    """Raise an error for text that could not be forwarded unchanged."""
+    for name, value in (("target", target), *headers.items()):
+        try:
+            value.encode()
+        except UnicodeEncodeError:
+            raise ValueError(f"{name}: expected UTF-8") from None
 
 
 def _shared_parts(text: str) -> tuple[str, ...]:
@@ -181,6 +198,9 @@
         return None, None
     prompt, _, output = text.partition(",")
     try:
-        return int(prompt), int(output or "0")
+        counts = int(prompt), int(output or "0")
     except ValueError:
         raise ValueError(f"{names.TOKENS}: expected two numbers") from None
+    if not all(0 <= count <= MAX_TOKENS for count in counts):
+        raise ValueError(f"{names.TOKENS}: expected numbers from 0 to {MAX_TOKENS}")
+    return counts
--- a/tests/test_final_responses.py
+++ b/tests/test_final_responses.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import re
 import socket
 import unittest
 from unittest.mock import patch
@@ -606,5 +607,159 @@
         self.assertEqual({response for _, response in ends}, {COMPLETE}, ends)
 
 
+class CallerHabitsTest(FinalResponseCase):
+    """Unusual requests and connections, all with a final response."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.lines = self.enterContext(capture_log())
+        self.node, *_ = await self.start_fleet(1)
+
+    async def send(self, data):
+        reader, writer = await self.connect(self.node)
+        writer.write(data)
+        return RawResponse(await reader.read())
+
+    @parameterized.expand(
+        [
+            ("event number without end", {names.LAST_EVENT: "inf"}),
+            ("huge event number", {names.LAST_EVENT: "9" * 400}),
+            ("event number that is none", {names.LAST_EVENT: "nan"}),
+            ("negative event number", {names.LAST_EVENT: "-5"}),
+            ("deadline without end", {names.DEADLINE_MS: "inf"}),
+            ("huge deadline", {names.DEADLINE_MS: "1e300"}),
+            ("deadline that is no number", {names.DEADLINE_MS: "nan"}),
+            ("negative deadline", {names.DEADLINE_MS: "-1"}),
+            ("many tokens", {names.TOKENS: "9" * 30 + ",1"}),
+            ("more than many tokens", {names.TOKENS: "9" * 5000}),
+            ("negative tokens", {names.TOKENS: "-1000,-20"}),
+            ("many parts", {names.PROMPT_PARTS: ",".join(["p:1"] * 900)}),
+            ("long adapter", {names.MODEL: "base/" + "a" * 8000}),
+            ("no UTF-8", {"X-Note": "caf\udce9"}),
+            ("no UTF-8 in the adapter", {names.MODEL: "base/a\udce9"}),
+            ("no UTF-8 in the key", {"Authorization": "Bearer \udce9"}),
+            ("no UTF-8 in the host", {"Host": "shop.example\udce9"}),
+            ("tab", {"X-Note": "a\tb"}),
+            ("encoding", {"Content-Encoding": "unknown"}),
+            ("expectation", {"Expect": "100-continue"}),
+            ("unknown expectation", {"Expect": "a miracle"}),
+            ("upgrade", {"Connection": "Upgrade, close", "Upgrade": "h2c"}),
+            (
+                "upgrade to websocket",
+                {"Connection": "Upgrade, close", "Upgrade": "websocket"},
+            ),
+        ]
+    )
+    async def test_headers(self, _name, headers):
+        """Guards against values that raise an error where no branch expects one."""
+        for path in ("/draft/x", "/order/x"):
+            fields = {names.MODEL: "base/a1", names.TOKENS: "1000,20", **headers}
+            if path == "/order/x" and names.MODEL not in headers:
+                del fields[names.MODEL]
+            async with asyncio.timeout(10.0):
+                response = await self.send(self.head(path, **fields) + b"body")
+            if response.status == 100:
+                response = RawResponse(response.body)
+            self.assertTrue(response.is_complete, response.text)
+            # Servers get an event number that is none as it is, and may fail.
+            allowed = (200, 400, 401, 404, 417, 502, 503)
+            self.assertIn(response.status, allowed, response.text)
+        internal = [line for line in self.lines if "internal_error" in line]
+        self.assertEqual(internal, [])
+
+    @parameterized.expand([("/order/x",), ("/draft/x",)])
+    async def test_http_1_0(self, path):
+        fields = {names.MODEL: "base/a1"} if path == "/draft/x" else {}
+        fields["Connection"] = ""
+        data = self.head(path, version="HTTP/1.0", **fields) + b"body"
+        response = await self.send(data)
+        self.assert_final(response.status, response.body)
+        await self.assert_ends_add_up(1)
+
+    async def test_pipelined_requests(self):
+        """Each one gets its response, in order, also beside a change."""
+        reader, writer = await self.connect(self.node)
+        for path in ("/order/1", "/none/2", "/look/3"):
+            writer.write(self.head(path, Connection="") + b"body")
+        writer.write(self.head("/order/4") + b"body")
+        received = await reader.read()
+        statuses = re.findall(rb"HTTP/1.1 (\d+)", received)
+        self.assertEqual(statuses, [b"200", b"404", b"200", b"200"], received)
+        await self.assert_ends_add_up(4)
+
+    async def test_slow_upload(self):
+        """A body that comes byte by byte, over a deadline that passes meanwhile."""
+        reader, writer = await self.connect(self.node)
+        writer.write(self.head("/order/x", **{names.DEADLINE_MS: "100"}))
+        for number in range(4):
+            await asyncio.sleep(0.05)
+            writer.write(b"body"[number : number + 1])
+        response = RawResponse(await reader.read())
+        self.assertEqual(response.status, 503, response.text)
+        await self.assert_ends_add_up(1)
+
+    async def test_body_over_the_limit(self):
+        """The response comes before the body was read, and the rest is drained."""
+        body = b"x" * 9_000_000
+        response = await self.send(self.head("/order/x", len(body)) + body)
+        self.assertEqual(response.status, 413, response.text[:200])
+        await self.assert_ends_add_up(0, {})
+
+    async def test_chunks_that_are_malformed(self):
+        fields = {"Content-Length": "", "Transfer-Encoding": "chunked"}
+        data = self.head("/order/x", **fields) + b"4\r\nbody\r\nzz\r\n"
+        response = await self.send(data)
+        self.assertTrue(response.is_complete, response.text)
+        self.assertEqual(response.status, 400, response.text)
+        await self.assert_ends_add_up(0, {})
+
+    async def test_half_closed_connection(self):
+        """A caller that ends its side counts as one that left."""
+        reader, writer = await self.connect(self.node)
+        for server in self.engines.values():
+            server.processing_s = 0.3
+        writer.write(self.head("/order/x", **{names.REQUEST_ID: "half"}) + b"body")
+        await until(lambda: self.runs("half"))
+        writer.write_eof()
+        self.assertEqual(await reader.read(), b"")
+        await self.assert_ends_add_up(1, {(EndCause.CALLER_LEFT.value, "none"): 1})
+
+    @parameterized.expand(
+        [("control character", "a\x01b"), ("no UTF-8", "a\udce9b"), ("tab", "a\tb")]
+    )
+    async def test_header_of_a_server(self, _name, value):
+        """Guards against a response that is lost as its headers cannot be written."""
+        received = f"HTTP/1.1 200 OK\r\nX-Note: {value}\r\n".encode(
+            "utf-8", "surrogateescape"
+        )
+
+        async def respond(reader, writer):
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            request_id = head.partition(f"{names.REQUEST_ID}: ")[2].partition("\r\n")[0]
+            fields = {
+                names.REQUEST_ID: request_id,
+                names.SIGNATURE: "s.1",
+                "Content-Length": "9",
+            }
+            lines = "".join(f"{key}: {text}\r\n" for key, text in fields.items())
+            writer.write(received + lines.encode() + b"\r\ndone:body")
+            writer.close()
+
+        server = await asyncio.start_server(respond, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        address = "{}:{}".format(*server.sockets[0].getsockname())
+        for name in ("d1", "d2"):
+            self.announce(self.engines[name], address=address)
+        await until(
+            lambda: (
+                self.node.fleet.registry.find("d2").address == address
+                and self.node.fleet.registry.find("d1").address == address
+            )
+        )
+        response = await self.send(self.head("/order/x") + b"body")
+        self.assertTrue(response.is_complete, response.text)
+        self.assertIn(response.status, (200, 502), response.text)
+
+
 if __name__ == "__main__":
     unittest.main()
