Forward compressed bodies of requests as they came

Callers that sent a body with `Content-Encoding: gzip` got 502 (outcome_unknown): the HTTP library decompressed the body, and it was forwarded with the header, so that the server could not decode it.

tests.test_final_responses.CallerHabitsTest.test_compressed_body, on the code before: AssertionError: 502 != 200

--- a/sequoiafall/node.py
+++ b/sequoiafall/node.py
@@ -199,6 +199,8 @@
             application,
             access_log=None,
             handler_cancellation=True,
+            # Bodies are forwarded with the headers that name their encoding.
+            auto_decompress=False,
             keepalive_timeout=KEEP_ALIVE_S,
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
--- a/tests/test_final_responses.py
+++ b/tests/test_final_responses.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gzip
 import json
 import re
 import socket
@@ -667,6 +668,13 @@
         internal = [line for line in self.lines if "internal_error" in line]
         self.assertEqual(internal, [])
 
+    async def test_compressed_body(self):
+        """Guards against a body that reaches its server in another encoding."""
+        body = gzip.compress(b"text")
+        fields = {"Content-Encoding": "gzip"}
+        response = await self.send(self.head("/order/x", len(body), **fields) + body)
+        self.assertEqual(response.status, 200, response.text)
+
     @parameterized.expand([("/order/x",), ("/draft/x",)])
     async def test_http_1_0(self, path):
         fields = {names.MODEL: "base/a1"} if path == "/draft/x" else {}
