Treat a server with a malformed address as unreachable

Beside an entry of a server with an address such as "127.0.0.1:99999" or "", callers of a call that runs at most once got 502 ("unknown") although nothing had been sent, and with the first one through an unexpected error.

Whatever fails before a connection is made counts as not sent. The leader's reports of engines did so before; the test covers them as well. Not covered: an address with a bracket that is not closed, for which the URL itself cannot be made; the request gets 503 (internal_error, "not run").

tests.test_final_responses.CallerHabitsTest. test_address_of_a_server_that_is_malformed, on the code before: AssertionError: 502 != 503 (two of three addresses)

--- a/sequoiafall/engine_client.py
+++ b/sequoiafall/engine_client.py
@@ -453,6 +453,12 @@
             token = _before_send.set(before_send)
             try:
                 raw_response = await _send(session, method, url, headers, body)
+            except (BrokenResponseError, ValueError) as error:
+                if self.sent:
+                    raise
+                # No connection was made, such as to a malformed address.
+                detail = f"no connection to the backend server ({type(error).__name__})"
+                raise NotSentError(detail) from error
             finally:
                 _before_send.reset(token)
             response = BackendResponse(raw_response)
--- a/tests/test_final_responses.py
+++ b/tests/test_final_responses.py
@@ -768,6 +768,26 @@
         self.assertTrue(response.is_complete, response.text)
         self.assertIn(response.status, (200, 502), response.text)
 
+    @parameterized.expand([("127.0.0.1:99999",), ("",), ("a b",)])
+    async def test_address_of_a_server_that_is_malformed(self, address):
+        """Guards against lost requests, and leaders, beside an unreachable server."""
+        term = self.node.fleet.lease.token
+        for name in ("d1", "d2", "e1"):
+            self.announce(self.engines[name], address=address)
+        await until(
+            lambda: all(
+                self.node.fleet.registry.find(name).address == address
+                for name in ("d1", "d2", "e1")
+            )
+        )
+        response = await self.send(self.head("/order/x") + b"body")
+        self.assertEqual(response.status, 503, response.text)
+        self.assertEqual(json.loads(response.body)["error"]["ran"], "not run")
+        await until(lambda: any("report_failed server=e1" in row for row in self.lines))
+        status, body, _ = await self.call(self.node, "/draft/x", adapter="a1")
+        self.assertEqual(status, 200, body)
+        self.assertEqual(self.node.fleet.lease.token, term)
+
 
 if __name__ == "__main__":
     unittest.main()
