Keep the process when reloaded settings raise an error

A settings file that cannot be decoded in a way that nobody had thought of, such as with a date that does not exist ("2026-13-45"), ended the process beside the change, with all its requests: an error in a task of the service crashes it.

A ValueError of the decoder is a finding like the others, and any other error of the source is logged ("settings_unreadable"); the running settings stay.

On the code before: tests.test_platform_adapter...test_unreadable_4_date_that_does_not_exist: ValueError: month must be in 1..12 tests.test_platform_nodes.ReloadTest.test_settings_that_raise_an_error: AssertionError: True is not false (node.crashed)

--- a/sequoiafall/node.py
+++ b/sequoiafall/node.py
@@ -14,7 +14,7 @@
 from .boot_clock import boot_time
 from .fleet import Fleet
 from .forwarding import Forwarder
-from .log import dropped_line_count, log_event, log_warning
+from .log import dropped_line_count, innermost_frames, log_event, log_warning
 from .node_metrics import NodeMetrics
 from .node_settings import NodeSettings, SettingsSource
 from .place_source import PlaceSource
@@ -278,7 +278,13 @@
         if self._source is None:
             log_event("reload", instance=self.settings.instance)
             return
-        result = self._source.read()
+        try:
+            result = self._source.read()
+        except Exception as error:
+            # It would end the process, with all its requests.
+            findings = f"{type(error).__name__} at {innermost_frames(error)}"
+            log_warning("settings_unreadable", findings=findings)
+            return
         if isinstance(result, Failure):
             findings = "; ".join(str(finding) for finding in result.failure())
             log_warning("settings_unreadable", findings=findings)
--- a/sequoiafall/platform/node_file.py
+++ b/sequoiafall/platform/node_file.py
@@ -103,7 +103,8 @@
         content = _decode(Path(path).read_bytes())
     except OSError as error:
         return Failure([Finding(path, f"a readable file ({error.strerror})")])
-    except (YAMLError, UnicodeDecodeError) as error:
+    except (YAMLError, ValueError) as error:
+        # A date or text that cannot be decoded raises ValueError.
         return Failure([Finding(path, "YAML", str(error).replace("\n", " "))])
     if not isinstance(content, Mapping):
         return Failure([Finding(path, "a mapping")])
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -150,7 +150,13 @@
             self.assertFalse(source.has_changed())
 
     @parameterized.expand(
-        [("empty", ""), ("list", "- a"), ("not yaml", "a: [b"), ("binary", "\x00")]
+        [
+            ("empty", ""),
+            ("list", "- a"),
+            ("not yaml", "a: [b"),
+            ("binary", "\x00"),
+            ("date that does not exist", NODE_FILE + "\nchanged: 2026-13-45\n"),
+        ]
     )
     def test_unreadable(self, _name, text):
         self.assertIsInstance(self._read(text), Failure)
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -341,6 +341,22 @@
         self.assertEqual(node.settings.grace_s, 3.0)
         node.settings.grace_s = 1.0
 
+    async def test_settings_that_raise_an_error(self):
+        """Guards against a process that ends with all its requests at a reload."""
+        node, _ = await self.start_fleet()
+        with capture_log() as lines:
+            node._source = self.Source(None)
+            with patch.object(node._source, "read", side_effect=ValueError("date")):
+                await until(
+                    lambda: (
+                        node.crashed or any("settings_unread" in row for row in lines)
+                    )
+                )
+                node._source = None
+        self.assertFalse(node.crashed)
+        status, _, _ = await self.call(node, "/draft/x", adapter="a1")
+        self.assertEqual(status, 200)
+
 
 class FaultyBackendTest(PlatformCase):
     """Backend servers that fail, shed load, cut streams or mix up responses."""
