--- a/sequoiafall/node.py
+++ b/sequoiafall/node.py
@@ -14,7 +14,7 @@
 from .boot_clock import boot_time
 from .fleet import Fleet
 from .forwarding import Forwarder
-from .log import dropped_line_count, log_event, log_warning
+from .log import dropped_line_count, innermost_frames, log_event, log_warning
 from .node_metrics import NodeMetrics
 from .node_settings import NodeSettings, SettingsSource
 from .place_source import PlaceSource
@@ -35,6 +35,9 @@
 STOP_CHECK_INTERVAL_S = 0.25
 # TTL of a directory response.
 DIRECTORY_TTL_S = 1.5
+# Time for the last refusals: of requests that are under way on kept connections when
+# the others have ended, and again for callers that read slowly.
+LAST_REQUESTS_S = 0.1
 # Time for closing the remaining connections when the process ends.
 CLOSE_TIMEOUT_S = 0.1
 # Instances listed in one directory response.
@@ -95,6 +98,7 @@
             settings, self.fleet, places, dialect, self.metrics, generator
         )
         self._runners: list[web.AppRunner] = []
+        self._caller_runner: web.AppRunner | None = None
         self._caller_site: web.TCPSite | None = None
 
     async def on_start(self) -> None:
@@ -105,6 +109,7 @@
         callers = web.Application(client_max_size=MAX_BODY_BYTES)
         callers.router.add_route("*", "/{path:.*}", self.forwarder.handle)
         self._caller_site = await self._listen(callers, self.settings.front_address)
+        self._caller_runner = self._runners[-1]
         await self._listen(self._applications.ready(self), self.settings.ready_address)
         if self.settings.directory_address:
             await self._listen(
@@ -138,6 +143,20 @@
             if remaining_s <= 0.0:
                 break
             await asyncio.sleep(min(remaining_s, STOP_CHECK_INTERVAL_S))
+        open_requests = await self._finish_requests()
+        await self.fleet.stop()
+        for runner in self._runners:
+            await runner.cleanup()
+        await self._control.close()
+        await self._store.close()
+        log_event("stopped", open_requests=open_requests)
+
+    async def _finish_requests(self) -> int:
+        """Close the callers' listener; return the number of requests that it ended.
+
+        Requests that callers still send on kept connections are refused, as those
+        that have not ended by the deadline.
+        """
         if self._caller_site is not None:
             await self._caller_site.stop()
         while self.forwarder.open_requests:
@@ -145,15 +164,16 @@
             if remaining_s <= 0.0:
                 break
             await self.forwarder.wait_idle(min(remaining_s, STOP_CHECK_INTERVAL_S))
-        await self.fleet.stop()
         open_requests = self.forwarder.open_requests
         if open_requests:
             log_warning("requests_cut", count=open_requests)
-        for runner in self._runners:
-            await runner.cleanup()
-        await self._control.close()
-        await self._store.close()
-        log_event("stopped", open_requests=open_requests)
+        self.forwarder.stop()
+        await asyncio.sleep(LAST_REQUESTS_S)
+        await self.forwarder.wait_idle(LAST_REQUESTS_S)
+        if self._caller_runner is not None:
+            self._runners.remove(self._caller_runner)
+            await self._caller_runner.cleanup()
+        return open_requests
 
     @property
     def is_ready(self) -> bool:
@@ -179,6 +199,8 @@
             application,
             access_log=None,
             handler_cancellation=True,
+            # Bodies are forwarded with the headers that name their encoding.
+            auto_decompress=False,
             keepalive_timeout=KEEP_ALIVE_S,
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
@@ -256,7 +278,13 @@
         if self._source is None:
             log_event("reload", instance=self.settings.instance)
             return
-        result = self._source.read()
+        try:
+            result = self._source.read()
+        except Exception as error:
+            # It would end the process, with all its requests.
+            findings = f"{type(error).__name__} at {innermost_frames(error)}"
+            log_warning("settings_unreadable", findings=findings)
+            return
         if isinstance(result, Failure):
             findings = "; ".join(str(finding) for finding in result.failure())
             log_warning("settings_unreadable", findings=findings)
--- a/tests/test_final_responses.py
+++ b/tests/test_final_responses.py
@@ -1,7 +1,11 @@
 """Tests that every request that was read gets a complete response or a refusal."""
 
 import asyncio
+import contextlib
+import gzip
 import json
+import re
+import socket
 import unittest
 from unittest.mock import patch
 
@@ -62,9 +66,14 @@
         lines += [f"{name}: {value}" for name, value in fields.items() if value]
         return "\r\n".join([*lines, "", ""]).encode("utf-8", "surrogateescape")
 
-    async def connect(self, node):
+    async def connect(self, node, receive_buffer_bytes=0):
         host, _, port = node.settings.front_address.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
+        opened = socket.socket()
+        opened.setblocking(False)
+        if receive_buffer_bytes:
+            opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
+        await asyncio.get_running_loop().sock_connect(opened, (host, int(port)))
+        reader, writer = await asyncio.open_connection(sock=opened)
         self.addCleanup(writer.close)
         return reader, writer
 
@@ -148,6 +157,13 @@
     async def _routes_to_an_unknown_service(self):
         await self._write(routes=self._routes(service="nobody"))
 
+    async def _weights_zero(self):
+        split = [
+            {"service": "assist", "weight": 0.0},
+            {"service": "desk", "weight": 0.0},
+        ]
+        await self._write(routes=self._routes(split=split))
+
     async def _services_removed(self):
         await self._write(services=[])
 
@@ -359,19 +375,13 @@
 
     async def begin_stream(self):
         await self.load()
-        for name in ("e1", "e2"):
-            self.engines[name].pause_after_events = 2
+        engines = [self.engines[name] for name in ("e1", "e2")]
+        for engine in engines:
+            # Longer than any change takes, without a gap that counts as a stall.
+            engine.event_interval_s = 0.4
         calls = asyncio.ensure_future(self.call_all())
         streams = len(self.nodes) * 2
-        await until(
-            lambda: (
-                sum(
-                    len(self.engines[name].resume_event._waiters)
-                    for name in ("e1", "e2")
-                )
-                == streams
-            )
-        )
+        await until(lambda: sum(engine.running for engine in engines) == streams)
         return calls
 
     async def begin_between(self):
@@ -392,8 +402,6 @@
         calls = await getattr(self, f"begin_{wait}")()
         await self.changes.apply(change)
         self.released.set()
-        for server in self.engines.values():
-            server.resume_event.set()
         ends = await calls
         for _route, status, body in ends:
             self.assert_final(status, body)
@@ -491,5 +499,295 @@
         self.assert_logged("r1", "end=caller_left", "route=check", "runs=1")
 
 
+class PlannedStopTest(FinalResponseCase):
+    """A process that ends gives every request that it read a final response."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.lines = self.enterContext(capture_log())
+        self.node, *_ = await self.start_fleet(1)
+        # The last second of the grace period is for the end of the process.
+        self.node.settings.grace_s = 1.5
+
+    async def stop(self):
+        """Stop the node, and wait until its listener is closed."""
+        stopping = asyncio.create_task(self.node.stop())
+        self.nodes.remove(self.node)
+        site = self.node._caller_site
+        await until(lambda: site not in self.node._runners[0].sites)
+        return stopping
+
+    @parameterized.expand(
+        [
+            ("place", "/draft/x", 503, "not run"),
+            ("head of a stream", "/draft/x", 502, "unknown"),
+            ("head of a call", "/order/x", 502, "unknown"),
+        ]
+    )
+    async def test_request_that_waits_at_the_deadline(self, wait, path, status, ran):
+        """Guards against connections that are closed without a response."""
+        adapter = "a1" if path == "/draft/x" else ""
+        if wait != "place":
+            await self.call(self.node, path, adapter=adapter)
+        for server in self.engines.values():
+            server.load_s = 30.0
+            if wait != "place":
+                server.fall_silent(3.0)
+        call = asyncio.create_task(self.call(self.node, path, adapter=adapter))
+        await until(lambda: self.node.forwarder.open_requests)
+        stopping = await self.stop()
+        got, body, headers = await call
+        await stopping
+        self.assertEqual(got, status, body)
+        self.assertEqual(json.loads(body)["error"]["ran"], ran)
+        self.assertEqual(headers["Connection"], "close")
+        self.nodes.append(self.node)
+        ends = {(EndCause.STOPPED.value, COMPLETE): 1}
+        if wait != "place":
+            ends[EndCause.COMPLETED.value, COMPLETE] = 1
+        await self.assert_ends_add_up(len(ends), ends)
+
+    async def test_body_that_is_not_read_by_the_deadline(self):
+        reader, writer = await self.connect(self.node)
+        writer.write(self.head("/order/x") + b"bo")
+        await until(lambda: self.node.forwarder.open_requests)
+        stopping = await self.stop()
+        response = RawResponse(await reader.read())
+        await stopping
+        self.assertEqual(response.status, 503, response.text)
+        self.assertEqual(self.runs("raw1"), 0)
+
+    async def test_begun_stream_at_the_deadline(self):
+        for name in ("e1", "e2"):
+            self.engines[name].pause_after_events = 2
+        call = asyncio.create_task(self.call(self.node, "/check/x", adapter="a1"))
+        await until(lambda: self.engines["e1"].running + self.engines["e2"].running)
+        await (await self.stop())
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            await call
+        self.nodes.append(self.node)
+        cause = EndCause.STOPPED.value
+        await self.assert_ends_add_up(1, {(cause, ResponseState.CUT.value): 1})
+
+    async def test_requests_on_a_kept_connection(self):
+        """Guards against requests that are read while the process closes."""
+        reader, writer = await self.connect(self.node)
+        fleet_stop = self.node.fleet.stop
+        ends = []
+
+        async def stop_slowly():
+            await asyncio.sleep(0.1)
+            await fleet_stop()
+
+        async def call_until_closed():
+            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+                while True:
+                    writer.write(self.head("/order/x", Connection="") + b"body")
+                    ends.append(await reader.readuntil(b"\r\n\r\n"))
+                    length = ends[-1].partition(b"Content-Length: ")[2]
+                    await reader.readexactly(int(length.partition(b"\r\n")[0]))
+                    # The order of the ends of two processes is not known.
+                    await asyncio.sleep(0.01)
+
+        for server in self.engines.values():
+            server.processing_s = 0.4
+        # Requests are accepted until there is less than a second left.
+        self.node.settings.grace_s = 2.5
+        with (
+            patch.object(self.node.fleet, "stop", stop_slowly),
+            patch("sequoiafall.node.ACCEPTING_SHARE", 0.1),
+        ):
+            stopping = await self.stop()
+            calling = asyncio.create_task(call_until_closed())
+            await stopping
+            await calling
+        self.assertIn(b" 503 ", ends[-1])
+        self.nodes.append(self.node)
+        ends = self.node.metrics.ends_by_cause
+        self.assertEqual(self.node.metrics.requests_read, ends.total())
+        self.assertEqual({response for _, response in ends}, {COMPLETE}, ends)
+
+
+class CallerHabitsTest(FinalResponseCase):
+    """Unusual requests and connections, all with a final response."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.lines = self.enterContext(capture_log())
+        self.node, *_ = await self.start_fleet(1)
+
+    async def send(self, data):
+        reader, writer = await self.connect(self.node)
+        writer.write(data)
+        return RawResponse(await reader.read())
+
+    @parameterized.expand(
+        [
+            ("event number without end", {names.LAST_EVENT: "inf"}),
+            ("huge event number", {names.LAST_EVENT: "9" * 400}),
+            ("event number that is none", {names.LAST_EVENT: "nan"}),
+            ("negative event number", {names.LAST_EVENT: "-5"}),
+            ("deadline without end", {names.DEADLINE_MS: "inf"}),
+            ("huge deadline", {names.DEADLINE_MS: "1e300"}),
+            ("deadline that is no number", {names.DEADLINE_MS: "nan"}),
+            ("negative deadline", {names.DEADLINE_MS: "-1"}),
+            ("many tokens", {names.TOKENS: "9" * 30 + ",1"}),
+            ("more than many tokens", {names.TOKENS: "9" * 5000}),
+            ("negative tokens", {names.TOKENS: "-1000,-20"}),
+            ("many parts", {names.PROMPT_PARTS: ",".join(["p:1"] * 900)}),
+            ("long adapter", {names.MODEL: "base/" + "a" * 8000}),
+            ("no UTF-8", {"X-Note": "caf\udce9"}),
+            ("no UTF-8 in the adapter", {names.MODEL: "base/a\udce9"}),
+            ("no UTF-8 in the key", {"Authorization": "Bearer \udce9"}),
+            ("no UTF-8 in the host", {"Host": "shop.example\udce9"}),
+            ("tab", {"X-Note": "a\tb"}),
+            ("encoding", {"Content-Encoding": "unknown"}),
+            ("expectation", {"Expect": "100-continue"}),
+            ("unknown expectation", {"Expect": "a miracle"}),
+            ("upgrade", {"Connection": "Upgrade, close", "Upgrade": "h2c"}),
+            (
+                "upgrade to websocket",
+                {"Connection": "Upgrade, close", "Upgrade": "websocket"},
+            ),
+        ]
+    )
+    async def test_headers(self, _name, headers):
+        """Guards against values that raise an error where no branch expects one."""
+        for path in ("/draft/x", "/order/x"):
+            fields = {names.MODEL: "base/a1", names.TOKENS: "1000,20", **headers}
+            if path == "/order/x" and names.MODEL not in headers:
+                del fields[names.MODEL]
+            async with asyncio.timeout(10.0):
+                response = await self.send(self.head(path, **fields) + b"body")
+            if response.status == 100:
+                response = RawResponse(response.body)
+            self.assertTrue(response.is_complete, response.text)
+            # Servers get an event number that is none as it is, and may fail.
+            allowed = (200, 400, 401, 404, 417, 502, 503)
+            self.assertIn(response.status, allowed, response.text)
+        internal = [line for line in self.lines if "internal_error" in line]
+        self.assertEqual(internal, [])
+
+    async def test_compressed_body(self):
+        """Guards against a body that reaches its server in another encoding."""
+        body = gzip.compress(b"text")
+        fields = {"Content-Encoding": "gzip"}
+        response = await self.send(self.head("/order/x", len(body), **fields) + body)
+        self.assertEqual(response.status, 200, response.text)
+
+    @parameterized.expand([("/order/x",), ("/draft/x",)])
+    async def test_http_1_0(self, path):
+        fields = {names.MODEL: "base/a1"} if path == "/draft/x" else {}
+        fields["Connection"] = ""
+        data = self.head(path, version="HTTP/1.0", **fields) + b"body"
+        response = await self.send(data)
+        self.assert_final(response.status, response.body)
+        await self.assert_ends_add_up(1)
+
+    async def test_pipelined_requests(self):
+        """Each one gets its response, in order, also beside a change."""
+        reader, writer = await self.connect(self.node)
+        for path in ("/order/1", "/none/2", "/look/3"):
+            writer.write(self.head(path, Connection="") + b"body")
+        writer.write(self.head("/order/4") + b"body")
+        received = await reader.read()
+        statuses = re.findall(rb"HTTP/1.1 (\d+)", received)
+        self.assertEqual(statuses, [b"200", b"404", b"200", b"200"], received)
+        await self.assert_ends_add_up(4)
+
+    async def test_slow_upload(self):
+        """A body that comes byte by byte, over a deadline that passes meanwhile."""
+        reader, writer = await self.connect(self.node)
+        writer.write(self.head("/order/x", **{names.DEADLINE_MS: "100"}))
+        for number in range(4):
+            await asyncio.sleep(0.05)
+            writer.write(b"body"[number : number + 1])
+        response = RawResponse(await reader.read())
+        self.assertEqual(response.status, 503, response.text)
+        await self.assert_ends_add_up(1)
+
+    async def test_body_over_the_limit(self):
+        """The response comes before the body was read, and the rest is drained."""
+        body = b"x" * 9_000_000
+        response = await self.send(self.head("/order/x", len(body)) + body)
+        self.assertEqual(response.status, 413, response.text[:200])
+        await self.assert_ends_add_up(0, {})
+
+    async def test_chunks_that_are_malformed(self):
+        fields = {"Content-Length": "", "Transfer-Encoding": "chunked"}
+        data = self.head("/order/x", **fields) + b"4\r\nbody\r\nzz\r\n"
+        response = await self.send(data)
+        self.assertTrue(response.is_complete, response.text)
+        self.assertEqual(response.status, 400, response.text)
+        await self.assert_ends_add_up(0, {})
+
+    async def test_half_closed_connection(self):
+        """A caller that ends its side counts as one that left."""
+        reader, writer = await self.connect(self.node)
+        for server in self.engines.values():
+            server.processing_s = 0.3
+        writer.write(self.head("/order/x", **{names.REQUEST_ID: "half"}) + b"body")
+        await until(lambda: self.runs("half"))
+        writer.write_eof()
+        self.assertEqual(await reader.read(), b"")
+        await self.assert_ends_add_up(1, {(EndCause.CALLER_LEFT.value, "none"): 1})
+
+    @parameterized.expand(
+        [("control character", "a\x01b"), ("no UTF-8", "a\udce9b"), ("tab", "a\tb")]
+    )
+    async def test_header_of_a_server(self, _name, value):
+        """Guards against a response that is lost as its headers cannot be written."""
+        received = f"HTTP/1.1 200 OK\r\nX-Note: {value}\r\n".encode(
+            "utf-8", "surrogateescape"
+        )
+
+        async def respond(reader, writer):
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            request_id = head.partition(f"{names.REQUEST_ID}: ")[2].partition("\r\n")[0]
+            fields = {
+                names.REQUEST_ID: request_id,
+                names.SIGNATURE: "s.1",
+                "Content-Length": "9",
+            }
+            lines = "".join(f"{key}: {text}\r\n" for key, text in fields.items())
+            writer.write(received + lines.encode() + b"\r\ndone:body")
+            writer.close()
+
+        server = await asyncio.start_server(respond, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        address = "{}:{}".format(*server.sockets[0].getsockname())
+        for name in ("d1", "d2"):
+            self.announce(self.engines[name], address=address)
+        await until(
+            lambda: (
+                self.node.fleet.registry.find("d2").address == address
+                and self.node.fleet.registry.find("d1").address == address
+            )
+        )
+        response = await self.send(self.head("/order/x") + b"body")
+        self.assertTrue(response.is_complete, response.text)
+        self.assertIn(response.status, (200, 502), response.text)
+
+    @parameterized.expand([("127.0.0.1:99999",), ("",), ("a b",)])
+    async def test_address_of_a_server_that_is_malformed(self, address):
+        """Guards against lost requests, and leaders, beside an unreachable server."""
+        term = self.node.fleet.lease.token
+        for name in ("d1", "d2", "e1"):
+            self.announce(self.engines[name], address=address)
+        await until(
+            lambda: all(
+                self.node.fleet.registry.find(name).address == address
+                for name in ("d1", "d2", "e1")
+            )
+        )
+        response = await self.send(self.head("/order/x") + b"body")
+        self.assertEqual(response.status, 503, response.text)
+        self.assertEqual(json.loads(response.body)["error"]["ran"], "not run")
+        await until(lambda: any("report_failed server=e1" in row for row in self.lines))
+        status, body, _ = await self.call(self.node, "/draft/x", adapter="a1")
+        self.assertEqual(status, 200, body)
+        self.assertEqual(self.node.fleet.lease.token, term)
+
+
 if __name__ == "__main__":
     unittest.main()
