--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -213,7 +213,9 @@
                 return node
         return None
 
-    async def call(self, node, path, method="POST", adapter="", **headers):
+    async def call(
+        self, node, path, method="POST", adapter="", body=b"body", **headers
+    ):
         request_id = headers.pop("request_id", f"r{next(self._request_numbers)}")
         sent = {
             names.REQUEST_ID: request_id,
@@ -227,7 +229,7 @@
             sent[names.TOKENS] = "1000,20"
         url = f"http://{node.settings.front_address}{path}"
         async with self.session.request(
-            method, url, headers=sent, data=b"body" if method == "POST" else None
+            method, url, headers=sent, data=body if method == "POST" else None
         ) as response:
             return response.status, await response.read(), response.headers
 
