--- a/sequoiafall/crash_evidence.py
+++ b/sequoiafall/crash_evidence.py
@@ -1,8 +1,10 @@
-"""Evidence on which parts of prompts crash the servers that answer them.
+"""Evidence on what crashes the servers that run it.
 
-A part is suspected when a server crashes while it runs a request with that part and
-has not begun to respond to it. A response that begins clears all parts of its prompt.
-Instances exchange the evidence; merging it twice or in another order changes nothing.
+A suspect is an opaque key of something that travels with a request: a part of its
+prompt that other requests may share, or the identity of the whole request. It is
+suspected when a server crashes while it runs such a request and has not begun to
+respond to it. A response that begins clears all suspects of its request. Instances
+exchange the evidence; merging it twice or in another order changes nothing.
 """
 
 from __future__ import annotations
@@ -16,29 +18,40 @@
 # Crashes within this time of each other count as one event: a loss of power ends
 # many servers at once, whatever they run.
 EVENT_WINDOW_S = 0.1
-# A part does not count as the cause of a crash if a response to it has begun within
+# A suspect does not count as the cause of a crash if a response to it has begun within
 # this time before the crash, or since.
 BEGUN_GRACE_S = 1.0
-# Events after which a part counts as harmful.
+# Events after which a suspect counts as harmful.
 HARMFUL_EVENTS = 3
 # A crash is forgotten after this time.
-CRASH_TTL_S = 600.0
+CRASH_TTL_S = 3600.0
 # A server that responds to a call sent within this time after its presumed crash has
 # not crashed. Restarts take longer.
 RESPONSE_WINDOW_S = 1.0
-# Harmful parts get no request for the first time, which grows by the factor with each
-# crash of a trial, up to the maximum.
+# A server that crashes this long after its last crash has restarted in between, even if
+# its new start is not known, as when the registry cannot be read.
+RESTART_S = 2.0
+# A harmful suspect gets no request for the first time, which grows by the factor with
+# each failed trial. After the last trial it gets none for the maximum after it was last
+# asked for.
 QUARANTINE_S = 30.0
 QUARANTINE_FACTOR = 4.0
-MAX_QUARANTINE_S = 3600.0
-MAX_COUNTED_TRIALS = 10
-# A part that is not asked for is forgotten this long after its quarantine.
-QUARANTINE_TTL_S = 3600.0
-# Other instances are told for this long that a part has been cleared.
+MAX_FAILED_TRIALS = 3
+MAX_QUARANTINE_S = 86_400.0
+# The quarantine after the last trial is renewed in steps of this length, so that
+# instances exchange it rarely.
+RENEWAL_STEP_S = 3600.0
+# A harmful suspect that is not asked for is forgotten this long after its quarantine.
+QUARANTINE_TTL_S = 86_400.0
+# Other instances are told for this long that a suspect has been cleared.
 CLEARED_TTL_S = 30.0
-MAX_PARTS = 256
-MAX_CRASHES_PER_PART = 16
-MAX_BEGUN_PARTS = 4096
+# Suspects that are kept: a crashed engine with 64 running requests adds 64.
+MAX_SUSPECTS = 1024
+MAX_CRASHES_PER_SUSPECT = 16
+# Covers `BEGUN_GRACE_S` and the exchange of evidence at 16,000 requests per second.
+MAX_BEGUN = 32_768
+# Evidence that is too old is looked for at most this often.
+FORGET_INTERVAL_S = 1.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -59,7 +72,7 @@
 
 @dataclass(slots=True)
 class Crash:
-    """Crash of a server while it ran requests with a part.
+    """Crash of a server while it ran requests with a suspect.
 
     Parameters
     ----------
@@ -74,27 +87,27 @@
 
 
 @dataclass(slots=True)
-class PartEvidence:
-    """What is known of one part of prompts.
+class SuspectEvidence:
+    """What is known of one suspect.
 
     Parameters
     ----------
-    part : str
-        Identifier of the part.
+    key : str
+        The suspect.
     crashes_by_start : dict of ServerStart to Crash
-        Crashes of servers with unanswered requests that had the part.
+        Crashes of servers with unanswered requests that had the suspect.
     begun_at : float
         Latest time at which a response began or a conviction was lifted, in seconds.
     trial_at : float
-        Time in seconds from which a single request may be tried; 0 if the part does
+        Time in seconds from which a single request may be tried; 0 if the suspect does
         not count as harmful.
     failed_trials : int
-        Trials that ended in a crash.
+        Sends after the third crash that reached a server, and no response began.
     revision : int
         Revision of `CrashEvidence` at the last change.
     """
 
-    part: str
+    key: str
     crashes_by_start: dict[ServerStart, Crash] = field(default_factory=dict)
     begun_at: float = float("-inf")
     trial_at: float = 0.0
@@ -103,7 +116,7 @@
 
     @property
     def is_harmful(self) -> bool:
-        """Whether the part crashes servers, as far as is known."""
+        """Whether the suspect crashes servers, as far as is known."""
         return self.trial_at > 0.0
 
     @property
@@ -113,7 +126,7 @@
         return max(times, default=float("-inf"))
 
     def crashed_starts(self, now: float) -> set[ServerStart]:
-        """Return the starts of servers that count as crashed by the part."""
+        """Return the starts of servers that count as crashed by the suspect."""
         return {
             start
             for start, crash in self.crashes_by_start.items()
@@ -124,14 +137,27 @@
 
     def events(self, now: float) -> int:
         """Return the number of crashes; those at the same time count as one."""
-        times = sorted(
-            self.crashes_by_start[start].at for start in self.crashed_starts(now)
+        return len(_event_times(self._crash_times(now)))
+
+    def late_events(self, now: float) -> int:
+        """Return the number of events that came after the third server's crash."""
+        times = self._crash_times(now)
+        known_at = times[HARMFUL_EVENTS - 1] if len(times) >= HARMFUL_EVENTS else now
+        return sum(time_s > known_at for time_s in _event_times(times))
+
+    def _crash_times(self, now: float) -> list[float]:
+        """Return the sorted times of crashes; instances may differ on a start."""
+        crashes = sorted(
+            (self.crashes_by_start[start].at, start.server)
+            for start in self.crashed_starts(now)
         )
-        count, event_at = 0, float("-inf")
-        for time_s in times:
-            if time_s - event_at > EVENT_WINDOW_S:
-                count, event_at = count + 1, time_s
-        return count
+        at_by_server: dict[str, float] = {}
+        times = []
+        for time_s, server in crashes:
+            if time_s - at_by_server.get(server, float("-inf")) > EVENT_WINDOW_S:
+                at_by_server[server] = time_s
+                times.append(time_s)
+        return times
 
     def expires_at(self, now: float) -> float:
         """Return the time in seconds at which the evidence may be forgotten."""
@@ -144,7 +170,7 @@
 
 
 class CrashEvidence:
-    """Collects crashes and begun responses by part, on one instance.
+    """Collects crashes and begun responses by suspect, on one instance.
 
     Parameters
     ----------
@@ -158,9 +184,10 @@
     """
 
     __slots__ = (
-        "_begun_at_by_part",
+        "_begun_at_by_key",
+        "_forgotten_at",
         "_is_changed",
-        "_parts_by_name",
+        "_rows_by_key",
         "_unconfirmed_at_by_server",
         "on_change",
         "revision",
@@ -170,46 +197,46 @@
         self.on_change = on_change
         self.revision = 0
         self._is_changed = False
-        self._parts_by_name: dict[str, PartEvidence] = {}
-        self._begun_at_by_part: OrderedDict[str, float] = OrderedDict()
+        self._forgotten_at = float("-inf")
+        # In the order of their last change.
+        self._rows_by_key: OrderedDict[str, SuspectEvidence] = OrderedDict()
+        self._begun_at_by_key: OrderedDict[str, float] = OrderedDict()
         # Latest crash of each server that a response to a later call would refute.
         self._unconfirmed_at_by_server: dict[str, float] = {}
 
     # Observations
 
-    def record_begun(self, parts: Iterable[str], now: float) -> None:
-        """Record that a response to a prompt with these parts has begun."""
-        begun = self._begun_at_by_part
-        for part in parts:
-            begun[part] = now
-            begun.move_to_end(part)
-            row = self._parts_by_name.get(part)
+    def record_begun(self, keys: Iterable[str], now: float) -> None:
+        """Record that a response to a request with these suspects has begun."""
+        begun = self._begun_at_by_key
+        for key in keys:
+            begun[key] = now
+            begun.move_to_end(key)
+            row = self._rows_by_key.get(key)
             if row is not None and (row.is_harmful or row.crashed_starts(now)):
                 self._clear(row, now)
-        while len(begun) > MAX_BEGUN_PARTS:
+        while len(begun) > MAX_BEGUN:
             begun.popitem(last=False)
         self._notify()
 
-    def record_crash(
-        self, start: ServerStart, parts: Sequence[str], now: float
-    ) -> None:
+    def record_crash(self, start: ServerStart, keys: Sequence[str], now: float) -> None:
         """Record that a server crashed before it began to respond to a request."""
         suspects = []
-        for part in parts:
-            if now - self._begun_at_by_part.get(part, float("-inf")) <= BEGUN_GRACE_S:
+        for key in keys:
+            if now - self._begun_at_by_key.get(key, float("-inf")) <= BEGUN_GRACE_S:
                 continue
-            row = self._row(part, now)
-            known = row.crashes_by_start.get(start)
-            if known is None or _is_later(now, known):
-                self._add_crash(row, start, Crash(now), now)
-                suspects.append(part)
+            row = self._row(key, now)
+            crashed = _crashed_start(row, start, now)
+            if crashed is not None:
+                self._add_crash(row, crashed, Crash(now), now)
+                suspects.append(key)
         if suspects:
             self._expect_response(start.server, now, now)
             log_event(
                 "server_crash_suspects",
                 server=start.server,
                 born=start.born,
-                parts=",".join(suspects),
+                suspects=",".join(suspects),
             )
         self._notify()
 
@@ -221,7 +248,7 @@
         del self._unconfirmed_at_by_server[server]
         if sent_at - crashed_at > RESPONSE_WINDOW_S:
             return
-        for row in self._parts_by_name.values():
+        for row in list(self._rows_by_key.values()):
             for start, crash in row.crashes_by_start.items():
                 is_recent = 0.0 < sent_at - crash.at <= RESPONSE_WINDOW_S
                 if start.server == server and is_recent and not crash.is_refuted:
@@ -231,15 +258,15 @@
         log_event("server_crash_refuted", server=server)
         self._notify()
 
-    def merge(self, rows: Iterable[PartEvidence], now: float) -> None:
+    def merge(self, rows: Iterable[SuspectEvidence], now: float) -> None:
         """Apply evidence of another instance, with times of this one's clock."""
         for other in rows:
-            row = self._row(other.part, now)
+            row = self._row(other.key, now)
             before = _shared_state(row, now)
             row.begun_at = max(
                 row.begun_at,
                 other.begun_at,
-                self._begun_at_by_part.get(row.part, float("-inf")),
+                self._begun_at_by_key.get(row.key, float("-inf")),
             )
             for start, crash in other.crashes_by_start.items():
                 known = row.crashes_by_start.get(start)
@@ -249,49 +276,79 @@
                 elif not _is_later(known.at, crash):
                     known.is_refuted |= crash.is_refuted
             _trim(row)
+            is_renewed = (
+                row.failed_trials == other.failed_trials >= MAX_FAILED_TRIALS
+                and other.trial_at - row.trial_at > RENEWAL_STEP_S / 2.0
+            )
             if other.failed_trials > row.failed_trials:
                 row.failed_trials = other.failed_trials
                 row.trial_at = other.trial_at
-            elif not row.is_harmful:
+            elif is_renewed or not row.is_harmful:
                 row.trial_at = other.trial_at
             self._reconsider(row, now)
-            if _shared_state(row, now) != before:
+            if is_renewed or _shared_state(row, now) != before:
                 self._change(row)
         self._notify()
 
+    def record_failed_trial(self, key: str, now: float) -> None:
+        """Record a trial of a harmful suspect in which no response began."""
+        row = self._rows_by_key.get(key)
+        if row is not None and row.is_harmful:
+            self._fail_trial(row, now)
+            self._change(row)
+        self._notify()
+
+    def record_ask(self, key: str, now: float) -> None:
+        """Record that a request with a suspect came, which got its last trial."""
+        row = self._rows_by_key.get(key)
+        if row is None or row.failed_trials < MAX_FAILED_TRIALS:
+            return
+        if row.trial_at - now < MAX_QUARANTINE_S - RENEWAL_STEP_S:
+            row.trial_at = now + MAX_QUARANTINE_S
+            self._change(row)
+            self._notify()
+
     # Conclusions
 
     def is_empty(self) -> bool:
-        """Whether no part is suspected or was cleared recently."""
-        return not self._parts_by_name
+        """Whether nothing is suspected or was cleared recently."""
+        return not self._rows_by_key
 
-    def suspect(self, part: str, now: float) -> PartEvidence | None:
-        """Return the evidence against a part, None if there is none."""
-        row = self._parts_by_name.get(part)
+    def suspect(self, key: str, now: float) -> SuspectEvidence | None:
+        """Return the evidence against a suspect, None if there is none."""
+        row = self._rows_by_key.get(key)
         if row is None or not (row.is_harmful or row.crashed_starts(now)):
             return None
         return row
 
-    def harmful_parts(self) -> list[PartEvidence]:
-        """Return the evidence of the parts that count as harmful."""
-        return [row for row in self._parts_by_name.values() if row.is_harmful]
+    def harmful_suspects(self) -> list[SuspectEvidence]:
+        """Return the evidence of the suspects that count as harmful."""
+        return [row for row in self._rows_by_key.values() if row.is_harmful]
 
     def suspected_count(self, now: float) -> int:
-        """Return the number of parts with a crash that nothing has cleared."""
-        return sum(1 for row in self._parts_by_name.values() if row.crashed_starts(now))
+        """Return the number of suspects with a crash that nothing has cleared."""
+        return sum(1 for row in self._rows_by_key.values() if row.crashed_starts(now))
 
-    def since_revision(self, revision: int, now: float) -> list[PartEvidence]:
+    def since_revision(self, revision: int, now: float) -> list[SuspectEvidence]:
         """Return the evidence that changed after a revision."""
         self.forget(now)
-        return [row for row in self._parts_by_name.values() if row.revision > revision]
+        rows = []
+        for row in reversed(self._rows_by_key.values()):
+            if row.revision <= revision:
+                break
+            rows.append(row)
+        return rows[::-1]
 
     def forget(self, now: float) -> None:
-        """Forget evidence that is too old."""
-        for part, row in list(self._parts_by_name.items()):
+        """Forget evidence that is too old, at most once per `FORGET_INTERVAL_S`."""
+        if now - self._forgotten_at < FORGET_INTERVAL_S:
+            return
+        self._forgotten_at = now
+        for key, row in list(self._rows_by_key.items()):
             if now > row.expires_at(now):
-                del self._parts_by_name[part]
+                del self._rows_by_key[key]
                 if row.is_harmful:
-                    log_event("prompt_part_forgotten", part=part)
+                    log_event("suspect_forgotten", suspect=key)
         for server, crashed_at in list(self._unconfirmed_at_by_server.items()):
             if now - crashed_at > RESPONSE_WINDOW_S:
                 del self._unconfirmed_at_by_server[server]
@@ -304,41 +361,63 @@
             known = self._unconfirmed_at_by_server.get(server, crashed_at)
             self._unconfirmed_at_by_server[server] = max(known, crashed_at)
 
-    def _row(self, part: str, now: float) -> PartEvidence:
-        row = self._parts_by_name.get(part)
+    def _row(self, key: str, now: float) -> SuspectEvidence:
+        row = self._rows_by_key.get(key)
         if row is not None:
             return row
         self.forget(now)
-        if len(self._parts_by_name) >= MAX_PARTS:
-            dropped = min(
-                self._parts_by_name.values(),
-                key=lambda item: (item.is_harmful, item.events(now), item.revision),
-            )
-            del self._parts_by_name[dropped.part]
-            log_warning("prompt_part_dropped", part=dropped.part, parts=MAX_PARTS)
-        row = PartEvidence(part, begun_at=self._begun_at_by_part.get(part, -1e9))
-        self._parts_by_name[part] = row
+        if len(self._rows_by_key) >= MAX_SUSPECTS:
+            dropped = self._least_suspected(now)
+            del self._rows_by_key[dropped.key]
+            log_warning("suspect_dropped", suspect=dropped.key, suspects=MAX_SUSPECTS)
+        row = SuspectEvidence(key, begun_at=self._begun_at_by_key.get(key, -1e9))
+        self._rows_by_key[key] = row
+        # It has not changed yet.
+        self._rows_by_key.move_to_end(key, last=False)
         return row
 
+    def _least_suspected(self, now: float) -> SuspectEvidence:
+        """Return the evidence to drop: the oldest with a single crash, if any."""
+        # Usually the first row, so that a flood of suspects costs little.
+        for row in self._rows_by_key.values():
+            if not row.is_harmful and len(row.crashes_by_start) <= 1:
+                return row
+        return min(
+            self._rows_by_key.values(),
+            key=lambda item: (item.is_harmful, item.events(now), item.revision),
+        )
+
     def _add_crash(
-        self, row: PartEvidence, start: ServerStart, crash: Crash, now: float
+        self, row: SuspectEvidence, start: ServerStart, crash: Crash, now: float
     ) -> None:
         row.crashes_by_start[start] = crash
         _trim(row)
         if row.is_harmful and now >= row.trial_at:
-            row.failed_trials += 1
-            row.trial_at = now + quarantine_s(row.failed_trials)
+            self._fail_trial(row, now)
         self._reconsider(row, now)
         self._change(row)
 
-    def _reconsider(self, row: PartEvidence, now: float) -> None:
-        """Apply what the crashes and begun responses of a part imply."""
+    def _fail_trial(self, row: SuspectEvidence, now: float) -> None:
+        row.failed_trials += 1
+        row.trial_at = now + quarantine_s(row.failed_trials)
+        log_warning(
+            "suspect_trial_failed",
+            suspect=row.key,
+            failed_trials=row.failed_trials,
+            quarantine_s=int(row.trial_at - now),
+        )
+
+    def _reconsider(self, row: SuspectEvidence, now: float) -> None:
+        """Apply what the crashes and begun responses of a suspect imply."""
         events = row.events(now)
         if not row.is_harmful and events >= HARMFUL_EVENTS:
+            # Several servers that crash at once are one event, so that more sends than
+            # usual may have come before this verdict.
+            row.failed_trials = max(row.failed_trials, row.late_events(now))
             row.trial_at = now + quarantine_s(row.failed_trials)
             log_warning(
-                "prompt_part_harmful",
-                part=row.part,
+                "suspect_harmful",
+                suspect=row.key,
                 crashes=events,
                 quarantine_s=int(row.trial_at - now),
                 servers=",".join(start.server for start in row.crashed_starts(now)),
@@ -348,24 +427,25 @@
         elif row.is_harmful and events < HARMFUL_EVENTS and self._is_refuted(row):
             self._lift(row, "the server has responded since")
 
-    def _is_refuted(self, row: PartEvidence) -> bool:
+    def _is_refuted(self, row: SuspectEvidence) -> bool:
         """Whether a verdict rests on a crash that was refuted, and on no trial."""
         crashes = row.crashes_by_start.values()
         return not row.failed_trials and any(crash.is_refuted for crash in crashes)
 
-    def _clear(self, row: PartEvidence, now: float) -> None:
+    def _clear(self, row: SuspectEvidence, now: float) -> None:
         row.begun_at = now
         if row.is_harmful:
             self._lift(row, "a response began")
         self._change(row)
 
-    def _lift(self, row: PartEvidence, reason: str) -> None:
+    def _lift(self, row: SuspectEvidence, reason: str) -> None:
         row.trial_at, row.failed_trials = 0.0, 0
-        log_event("prompt_part_cleared", part=row.part, reason=reason)
+        log_event("suspect_cleared", suspect=row.key, reason=reason)
 
-    def _change(self, row: PartEvidence) -> None:
+    def _change(self, row: SuspectEvidence) -> None:
         self.revision += 1
         row.revision = self.revision
+        self._rows_by_key.move_to_end(row.key)
         self._is_changed = True
 
     def _notify(self) -> None:
@@ -375,10 +455,36 @@
 
 
 def quarantine_s(failed_trials: int) -> float:
-    """Return the seconds for which a harmful part gets no request."""
-    # Larger powers may exceed a float.
-    factor = QUARANTINE_FACTOR ** min(failed_trials, MAX_COUNTED_TRIALS)
-    return min(MAX_QUARANTINE_S, QUARANTINE_S * factor)
+    """Return the seconds for which a harmful suspect gets no request."""
+    if failed_trials >= MAX_FAILED_TRIALS:
+        return MAX_QUARANTINE_S
+    return float(QUARANTINE_S * QUARANTINE_FACTOR**failed_trials)
+
+
+def _event_times(times: Sequence[float]) -> list[float]:
+    """Return the times of events, given the sorted times of crashes in seconds."""
+    events: list[float] = []
+    for time_s in times:
+        if not events or time_s - events[-1] > EVENT_WINDOW_S:
+            events.append(time_s)
+    return events
+
+
+def _crashed_start(
+    row: SuspectEvidence, start: ServerStart, now: float
+) -> ServerStart | None:
+    """Return the start that a crash belongs to, None if the crash is known."""
+    known = row.crashes_by_start.get(start)
+    if known is None or _is_later(now, known):
+        return start
+    last_at = max(
+        crash.at
+        for other, crash in row.crashes_by_start.items()
+        if other.server == start.server
+    )
+    if known.is_refuted or now - last_at <= RESTART_S:
+        return None
+    return ServerStart(start.server, start.born + int((now - known.at) * 1e3))
 
 
 def _is_later(at: float, crash: Crash) -> bool:
@@ -386,14 +492,14 @@
     return crash.is_refuted and at - crash.at > RESPONSE_WINDOW_S
 
 
-def _trim(row: PartEvidence) -> None:
+def _trim(row: SuspectEvidence) -> None:
     """Drop the oldest crashes beyond the limit."""
     crashes = row.crashes_by_start
-    while len(crashes) > MAX_CRASHES_PER_PART:
+    while len(crashes) > MAX_CRASHES_PER_SUSPECT:
         del crashes[min(crashes, key=lambda start: crashes[start].at)]
 
 
-def _shared_state(row: PartEvidence, now: float) -> tuple[object, ...]:
-    """Return what other instances need to know of a part."""
+def _shared_state(row: SuspectEvidence, now: float) -> tuple[object, ...]:
+    """Return what other instances need to know of a suspect."""
     refuted = {start: crash.is_refuted for start, crash in row.crashes_by_start.items()}
     return refuted, row.crashed_starts(now), row.is_harmful, row.failed_trials
--- a/sequoiafall/engine_planner.py
+++ b/sequoiafall/engine_planner.py
@@ -279,6 +279,7 @@
         held = self._placed_by_id.get(request_id)
         if held is not None and server and held.server != server:
             return []
+        self._quarantine.end_run(request_id, outcome, now)
         placed = self._release(request_id, now)
         if placed is None:
             return []
@@ -288,7 +289,7 @@
         return self._on_change(now)
 
     def shared_parts(self, request_id: str, server: str) -> tuple[str, ...]:
-        """Return the shared prompt parts of a request with a place at an engine."""
+        """Return the suspects of a request with a place at an engine."""
         placed = self._placed_by_id.get(request_id)
         if placed is None or placed.server != server:
             return ()
@@ -606,11 +607,11 @@
         return self._quarantine.decide(request.request_id, request.shared_parts, now)
 
     def _refuse_harmful(self, waiting: _Waiting, now: float) -> RefusePlace:
-        refusal = self._refuse(
-            waiting, Reason.HARMFUL_PROMPT, now, "a part of the prompt crashes engines"
+        harmful = self._quarantine.refusal(
+            waiting.request.shared_parts, now, MIN_RETRY_AFTER_S
         )
-        left_s = self._quarantine.retry_after_s(waiting.request.shared_parts, now)
-        return replace(refusal, retry_after_s=max(MIN_RETRY_AFTER_S, left_s))
+        refusal = self._refuse(waiting, harmful.reason, now, harmful.detail)
+        return replace(refusal, retry_after_s=harmful.retry_after_s)
 
     def _drop(self, waiting: _Waiting) -> None:
         """Remove a request from the queue, with its claim to an adapter slot."""
--- a/sequoiafall/evidence_exchange.py
+++ b/sequoiafall/evidence_exchange.py
@@ -1,8 +1,8 @@
-"""Shares evidence on crashing prompt parts among instances, and stores the verdicts.
+"""Shares evidence on crashing servers among instances, and stores the verdicts.
 
 Members and leader exchange changes with each poll. Without a leader, an instance
-sends its changes to all members that it knows. The leader writes the harmful parts to
-the store, where they outlast all processes of the system.
+sends its changes to all members that it knows. The leader writes the harmful suspects
+to the store, where they outlast all processes of the system.
 """
 
 from __future__ import annotations
@@ -19,8 +19,8 @@
     RESPONSE_WINDOW_S,
     Crash,
     CrashEvidence,
-    PartEvidence,
     ServerStart,
+    SuspectEvidence,
 )
 from .lease import LEASE_TABLE
 from .log import log_event, log_warning
@@ -100,7 +100,7 @@
         self._pushed_revision = 0
         self._is_loaded = False
         self._version = 0
-        # Part and failed trials of each verdict in the row.
+        # Suspect and failed trials of each verdict in the row.
         self._stored_state: set[tuple[str, int]] = set()
         self._wake = asyncio.Event()
 
@@ -177,10 +177,10 @@
         self._wake.set()
 
     async def load(self) -> None:
-        """Apply the harmful parts that an earlier leader stored."""
+        """Apply the harmful suspects that an earlier leader stored."""
         read = await self._store.read(LEASE_TABLE, HARMFUL_PARTS_KEY)
         if not isinstance(read, Success):
-            log_warning("harmful_parts_not_read", detail=str(read.failure()))
+            log_warning("harmful_suspects_not_read", detail=str(read.failure()))
             return
         row = read.unwrap()
         self._is_loaded = True
@@ -191,7 +191,7 @@
         try:
             stored = msgspec.json.decode(row.value, type=list[_StoredPart])
         except msgspec.DecodeError as error:
-            log_warning("harmful_parts_unreadable", reason=str(error))
+            log_warning("harmful_suspects_unreadable", reason=str(error))
             return
         now = boot_time()
         self._stored_state = {(row.part, row.failed_trials) for row in stored}
@@ -200,22 +200,22 @@
     async def _save(self) -> None:
         if not self._is_loaded:
             await self.load()
-        parts = self.evidence.harmful_parts()
-        state = {(row.part, row.failed_trials) for row in parts}
+        rows = self.evidence.harmful_suspects()
+        state = {(row.key, row.failed_trials) for row in rows}
         if not self._is_loaded or state == self._stored_state:
             return
         now = boot_time()
-        value = msgspec.json.encode([_to_stored(row, now) for row in parts])
+        value = msgspec.json.encode([_to_stored(row, now) for row in rows])
         result = await self._store.replace(
             LEASE_TABLE, HARMFUL_PARTS_KEY, value, self._version
         )
         if isinstance(result, Success):
             self._version = result.unwrap()
             self._stored_state = state
-            log_event("harmful_parts_stored", parts=len(parts))
+            log_event("harmful_suspects_stored", suspects=len(rows))
             return
         failure = result.failure()
-        log_warning("harmful_parts_not_stored", detail=str(failure))
+        log_warning("harmful_suspects_not_stored", detail=str(failure))
         if isinstance(failure, Rejected):
             # Another leader wrote the row, or an earlier write took effect late.
             self._version = failure.row.version if failure.row is not None else 0
@@ -229,10 +229,10 @@
     return int(min(max(0.0, (now - at) * 1e3), MAX_AGE_MS))
 
 
-def _to_wire(row: PartEvidence, now: float) -> Any:
+def _to_wire(row: SuspectEvidence, now: float) -> Any:
     has_begun = row.begun_at > 0.0
     return ttypes.PartEvidence(
-        part=row.part,
+        part=row.key,
         crashes=[
             ttypes.PartCrash(
                 server=start.server,
@@ -248,8 +248,8 @@
     )
 
 
-def _from_wire(row: Any, now: float) -> PartEvidence:
-    evidence = PartEvidence(row.part, failed_trials=row.failed_trials)
+def _from_wire(row: Any, now: float) -> SuspectEvidence:
+    evidence = SuspectEvidence(row.part, failed_trials=row.failed_trials)
     for crash in row.crashes:
         start = ServerStart(crash.server, crash.born)
         crash_at = now - crash.age_ms / 1e3
@@ -261,16 +261,16 @@
     return evidence
 
 
-def _to_stored(row: PartEvidence, now: float) -> _StoredPart:
+def _to_stored(row: SuspectEvidence, now: float) -> _StoredPart:
     crashes = [
         _StoredCrash(start.server, start.born, now - row.crashes_by_start[start].at)
         for start in row.crashed_starts(now)
     ]
-    return _StoredPart(row.part, crashes, row.failed_trials, row.trial_at - now)
+    return _StoredPart(row.key, crashes, row.failed_trials, row.trial_at - now)
 
 
-def _from_stored(stored: _StoredPart, now: float) -> PartEvidence:
-    evidence = PartEvidence(stored.part, failed_trials=stored.failed_trials)
+def _from_stored(stored: _StoredPart, now: float) -> SuspectEvidence:
+    evidence = SuspectEvidence(stored.part, failed_trials=stored.failed_trials)
     for crash in stored.crashes:
         start = ServerStart(crash.server, crash.born)
         # The age is that at the time of the write. A server that responds now has
--- a/sequoiafall/fleet_leader.py
+++ b/sequoiafall/fleet_leader.py
@@ -38,6 +38,7 @@
 from .server_notices import Pause
 from .serving_ports import EngineControl
 from .token_bucket import TokenLimits
+from .trial_queue import TrialQueue
 from .wire.gen import ttypes
 
 # Interval between reports of an engine, whose figures are 0.1 s old.
@@ -96,7 +97,7 @@
     limits : ServerLimits
         Limits that backend servers named.
     evidence : CrashEvidence
-        Evidence on parts of prompts that crash engines.
+        Evidence on what crashes servers.
     step_down : callable
         Called with the reason why this instance must stop leading.
     """
@@ -124,6 +125,7 @@
         self._server_limits = limits
         self._evidence = evidence
         self._quarantine = PromptQuarantine(evidence)
+        self._trial_queue = TrialQueue(self._quarantine, evidence)
         self._checked_at_by_server: dict[str, float] = {}
         self.allowances_by_server: dict[str, RequestAllowance] = {}
         self.planners_by_service: dict[str, EnginePlanner] = {}
@@ -182,6 +184,7 @@
         """End the term and tell waiting requests to ask the next leader."""
         self._has_ended = True
         self._members_synced.set()
+        self._trial_queue.stop()
         for reply in self._replies_by_request.values():
             if not reply.done():
                 reply.set_result(_not_leading())
@@ -356,7 +359,7 @@
             return _not_leading()
         planner = self.planners_by_service.get(request.pool)
         if planner is None:
-            return _refusal(Reason.NO_BACKEND_SERVER, 0.5, "unknown service", False)
+            return await self._admit_trial(request)
         now = boot_time()
         charged = bool(request.charged)
         if not charged and request.organisation:
@@ -390,6 +393,21 @@
             reply.charged = False
         return reply
 
+    async def _admit_trial(self, request: Any) -> Any:
+        """Answer a gateway's request to send to a plain service."""
+        refused = await self._trial_queue.admit(request)
+        if refused is None:
+            return _admission()
+        log_event(
+            "trial_refused",
+            request_id=request.request_id,
+            reason=refused.reason.value,
+            detail=refused.detail,
+            retry_after_ms=int(refused.retry_after_s * 1e3),
+            term=self.term,
+        )
+        return _refusal(refused.reason, refused.retry_after_s, refused.detail, False)
+
     async def _place(self, planner: EnginePlanner, request: Any, now: float) -> Any:
         placement_request = PlacementRequest(
             request.request_id,
@@ -451,6 +469,7 @@
             for end in ends.ended:
                 planner = self.planners_by_service.get(end.pool)
                 if planner is None:
+                    self._trial_queue.on_end(end, now)
                     continue
                 self._record_evidence(planner, end, now)
                 if end.outcome == BEGUN_OUTCOME:
@@ -488,6 +507,7 @@
     def on_evidence_changed(self) -> None:
         """Decide again on the waiting requests."""
         self._wake.set()
+        self._trial_queue.wake()
 
     def _apply(self, planner: EnginePlanner, actions: list[Action]) -> None:
         for action in actions:
@@ -740,5 +760,19 @@
     )
 
 
+def _admission() -> Any:
+    """Return the answer that lets a gateway send to a plain service."""
+    return ttypes.EngineAnswer(
+        server="",
+        version=0,
+        reason="",
+        retry_after_ms=0,
+        charged=False,
+        detail="",
+        address="",
+        is_trial=True,
+    )
+
+
 def _not_leading() -> Any:
     return _refusal(Reason.OWNER_UNAVAILABLE, 0.0, "not the leader", False)
--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -31,9 +31,10 @@
 from .log import log_event, log_warning
 from .node_metrics import NodeMetrics
 from .node_settings import NodeSettings
-from .place_source import GatewayPlace, PendingPlacement, PlaceSource, RunEnd
+from .place_source import GatewayPlace, PendingPlacement, PlaceSource
 from .plain_routing import PlainChoice, PlainRouting
 from .refusal import Reason, Refusal, RunStatus, secret_refusal
+from .request_identity import request_identity
 from .response_timings import ResponseTimings
 from .retry import RetryBudget
 from .secret_scan import contains_secret
@@ -46,6 +47,7 @@
     StallTimeout,
     stall_timeout,
 )
+from .trial_admission import RunEnd
 
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 # The gateway responds this long before the caller's or the route's timeout, so that
@@ -311,6 +313,13 @@
                 headers=",".join(dropped),
                 reason="they contain the caller's key",
             )
+        request.identity = request_identity(
+            organisation.name if organisation is not None else None,
+            request.method,
+            request.host,
+            request.target,
+            request.body,
+        )
         limit_s = min(request.time_left_s, route.timeout_s)
         return Exchange(
             web_request,
@@ -447,34 +456,67 @@
             pause_s = self._fleet.notices.shortest_pause_s(entries)
             if pause_s > 0.0:
                 return self._refuse_paused(exchange, pause_s)
-            entries = self._fleet.notices.usable(entries)
-            choice = await self._choose_plain(exchange, entries)
+            sent = await self._admit_and_send_plain(exchange)
+            if isinstance(sent, Refusal):
+                return self._finish_refusal(exchange, sent)
+            server, outcome = sent
+            if outcome.is_cut:
+                # Lets the leader hear which requests a crash cut.
+                await asyncio.sleep(CRASH_NEWS_PAUSE_S)
+            final = await self._handle_outcome(exchange, server, outcome)
+            if final is not None:
+                return final
+
+    async def _admit_and_send_plain(
+        self, exchange: Exchange
+    ) -> tuple[str, Outcome] | Refusal:
+        """Send a request to a server of a plain service, if it may run now.
+
+        Returns the server and the outcome.
+        """
+        request, trials = exchange.request, self._places.trials
+        until = boot_time() + _max_permit_wait_s(exchange)
+        admission = await trials.admit(request, exchange.service, until)
+        if isinstance(admission, Refusal):
+            return admission
+        server, run = "", RunEnd("withheld")
+        try:
+            entries = self._fleet.registry.active_servers(exchange.service)
+            choice = await self._choose_plain(
+                exchange, self._fleet.notices.usable(entries)
+            )
             if isinstance(choice, Refusal):
-                return self._finish_refusal(exchange, choice)
-            now = boot_time()
-            entry = choice.entry
+                return choice
+            server = choice.entry.name
             exchange.plain_choice = choice
-            outcome = Outcome("cancelled")
-            self._plain.on_start(entry.name)
-            try:
-                place = GatewayPlace(entry.name, entry.address, 0)
-                outcome = await self._send(exchange, place)
-            finally:
-                ended_at = boot_time()
-                pause_s = self._plain.on_end(
-                    entry.name, outcome.name, ended_at - now, ended_at
+            run = RunEnd("cancelled")
+            outcome = await self._send_plain(exchange, choice.entry)
+            run = _run_end(exchange, outcome, self._fleet.registry.find(server))
+            return server, outcome
+        finally:
+            trials.end(request, exchange.service, server, admission, run)
+
+    async def _send_plain(self, exchange: Exchange, entry: BackendEntry) -> Outcome:
+        now = boot_time()
+        outcome = Outcome("cancelled")
+        self._plain.on_start(entry.name)
+        try:
+            place = GatewayPlace(entry.name, entry.address, 0)
+            outcome = await self._send(exchange, place)
+        finally:
+            ended_at = boot_time()
+            pause_s = self._plain.on_end(
+                entry.name, outcome.name, ended_at - now, ended_at
+            )
+            if pause_s > 0.0:
+                log_warning(
+                    "server_paused",
+                    server=entry.name,
+                    pause_ms=int(pause_s * 1e3),
+                    request_id=exchange.request.request_id,
+                    detail=outcome.detail,
                 )
-                if pause_s > 0.0:
-                    log_warning(
-                        "server_paused",
-                        server=entry.name,
-                        pause_ms=int(pause_s * 1e3),
-                        request_id=exchange.request.request_id,
-                        detail=outcome.detail,
-                    )
-            final = await self._handle_outcome(exchange, entry.name, outcome)
-            if final is not None:
-                return final
+        return outcome
 
     async def _choose_plain(
         self, exchange: Exchange, entries: list[BackendEntry]
@@ -563,6 +605,7 @@
             runs=exchange.runs,
             last_event=exchange.splitter.last_id,
             run_events=exchange.run_events,
+            identity=exchange.request.identity,
             shared_parts=",".join(exchange.request.shared_parts[:MAX_LOGGED_PARTS]),
             since_ms=int((boot_time() - exchange.started_at) * 1e3),
             **exchange.describe_choice(),
@@ -900,11 +943,14 @@
 def _run_end(
     exchange: Exchange, outcome: Outcome, entry: BackendEntry | None
 ) -> RunEnd:
-    """Return what a run shows about the parts of its prompt.
+    """Return what a run shows about the suspects of its request.
 
     A server that was leaving may end its connections without a crash.
     """
     has_begun = outcome.name == "ok" or exchange.run_events >= BEGUN_EVENTS
+    if not exchange.route.is_stream:
+        # A plain service that reports a failure has not crashed.
+        has_begun |= outcome.name == "failed"
     crashed = None
     if outcome.is_cut and not has_begun and entry is not None and not entry.is_leaving:
         crashed = ServerStart(entry.name, entry.born)
--- a/sequoiafall/node.py
+++ b/sequoiafall/node.py
@@ -214,7 +214,7 @@
                 f"limited_server_{source}_responses": count
                 for source, count in fleet.server_limits.responses_by_source.items()
             },
-            "harmful_prompt_parts": len(fleet.crash_evidence.harmful_parts()),
+            "harmful_prompt_parts": len(fleet.crash_evidence.harmful_suspects()),
             "suspected_prompt_parts": fleet.crash_evidence.suspected_count(boot_time()),
             **self._leader_gauges(),
         }
--- a/sequoiafall/place_source.py
+++ b/sequoiafall/place_source.py
@@ -13,16 +13,16 @@
 from .backend_registry import BackendEntry
 from .boot_clock import boot_time
 from .catalog import Organisation, TokenLimit
-from .crash_evidence import ServerStart
 from .engine_pool import EngineReport
 from .fleet import Fleet
 from .fleet_leader import BEGUN_OUTCOME
 from .log import log_event
-from .prompt_quarantine import PromptQuarantine, Verdict
+from .prompt_quarantine import Verdict
 from .refusal import Reason, Refusal
 from .send_permits import SendPermits
 from .serving_ports import CallerRequest, EngineControl
 from .token_bucket import TokenBucket
+from .trial_admission import LEADER_RETRY_S, RunEnd, TrialAdmission
 from .wire.gen import ttypes
 
 # Without a leader a gateway reads the engines' reports itself and reuses them for at
@@ -36,8 +36,6 @@
 # Maximum wait for a new leader if no engine has the adapter.
 LEADER_WAIT_S = 1.0
 LEADER_POLL_S = 0.05
-# Retry time of callers that are refused without a leader, sufficient for an election.
-LEADER_RETRY_S = 0.8
 # No election can complete while the store is unavailable. Callers then retry after
 # a share of their remaining time, up to a maximum, when most outages are over.
 BLOCKED_RETRY_SHARES = (0.25, 0.5)
@@ -70,25 +68,6 @@
     is_trial: bool = False
 
 
-@dataclass(slots=True, frozen=True)
-class RunEnd:
-    """How a request's run at an engine ended.
-
-    Parameters
-    ----------
-    outcome : str
-        Outcome as `EnginePlanner.end` takes it.
-    has_begun : bool
-        Whether the response had begun.
-    crashed : ServerStart or None
-        The engine, if it crashed before the response had begun.
-    """
-
-    outcome: str
-    has_begun: bool = False
-    crashed: ServerStart | None = None
-
-
 @dataclass(slots=True)
 class PendingPlacement:
     """A caller's request that is waiting for a place.
@@ -137,6 +116,8 @@
     ----------
     permits : SendPermits
         Permits to send to servers with a limit.
+    trials : TrialAdmission
+        Admits requests that may crash servers.
     """
 
     __slots__ = (
@@ -146,11 +127,11 @@
         "_leaderless_buckets",
         "_leaderless_running",
         "_leaderless_used_at",
-        "_quarantine",
         "_report_task",
         "_reports_by_server",
         "_reports_read_at",
         "permits",
+        "trials",
     )
 
     def __init__(
@@ -160,7 +141,7 @@
         self._control = control
         self._generator = generator
         self.permits = SendPermits(fleet, generator)
-        self._quarantine = PromptQuarantine(fleet.crash_evidence)
+        self.trials = TrialAdmission(fleet)
         self._leaderless_buckets: dict[str, TokenBucket] = {}
         self._leaderless_running: dict[str, int] = {}
         self._leaderless_used_at: dict[str, float] = {}
@@ -193,8 +174,7 @@
         self, request: CallerRequest, service: str, place: GatewayPlace
     ) -> None:
         """Record that the response to a request with a place has begun."""
-        self._fleet.crash_evidence.record_begun(request.shared_parts, boot_time())
-        self._quarantine.end_trial(request.request_id)
+        self.trials.record_begun(request)
         if place.is_trial:
             self._fleet.report_begun(
                 ttypes.EngineEnd(
@@ -208,13 +188,8 @@
 
     def end(self, pending: PendingPlacement, place: GatewayPlace, run: RunEnd) -> None:
         """Report how a run at an engine ended, and release its place."""
-        now = boot_time()
-        parts = pending.request.shared_parts
-        if run.has_begun:
-            self._fleet.crash_evidence.record_begun(parts, now)
-        if run.crashed is not None:
-            self._fleet.crash_evidence.record_crash(run.crashed, parts, now)
-        self._quarantine.end_trial(pending.request.request_id)
+        keys = pending.request.suspects
+        self.trials.record_end(pending.request.request_id, keys, run)
         running = self._leaderless_running.get(place.server, 0)
         if running > 1:
             self._leaderless_running[place.server] = running - 1
@@ -229,7 +204,7 @@
                 has_begun=run.has_begun,
                 has_crashed=run.crashed is not None,
                 born=run.crashed.born if run.crashed is not None else 0,
-                shared_parts=list(parts) if run.crashed is not None else [],
+                shared_parts=list(keys) if run.crashed is not None else [],
             )
         )
 
@@ -306,7 +281,7 @@
             charged=pending.charged,
             term=0,
             instance=self._fleet.settings.instance,
-            shared_parts=list(request.shared_parts),
+            shared_parts=list(request.suspects),
         )
         reply = await self._fleet.request_place(
             place_request, max(0.05, pending.until - now)
@@ -346,9 +321,9 @@
     ) -> GatewayPlace | Refusal | None:
         await self._read_reports(pending.service)
         request = pending.request
-        verdict = self._verdict_without_leader(request)
+        verdict = self.trials.decide_alone(request.request_id, request.suspects)
         if verdict is Verdict.REFUSE:
-            return self._harmful_refusal(request)
+            return self.trials.refusal(request.suspects)
         if verdict is Verdict.WAIT:
             return None
         entry = self._choose_without_leader(pending, excluded)
@@ -362,9 +337,7 @@
         self._leaderless_running[entry.name] = (
             self._leaderless_running.get(entry.name, 0) + 1
         )
-        self._quarantine.begin_trial(
-            request.request_id, request.shared_parts, boot_time()
-        )
+        self.trials.begin_alone(request.request_id, request.suspects)
         adapter = request.adapter
         version = self._reports_by_server[entry.name].resident.get(adapter, 0)
         self._record_held(pending, entry.name, version)
@@ -377,27 +350,6 @@
         )
         return GatewayPlace(entry.name, entry.address, version)
 
-    def _verdict_without_leader(self, request: CallerRequest) -> Verdict:
-        """Return whether a request may run; only one instance makes a trial."""
-        now = boot_time()
-        parts = request.shared_parts
-        verdict = self._quarantine.decide(request.request_id, parts, now)
-        if verdict is not Verdict.TRIAL:
-            return verdict
-        evidence = self._fleet.crash_evidence
-        suspects = [part for part in parts if evidence.suspect(part, now) is not None]
-        if all(self._fleet.may_try_alone(part) for part in suspects):
-            return verdict
-        return Verdict.WAIT
-
-    def _harmful_refusal(self, request: CallerRequest) -> Refusal:
-        left_s = self._quarantine.retry_after_s(request.shared_parts, boot_time())
-        return Refusal(
-            Reason.HARMFUL_PROMPT,
-            retry_after_s=max(LEADER_RETRY_S, left_s),
-            detail="a part of the prompt crashes engines",
-        )
-
     def _choose_without_leader(
         self, pending: PendingPlacement, excluded: frozenset[str]
     ) -> BackendEntry | None:
--- a/sequoiafall/planner_messages.py
+++ b/sequoiafall/planner_messages.py
@@ -34,7 +34,8 @@
     excluded : frozenset of str
         Engines that may not be chosen, because they failed this request.
     shared_parts : tuple of str
-        Parts of the prompt that other requests may share.
+        Suspects of the request: its identity, and the parts of its prompt that other
+        requests may share.
     """
 
     request_id: str
--- a/sequoiafall/prompt_quarantine.py
+++ b/sequoiafall/prompt_quarantine.py
@@ -1,8 +1,9 @@
-"""Decides which requests may run while a part of their prompt may crash servers.
+"""Decides which requests may run while something about them may crash servers.
 
-Requests with a suspected part run one at a time, until a response begins or the part
-counts as harmful. Requests with a harmful part are refused, except for trials: one
-after the quarantine, and those that show which of several parts is the harmful one.
+Requests with the same suspect run one at a time, until a response begins or the suspect
+counts as harmful. Those with a harmful suspect are refused, except for trials: one
+after each quarantine, up to a limit, and those that show which of several suspects is
+the harmful one.
 """
 
 from __future__ import annotations
@@ -11,8 +12,12 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from .crash_evidence import CrashEvidence, PartEvidence
+from .crash_evidence import CrashEvidence, SuspectEvidence
+from .refusal import Reason, Refusal
+from .request_identity import is_identity
 
+# Outcomes of runs whose request did not reach a server.
+NOT_SENT_OUTCOMES = frozenset(("unreachable", "withheld"))
 # The end of a trial that is not reported within this time has been lost.
 TRIAL_TTL_S = 10.0
 
@@ -30,10 +35,12 @@
 class _Trial:
     request_id: str
     expires_at: float
+    # Of the suspect before the trial.
+    failed_trials: int
 
 
 class PromptQuarantine:
-    """Admits requests according to the evidence on the parts of their prompts.
+    """Admits requests according to the evidence on their suspects.
 
     Parameters
     ----------
@@ -41,67 +48,131 @@
         Evidence that this instance has.
     """
 
-    __slots__ = ("_evidence", "_trials_by_part")
+    __slots__ = ("_evidence", "_keys_by_request", "_trials_by_key")
 
     def __init__(self, evidence: CrashEvidence) -> None:
         self._evidence = evidence
-        self._trials_by_part: dict[str, _Trial] = {}
+        self._trials_by_key: dict[str, _Trial] = {}
+        self._keys_by_request: dict[str, list[str]] = {}
 
-    def decide(self, request_id: str, parts: Sequence[str], now: float) -> Verdict:
-        """Return whether a request with these shared parts may run."""
-        if self._evidence.is_empty() or not parts:
+    def decide(self, request_id: str, keys: Sequence[str], now: float) -> Verdict:
+        """Return whether a request with these suspects may run."""
+        if self._evidence.is_empty() or not keys:
             return Verdict.PASS
-        suspects = self._suspects(parts, now)
+        suspects = self._suspects(keys, now)
         if not suspects:
             return Verdict.PASS
-        is_tried = any(self._is_tried(row.part, request_id, now) for row in suspects)
+        is_tried = any([self._is_tried(row.key, request_id, now) for row in suspects])
         for row in suspects:
-            if not row.is_harmful:
+            if not row.is_harmful or self._is_explained(row, keys, now):
                 continue
-            is_due = now >= row.trial_at or self._is_ambiguous(row, parts, now)
-            if is_tried or not is_due:
+            self._evidence.record_ask(row.key, now)
+            if is_tried or not self._is_due(row, keys, now):
                 return Verdict.REFUSE
         return Verdict.WAIT if is_tried else Verdict.TRIAL
 
-    def retry_after_s(self, parts: Sequence[str], now: float) -> float:
+    def refusal(self, keys: Sequence[str], now: float, min_retry_s: float) -> Refusal:
+        """Return the refusal of a request with a harmful suspect."""
+        harmful = [row for row in self._suspects(keys, now) if row.is_harmful]
+        is_whole = any(is_identity(row.key) for row in harmful)
+        left_s = max((row.trial_at - now for row in harmful), default=0.0)
+        return Refusal(
+            Reason.HARMFUL_REQUEST if is_whole else Reason.HARMFUL_PROMPT,
+            retry_after_s=max(min_retry_s, left_s),
+            detail="the request crashes servers"
+            if is_whole
+            else "a part of the prompt crashes engines",
+        )
+
+    def retry_after_s(self, keys: Sequence[str], now: float) -> float:
         """Return the seconds until a refused request may be admitted as a trial."""
-        left_s = (row.trial_at - now for row in self._suspects(parts, now))
+        left_s = (row.trial_at - now for row in self._suspects(keys, now))
         return max(left_s, default=0.0)
 
-    def begin_trial(self, request_id: str, parts: Sequence[str], now: float) -> bool:
-        """Record that a request runs; return whether it is a trial of a part."""
+    def begin_trial(self, request_id: str, keys: Sequence[str], now: float) -> bool:
+        """Record that a request runs; return whether it is a trial of a suspect."""
         if self._evidence.is_empty():
             return False
-        suspects = self._suspects(parts, now)
+        suspects = self._suspects(keys, now)
+        if not suspects:
+            return False
         for row in suspects:
-            self._trials_by_part[row.part] = _Trial(request_id, now + TRIAL_TTL_S)
-        return bool(suspects)
+            trial = _Trial(request_id, now + TRIAL_TTL_S, row.failed_trials)
+            self._trials_by_key[row.key] = trial
+        self._keys_by_request[request_id] = [row.key for row in suspects]
+        return True
+
+    def end_run(self, request_id: str, outcome: str, now: float) -> None:
+        """Record how a run ended, after its crash or begun response was recorded."""
+        if outcome in NOT_SENT_OUTCOMES:
+            self.end_trial(request_id)
+        else:
+            self.fail_trial(request_id, now)
+
+    def fail_trial(self, request_id: str, now: float) -> None:
+        """Record that a request reached a server, and no response began."""
+        for key in self._keys_by_request.get(request_id, ()):
+            trial = self._trials_by_key.get(key)
+            if trial is not None and trial.request_id == request_id:
+                self._count_failure(key, trial, now)
+        self.end_trial(request_id)
 
     def end_trial(self, request_id: str) -> None:
         """Record that a request has ended, or that its response has begun."""
-        for part, trial in list(self._trials_by_part.items()):
-            if trial.request_id == request_id:
-                del self._trials_by_part[part]
-
-    def _suspects(self, parts: Sequence[str], now: float) -> list[PartEvidence]:
-        rows = (self._evidence.suspect(part, now) for part in parts)
+        for key in self._keys_by_request.pop(request_id, ()):
+            trial = self._trials_by_key.get(key)
+            if trial is not None and trial.request_id == request_id:
+                del self._trials_by_key[key]
+
+    def _count_failure(self, key: str, trial: _Trial, now: float) -> None:
+        """Count a failed trial of a harmful suspect, unless its crash was counted."""
+        row = self._evidence.suspect(key, now)
+        if row is not None and row.failed_trials == trial.failed_trials:
+            self._evidence.record_failed_trial(key, now)
+
+    def _suspects(self, keys: Sequence[str], now: float) -> list[SuspectEvidence]:
+        rows = (self._evidence.suspect(key, now) for key in keys)
         return [row for row in rows if row is not None]
 
-    def _is_tried(self, part: str, request_id: str, now: float) -> bool:
-        trial = self._trials_by_part.get(part)
+    def _is_tried(self, key: str, request_id: str, now: float) -> bool:
+        trial = self._trials_by_key.get(key)
         if trial is None:
             return False
         if now >= trial.expires_at:
-            del self._trials_by_part[part]
+            self.fail_trial(trial.request_id, now)
             return False
         return trial.request_id != request_id
 
+    def _is_due(self, row: SuspectEvidence, keys: Sequence[str], now: float) -> bool:
+        """Whether a harmful suspect may be tried now."""
+        if now >= row.trial_at:
+            return True
+        return not row.failed_trials and self._is_ambiguous(row, keys, now)
+
     def _is_ambiguous(
-        self, row: PartEvidence, parts: Sequence[str], now: float
+        self, row: SuspectEvidence, keys: Sequence[str], now: float
     ) -> bool:
-        """Whether another part, which the request lacks, explains all the crashes."""
+        """Whether another suspect, which the request lacks, explains all crashes."""
+        starts = row.crashed_starts(now)
+        return bool(starts) and any(
+            other.key not in keys and other.crashed_starts(now) >= starts
+            for other in self._evidence.harmful_suspects()
+        )
+
+    def _is_explained(
+        self, row: SuspectEvidence, keys: Sequence[str], now: float
+    ) -> bool:
+        """Whether another harmful request explains all crashes of a suspect.
+
+        Requests with the suspect then run one at a time until one responds. One whose
+        server is crashed by the other request, or that shares a part with it, is sound.
+        """
+        if row.failed_trials:
+            return False
         starts = row.crashed_starts(now)
         return bool(starts) and any(
-            other.part not in parts and other.crashed_starts(now) >= starts
-            for other in self._evidence.harmful_parts()
+            is_identity(other.key)
+            and other.key not in keys
+            and other.crashed_starts(now) >= starts
+            for other in self._evidence.harmful_suspects()
         )
--- a/sequoiafall/refusal.py
+++ b/sequoiafall/refusal.py
@@ -34,6 +34,7 @@
     WRONG_ADAPTER = "wrong_adapter"
     DRAINING = "draining"
     HARMFUL_PROMPT = "harmful_prompt"
+    HARMFUL_REQUEST = "harmful_request"
 
 
 _STATUS_BY_REASON = {
--- a/sequoiafall/serving_ports.py
+++ b/sequoiafall/serving_ports.py
@@ -47,6 +47,9 @@
         Number of the last event that the caller has received, -1 for none.
     shared_parts : tuple of str
         Identifiers of the parts of the prompt that other requests may share.
+    identity : str
+        What the attempts of the same request have in common, see
+        `request_identity`; empty until the caller is authenticated.
     """
 
     request_id: str
@@ -64,6 +67,14 @@
     output_tokens: int | None = None
     resume_after: int = -1
     shared_parts: tuple[str, ...] = ()
+    identity: str = ""
+
+    @property
+    def suspects(self) -> tuple[str, ...]:
+        """What a crash of the server may be due to, see `crash_evidence`."""
+        if not self.identity:
+            return self.shared_parts
+        return (self.identity, *self.shared_parts)
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/sequoiafall/trial_admission.py
@@ -0,0 +1,237 @@
+"""Admits requests that may crash servers, on the gateway's side.
+
+A request without a known suspect is sent at once. The leader decides about others;
+without a leader, one instance makes the trials of a suspect.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from .boot_clock import boot_time
+from .crash_evidence import ServerStart
+from .fleet import Fleet
+from .log import log_event
+from .prompt_quarantine import PromptQuarantine, Verdict
+from .refusal import Reason, Refusal
+from .serving_ports import CallerRequest
+from .trial_queue import UNKNOWN_SERVICE
+from .wire.gen import ttypes
+
+# Retry time of refused callers without a leader, sufficient for an election.
+LEADER_RETRY_S = 0.8
+# Interval at which a waiting request is considered again without a leader.
+RETRY_INTERVAL_S = 0.05
+# Time for a reply of the leader beyond the wait for a trial.
+REPLY_MARGIN_S = 0.1
+
+
+@dataclass(slots=True, frozen=True)
+class RunEnd:
+    """How a request's run at a server ended.
+
+    Parameters
+    ----------
+    outcome : str
+        Outcome as `EnginePlanner.end` takes it.
+    has_begun : bool
+        Whether the response had begun.
+    crashed : ServerStart or None
+        The server, if it crashed before the response had begun.
+    """
+
+    outcome: str
+    has_begun: bool = False
+    crashed: ServerStart | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class Admission:
+    """Permission to send a request to a plain service once.
+
+    Parameters
+    ----------
+    is_trial : bool
+        Whether the leader waits to hear how the request ended.
+    """
+
+    is_trial: bool
+
+
+class TrialAdmission:
+    """Decides whether requests of this gateway may run.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Access to the leader, the members and the evidence.
+    """
+
+    __slots__ = ("_fleet", "_quarantine")
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self._quarantine = PromptQuarantine(fleet.crash_evidence)
+
+    # Without a leader
+
+    def decide_alone(self, request_id: str, keys: Sequence[str]) -> Verdict:
+        """Return whether a request may run; only one instance makes a trial."""
+        now = boot_time()
+        verdict = self._quarantine.decide(request_id, keys, now)
+        if verdict is not Verdict.TRIAL:
+            return verdict
+        evidence = self._fleet.crash_evidence
+        suspects = [key for key in keys if evidence.suspect(key, now) is not None]
+        if all(self._fleet.may_try_alone(key) for key in suspects):
+            return verdict
+        return Verdict.WAIT
+
+    def begin_alone(self, request_id: str, keys: Sequence[str]) -> None:
+        """Record that a request runs that this instance admitted."""
+        self._quarantine.begin_trial(request_id, keys, boot_time())
+
+    def refusal(self, keys: Sequence[str]) -> Refusal:
+        """Return the refusal of a request with a harmful suspect."""
+        return self._quarantine.refusal(keys, boot_time(), LEADER_RETRY_S)
+
+    # Ends of runs
+
+    def record_begun(self, request: CallerRequest) -> None:
+        """Record that the response to a request has begun."""
+        self._fleet.crash_evidence.record_begun(request.suspects, boot_time())
+        self._quarantine.end_trial(request.request_id)
+
+    def record_end(self, request_id: str, keys: Sequence[str], run: RunEnd) -> None:
+        """Record what the end of a run shows about the suspects of its request."""
+        now = boot_time()
+        if run.has_begun:
+            self._fleet.crash_evidence.record_begun(keys, now)
+        if run.crashed is not None:
+            self._fleet.crash_evidence.record_crash(run.crashed, keys, now)
+        self._quarantine.end_run(request_id, run.outcome, now)
+
+    # Plain services
+
+    async def admit(
+        self, request: CallerRequest, service: str, until: float
+    ) -> Admission | Refusal:
+        """Return whether a request may be sent to a plain service now.
+
+        Parameters
+        ----------
+        request : CallerRequest
+            The request.
+        service : str
+            The plain service.
+        until : float
+            Latest end of the wait for trials of others, in seconds of `boot_time`.
+        """
+        keys = _plain_keys(request)
+        evidence = self._fleet.crash_evidence
+        while True:
+            now = boot_time()
+            if all(evidence.suspect(key, now) is None for key in keys):
+                return Admission(is_trial=False)
+            if self._fleet.has_leader:
+                decision = await self._ask_leader(request, service, until)
+                if decision is not None:
+                    return decision
+            verdict = self.decide_alone(request.request_id, keys)
+            if verdict is Verdict.REFUSE:
+                return self.refusal(keys)
+            if verdict is not Verdict.WAIT:
+                self.begin_alone(request.request_id, keys)
+                return Admission(is_trial=False)
+            if boot_time() >= until:
+                return Refusal(
+                    Reason.OVERLOADED,
+                    retry_after_s=LEADER_RETRY_S,
+                    detail="awaits a trial",
+                )
+            await asyncio.sleep(RETRY_INTERVAL_S)
+
+    def end(
+        self,
+        request: CallerRequest,
+        service: str,
+        server: str,
+        admission: Admission,
+        run: RunEnd,
+    ) -> None:
+        """Record how an admitted send to a plain service ended."""
+        keys = _plain_keys(request)
+        self.record_end(request.request_id, keys, run)
+        if not admission.is_trial and run.crashed is None:
+            return
+        self._report_end(request, service, server, run)
+
+    def _report_end(
+        self, request: CallerRequest, service: str, server: str, run: RunEnd
+    ) -> None:
+        self._fleet.release_place(
+            ttypes.EngineEnd(
+                request_id=request.request_id,
+                pool=service,
+                server=server,
+                outcome=run.outcome,
+                has_begun=run.has_begun,
+                has_crashed=run.crashed is not None,
+                born=run.crashed.born if run.crashed is not None else 0,
+                shared_parts=list(_plain_keys(request)),
+            )
+        )
+
+    async def _ask_leader(
+        self, request: CallerRequest, service: str, until: float
+    ) -> Admission | Refusal | None:
+        """Return the leader's decision, None if it gives none."""
+        wait_s = max(0.0, until - boot_time())
+        reply = None
+        try:
+            reply = await self._fleet.request_place(
+                self._plain_ask(request, service, wait_s), wait_s + REPLY_MARGIN_S
+            )
+        finally:
+            if reply is None:
+                # The leader may have granted a trial that is not made.
+                self._report_end(request, service, "", RunEnd("withheld"))
+        if reply is None or reply.reason == Reason.OWNER_UNAVAILABLE.value:
+            return None
+        if not reply.reason:
+            return Admission(is_trial=True)
+        if reply.detail == UNKNOWN_SERVICE:
+            log_event("leader_admits_no_trials", request_id=request.request_id)
+            return None
+        return Refusal(
+            Reason(reply.reason),
+            retry_after_s=reply.retry_after_ms / 1e3,
+            detail=reply.detail,
+        )
+
+    def _plain_ask(self, request: CallerRequest, service: str, wait_s: float) -> Any:
+        return ttypes.EngineAsk(
+            request_id=request.request_id,
+            organisation="",
+            pool=service,
+            adapter="",
+            prompt_tokens=0,
+            cost_tokens=0,
+            rank=0,
+            on_time_ms=int(wait_s * 1e3),
+            time_left_ms=int(wait_s * 1e3),
+            zone=self._fleet.settings.zone,
+            excluded=[],
+            charged=True,
+            term=0,
+            instance=self._fleet.settings.instance,
+            shared_parts=list(_plain_keys(request)),
+        )
+
+
+def _plain_keys(request: CallerRequest) -> tuple[str, ...]:
+    """Return the suspects of a request to a plain service, which has no prompt."""
+    return (request.identity,) if request.identity else ()
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -296,7 +296,7 @@
             for at in (4.0, 8.0, 12.0)
         ]
         session = self.simulate(*restarts)
-        self.assertEqual(session._evidence.harmful_parts(), [])
+        self.assertEqual(session._evidence.harmful_suspects(), [])
 
 
 class _CallRecorder(DaySession):
--- a/tests/test_place_source.py
+++ b/tests/test_place_source.py
@@ -70,7 +70,7 @@
         fleet = FakeFleet(is_blocked)
         source = PlaceSource(fleet, None, random.Random(seed))
         now = boot_time()
-        request = SimpleNamespace(request_id="r1", adapter="a1", shared_parts=())
+        request = SimpleNamespace(request_id="r1", adapter="a1", suspects=())
         pending = PendingPlacement(
             request, "assist", None, 0, 1, now + 0.8, now + left_s
         )
@@ -105,7 +105,7 @@
         control = CountingControl()
         source = PlaceSource(fleet, control, random.Random(1))
         now = boot_time()
-        request = SimpleNamespace(request_id="r1", adapter="a1", shared_parts=())
+        request = SimpleNamespace(request_id="r1", adapter="a1", suspects=())
         pending = PendingPlacement(request, "assist", None, 0, 1, now + 0.8, now + 4.0)
         await source.take(pending, frozenset())
         self.assertGreaterEqual(control.reports, least)
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -1,4 +1,4 @@
-"""Tests of the quarantine of prompt parts that crash engines, without network."""
+"""Tests of the quarantine of requests that crash servers, without network."""
 
 import copy
 import itertools
@@ -12,10 +12,11 @@
     BEGUN_GRACE_S,
     CRASH_TTL_S,
     HARMFUL_EVENTS,
-    MAX_BEGUN_PARTS,
-    MAX_CRASHES_PER_PART,
-    MAX_PARTS,
+    MAX_BEGUN,
+    MAX_CRASHES_PER_SUSPECT,
+    MAX_FAILED_TRIALS,
     MAX_QUARANTINE_S,
+    MAX_SUSPECTS,
     QUARANTINE_S,
     QUARANTINE_TTL_S,
     CrashEvidence,
@@ -29,6 +30,7 @@
 from .test_engine_planner import Driver
 
 NOW = 1000.0
+REQUEST = "request:a"
 
 
 def crash(evidence, parts, *times, first=0):
@@ -75,6 +77,14 @@
             evidence.record_crash(ServerStart("e1", 7), ["p"], NOW + time_s)
         self.assertEqual(evidence.suspect("p", NOW + 2.0).events(NOW + 2.0), 1)
 
+    def test_crashes_of_a_server_whose_restarts_are_not_known(self):
+        """The registry cannot be read during an outage of the store."""
+        evidence = CrashEvidence()
+        for time_s in (0.0, 0.01, 3.0, 3.05, 6.0):
+            evidence.record_crash(ServerStart("d1", 7), ["p"], NOW + time_s)
+        self.assertTrue(evidence.suspect("p", NOW + 6.0).is_harmful)
+        self.assertEqual(evidence.suspect("p", NOW + 6.0).failed_trials, 0)
+
     @parameterized.expand(
         [
             ("at once", 0.3, False),
@@ -132,18 +142,44 @@
         """The parts of many requests neither grow without bound nor hide a culprit."""
         evidence = CrashEvidence()
         crash(evidence, ["culprit"], 0.0, 0.5, 1.0)
-        for number in range(3 * MAX_PARTS):
+        for number in range(3 * MAX_SUSPECTS):
             crash(evidence, [f"p{number}"], 2.0, first=9)
-        for number in range(2 * MAX_BEGUN_PARTS):
+        for number in range(2 * MAX_BEGUN):
             evidence.record_begun([f"q{number}"], NOW + 3.0)
-        for number in range(3 * MAX_CRASHES_PER_PART):
+        for number in range(3 * MAX_CRASHES_PER_SUSPECT):
             crash(evidence, ["culprit"], 4.0 + number, first=20 + number)
         rows = evidence.since_revision(0, NOW + 5.0)
-        self.assertLessEqual(len(rows), MAX_PARTS)
-        self.assertLessEqual(len(evidence._begun_at_by_part), MAX_BEGUN_PARTS)
+        self.assertLessEqual(len(rows), MAX_SUSPECTS)
+        self.assertLessEqual(len(evidence._begun_at_by_key), MAX_BEGUN)
         row = evidence.suspect("culprit", NOW + 5.0)
         self.assertTrue(row.is_harmful)
-        self.assertLessEqual(len(row.crashes_by_start), MAX_CRASHES_PER_PART)
+        self.assertLessEqual(len(row.crashes_by_start), MAX_CRASHES_PER_SUSPECT)
+
+    def test_flood_of_distinct_requests(self):
+        """Verdicts, and crashes that repeat, outlast a flood of single crashes."""
+        evidence = CrashEvidence()
+        crash(evidence, ["harmful"], 0.0, 0.5, 1.0)
+        crash(evidence, ["repeated"], 1.5, 2.0, first=5)
+        for server in range(100):
+            keys = [f"request:{server}-{number}" for number in range(64)]
+            for key in keys:
+                crash(evidence, [key], 3.0 + 0.2 * server, first=server)
+        now = NOW + 30.0
+        self.assertLessEqual(len(evidence.since_revision(0, now)), MAX_SUSPECTS)
+        self.assertTrue(evidence.suspect("harmful", now).is_harmful)
+        self.assertEqual(evidence.suspect("repeated", now).events(now), 2)
+
+    def test_changes_are_in_order(self):
+        """A row that changed again is sent again, and others are not."""
+        evidence = CrashEvidence()
+        for number, key in enumerate(("p", "q", "r")):
+            crash(evidence, [key], 0.0, first=number)
+        revision = evidence.revision
+        self.assertEqual(evidence.since_revision(revision, NOW), [])
+        crash(evidence, ["p"], 1.0, first=7)
+        rows = evidence.since_revision(revision, NOW + 1.0)
+        self.assertEqual([row.key for row in rows], ["p"])
+        self.assertEqual(len(evidence.since_revision(0, NOW + 1.0)), 3)
 
 
 class MergeTest(unittest.TestCase):
@@ -283,7 +319,7 @@
         """A harmful part costs few engines, and a wrong conviction ends by itself."""
         crash(self.evidence, ["p"], 0.0, 0.5, 1.0)
         due_s = 1.0
-        for failed in range(4):
+        for failed in range(MAX_FAILED_TRIALS):
             self.assertIs(self.decide("r", ["p"], due_s + 0.1), Verdict.REFUSE)
             due_s += quarantine_s(failed)
             self.assertIs(self.decide("r", ["p"], due_s - 0.1), Verdict.REFUSE)
@@ -293,6 +329,12 @@
             due_s += 0.2
             crash(self.evidence, ["p"], due_s, first=10 + failed)
             self.quarantine.end_trial("r")
+        # No more trials, for as long as it is asked for.
+        for hours in range(1, 100):
+            self.assertIs(
+                self.decide("r", ["p"], due_s + 3600.0 * hours), Verdict.REFUSE
+            )
+        due_s += 3600.0 * 99
         self.assertLessEqual(quarantine_s(50), MAX_QUARANTINE_S)
         self.evidence.record_begun(["p"], NOW + due_s + 1.0)
         self.assertIs(self.decide("r", ["p"], due_s + 1.1), Verdict.PASS)
@@ -332,6 +374,117 @@
         self.evidence.suspect("p", NOW).trial_at = NOW + 2.0 * CRASH_TTL_S
         self.assertIs(self.decide("r", ["p"], CRASH_TTL_S + 60.0), Verdict.REFUSE)
 
+    def test_part_of_a_harmful_request(self):
+        """Requests that share a part with a harmful request wait, and then run."""
+        harmful = [REQUEST, "shared"]
+        crash(self.evidence, harmful, 0.0, 0.5, 1.0)
+        self.assertIs(self.decide("r1", harmful, 2.0), Verdict.REFUSE)
+        refusal = self.quarantine.refusal(harmful, NOW + 2.0, 0.5)
+        self.assertIs(refusal.reason, Reason.HARMFUL_REQUEST)
+        sound = ["request:b", "shared"]
+        self.assertIs(self.decide("r2", sound, 2.0), Verdict.TRIAL)
+        self.quarantine.begin_trial("r2", sound, NOW + 2.0)
+        self.assertIs(self.decide("r3", ["request:c", "shared"], 2.1), Verdict.WAIT)
+        self.evidence.record_begun(sound, NOW + 2.5)
+        self.quarantine.end_run("r2", "ok", NOW + 2.5)
+        for keys in (sound, ["request:c", "shared"]):
+            self.assertIs(self.decide("r4", keys, 2.6), Verdict.PASS)
+        self.assertIs(self.decide("r1", harmful, 2.6), Verdict.REFUSE)
+
+    def test_harmful_part_in_several_requests(self):
+        """A part that crashes servers in another request as well is harmful itself."""
+        crash(self.evidence, [REQUEST, "p"], 0.0, 0.5, 1.0)
+        self.assertIs(self.decide("r2", ["request:b", "p"], 2.0), Verdict.TRIAL)
+        self.quarantine.begin_trial("r2", ["request:b", "p"], NOW + 2.0)
+        crash(self.evidence, ["request:b", "p"], 2.2, first=9)
+        self.quarantine.end_run("r2", "broken", NOW + 2.2)
+        self.assertIs(self.decide("r3", ["request:c", "p"], 2.3), Verdict.REFUSE)
+        refusal = self.quarantine.refusal(["request:c", "p"], NOW + 2.3, 0.5)
+        self.assertIs(refusal.reason, Reason.HARMFUL_PROMPT)
+
+    def test_sound_request_at_the_same_servers(self):
+        """One that was cut by each crash of another request is served soon."""
+        for number in range(3):
+            for key in (REQUEST, "request:sound"):
+                crash(self.evidence, [key], 0.5 * number, first=number)
+        self.assertIs(self.decide("r1", ["request:sound"], 2.0), Verdict.TRIAL)
+        self.quarantine.begin_trial("r1", ["request:sound"], NOW + 2.0)
+        self.assertIs(self.decide("r2", ["request:sound"], 2.0), Verdict.WAIT)
+        self.evidence.record_begun(["request:sound"], NOW + 2.1)
+        self.quarantine.end_run("r1", "ok", NOW + 2.1)
+        self.assertIs(self.decide("r2", ["request:sound"], 2.2), Verdict.PASS)
+        self.assertIs(self.decide("r3", [REQUEST], 2.2), Verdict.REFUSE)
+
+    @parameterized.expand(
+        [
+            ("crashed", "broken", True, 3),
+            ("cut off by the caller", "cancelled", False, 3),
+            ("too late", "broken", False, 3),
+            ("lost", "", False, 3),
+            ("not sent", "unreachable", False, 99),
+            ("refused by the server", "not_run", False, 3),
+        ]
+    )
+    def test_sends_after_the_verdict(self, _name, outcome, has_crashed, expected):
+        """A harmful request that comes every second reaches servers three times a day.
+
+        Trials that show nothing count as well, if a server may have run the request.
+        """
+        crash(self.evidence, [REQUEST], 0.0, 0.5, 1.0)
+        sends = 0
+        for time_s in range(2, 86_400):
+            request_id = f"r{time_s}"
+            if self.decide(request_id, [REQUEST], time_s) is Verdict.REFUSE:
+                continue
+            sends += 1
+            if sends == 99:
+                break
+            self.quarantine.begin_trial(request_id, [REQUEST], NOW + time_s)
+            if has_crashed:
+                crash(self.evidence, [REQUEST], time_s + 0.3, first=100 + time_s)
+            if outcome:
+                self.quarantine.end_run(request_id, outcome, NOW + time_s + 0.3)
+        self.assertEqual(sends, expected)
+
+    def test_sends_with_a_companion_of_each_crash(self):
+        """An ambiguous verdict allows no more sends than another one."""
+        keys = [REQUEST, "request:b"]
+        for number in range(3):
+            for key in keys:
+                crash(self.evidence, [key], 0.5 * number, first=number)
+        sends = 0
+        for time_s in range(2, 20_000):
+            if self.decide(f"r{time_s}", [REQUEST], time_s) is Verdict.REFUSE:
+                continue
+            sends += 1
+            self.quarantine.begin_trial(f"r{time_s}", [REQUEST], NOW + time_s)
+            crash(self.evidence, [REQUEST], time_s + 0.3, first=100 + time_s)
+            self.quarantine.end_run(f"r{time_s}", "broken", NOW + time_s + 0.3)
+        self.assertEqual(sends, 3)
+
+    def test_sends_after_servers_crash_at_once(self):
+        """Sends between the third crash and the verdict count as well."""
+        crash(self.evidence, [REQUEST], 0.0, 0.02, 0.05)
+        sends = 0
+        for time_s in range(10, 20_000):
+            if self.decide(f"r{time_s}", [REQUEST], time_s) is Verdict.REFUSE:
+                continue
+            sends += 1
+            self.quarantine.begin_trial(f"r{time_s}", [REQUEST], NOW + time_s)
+            crash(self.evidence, [REQUEST], time_s + 0.3, first=100 + time_s)
+            self.quarantine.end_run(f"r{time_s}", "broken", NOW + time_s + 0.3)
+        self.assertEqual(sends, 3)
+
+    def test_wrong_verdict_ends_with_a_trial(self):
+        crash(self.evidence, [REQUEST], 0.0, 0.5, 1.0)
+        time_s = 1.0 + QUARANTINE_S
+        self.assertIs(self.decide("r1", [REQUEST], time_s), Verdict.TRIAL)
+        self.quarantine.begin_trial("r1", [REQUEST], NOW + time_s)
+        self.evidence.record_begun([REQUEST], NOW + time_s + 0.1)
+        self.quarantine.end_run("r1", "ok", NOW + time_s + 0.1)
+        self.assertIs(self.decide("r2", [REQUEST], time_s + 0.2), Verdict.PASS)
+        self.assertEqual(self.evidence.harmful_suspects(), [])
+
     def test_two_harmful_parts(self):
         crash(self.evidence, ["p"], 0.0, 0.5, 1.0)
         crash(self.evidence, ["q"], 0.2, 0.7, 1.2, first=5)
