Take the end of a connection to a GET request for a cut

What callers saw: a GET that crashes plain servers was sent to them without end, as if nothing were known of its crashes.

Cause: aiohttp sends requests with some methods again if their connection ends without a response. The second connection is refused with an error that did not say that the first one had ended (`is_cut`), so such a crash was no evidence.

Change: the error says that the connection ended. The tests of the idempotent route use GET.

--- a/sequoiafall/engine_client.py
+++ b/sequoiafall/engine_client.py
@@ -190,7 +190,10 @@
         self, req: ClientRequest, traces: list[Any], timeout: aiohttp.ClientTimeout
     ) -> Connection:
         if self.sent:
-            raise BrokenResponseError("the connection ended without an answer")
+            # The client library tries again only if the first connection has ended.
+            error = BrokenResponseError("the connection ended without an answer")
+            error.is_cut = True
+            raise error
         connection = await super().connect(req, traces, timeout)
         self.sent = True
         return connection
--- a/tests/test_harmful_requests.py
+++ b/tests/test_harmful_requests.py
@@ -30,15 +30,24 @@
 
     def prepare_server(self, server):
         server.crashing_requests = {
-            (path + HARMFUL_QUERY, HARMFUL_BODY) for path in PATHS
+            (path + HARMFUL_QUERY, body)
+            for path in PATHS
+            for body in (HARMFUL_BODY, b"")
         }
 
     async def send(self, node, path, number, is_harmful):
         body = HARMFUL_BODY if is_harmful else b"body %d" % (number % SOUND_REQUESTS)
         target = path + HARMFUL_QUERY if is_harmful else path
+        # The client library sends some methods again if a connection is closed.
+        method = "GET" if path.startswith("/look/") else "POST"
+        if method == "GET":
+            target = path + (
+                HARMFUL_QUERY if is_harmful else f"?{number % SOUND_REQUESTS}"
+            )
         status, _, _ = await self.call(
             node,
             target,
+            method=method,
             body=body,
             adapter=f"a{number % 4}" if self.is_engine(path) else "",
             **{names.PROMPT_PARTS: "5c1e:568,b1:200,own:250"},
