Hold a request back that has crashed two servers

What callers saw: a request and its retries may crash the three servers of a plain service within a fraction of a second, so that nobody is served until they are back.

Cause: a suspected request was tried again at once, as long as it was the only one.

Change: a request with two crashes is not tried until 4 s after the last one; it waits, or is refused with that time. Parts of prompts are not held back, because other requests with them may be sound. Refusals name their suspects, so that logs can be searched for them.

Evidence: test_suspected_request_waits_for_the_servers_that_it_crashed got TRIAL where it expects WAIT before.

--- a/sequoiafall/prompt_quarantine.py
+++ b/sequoiafall/prompt_quarantine.py
@@ -18,6 +18,10 @@
 
 # Outcomes of runs whose request did not reach a server.
 NOT_SENT_OUTCOMES = frozenset(("unreachable", "withheld"))
+# A request that may have crashed two servers is not tried until they are back, so that
+# sound requests keep a third one.
+HOLD_EVENTS = 2
+HOLD_S = 4.0
 # The end of a trial that is not reported within this time has been lost.
 TRIAL_TTL_S = 10.0
 
@@ -69,19 +73,25 @@
             self._evidence.record_ask(row.key, now)
             if is_tried or not self._is_due(row, keys, now):
                 return Verdict.REFUSE
-        return Verdict.WAIT if is_tried else Verdict.TRIAL
+        is_held = self._hold_left_s(suspects, now) > 0.0
+        return Verdict.WAIT if is_tried or is_held else Verdict.TRIAL
+
+    def hold_left_s(self, keys: Sequence[str], now: float) -> float:
+        """Return the seconds until a suspected request may be tried."""
+        return self._hold_left_s(self._suspects(keys, now), now)
 
     def refusal(self, keys: Sequence[str], now: float, min_retry_s: float) -> Refusal:
         """Return the refusal of a request with a harmful suspect."""
         harmful = [row for row in self._suspects(keys, now) if row.is_harmful]
+        names = ",".join(row.key for row in harmful)
         is_whole = any(is_identity(row.key) for row in harmful)
         left_s = max((row.trial_at - now for row in harmful), default=0.0)
         return Refusal(
             Reason.HARMFUL_REQUEST if is_whole else Reason.HARMFUL_PROMPT,
             retry_after_s=max(min_retry_s, left_s),
-            detail="the request crashes servers"
+            detail=f"the request crashes servers ({names})"
             if is_whole
-            else "a part of the prompt crashes engines",
+            else f"a part of the prompt crashes engines ({names})",
         )
 
     def retry_after_s(self, keys: Sequence[str], now: float) -> float:
@@ -134,6 +144,17 @@
         rows = (self._evidence.suspect(key, now) for key in keys)
         return [row for row in rows if row is not None]
 
+    def _hold_left_s(self, suspects: Sequence[SuspectEvidence], now: float) -> float:
+        # A part of prompts is not held back: other requests that have it may be sound.
+        left_s = (
+            row.last_crash_at + HOLD_S - now
+            for row in suspects
+            if is_identity(row.key)
+            and not row.is_harmful
+            and row.events(now) >= HOLD_EVENTS
+        )
+        return max(0.0, max(left_s, default=0.0))
+
     def _is_tried(self, key: str, request_id: str, now: float) -> bool:
         trial = self._trials_by_key.get(key)
         if trial is None:
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -24,7 +24,12 @@
     quarantine_s,
 )
 from sequoiafall.evidence_exchange import _from_wire, _to_wire
-from sequoiafall.prompt_quarantine import TRIAL_TTL_S, PromptQuarantine, Verdict
+from sequoiafall.prompt_quarantine import (
+    HOLD_S,
+    TRIAL_TTL_S,
+    PromptQuarantine,
+    Verdict,
+)
 from sequoiafall.refusal import Reason
 
 from .test_engine_planner import Driver
@@ -475,6 +480,17 @@
             self.quarantine.end_run(f"r{time_s}", "broken", NOW + time_s + 0.3)
         self.assertEqual(sends, 3)
 
+    def test_suspected_request_waits_for_the_servers_that_it_crashed(self):
+        """One that crashed two of three servers must not crash the last one at once."""
+        crash(self.evidence, [REQUEST], 0.0, 0.5)
+        self.assertIs(self.decide("r1", [REQUEST], 0.6), Verdict.WAIT)
+        left_s = self.quarantine.hold_left_s([REQUEST], NOW + 0.6)
+        self.assertAlmostEqual(left_s, HOLD_S - 0.1)
+        self.assertIs(self.decide("r1", [REQUEST], 0.6 + HOLD_S), Verdict.TRIAL)
+        # Other requests that have a part may be sound.
+        crash(self.evidence, ["p"], 0.0, 0.5)
+        self.assertIs(self.decide("r2", ["p"], 0.6), Verdict.TRIAL)
+
     def test_wrong_verdict_ends_with_a_trial(self):
         crash(self.evidence, [REQUEST], 0.0, 0.5, 1.0)
         time_s = 1.0 + QUARANTINE_S
--- /dev/null
+++ b/tests/test_trial_queue.py
@@ -0,0 +1,179 @@
+"""Tests of the admission of requests to plain services that may crash servers."""
+
+import asyncio
+import unittest
+from types import SimpleNamespace
+
+from multidict import CIMultiDict
+
+from sequoiafall.boot_clock import boot_time
+from sequoiafall.crash_evidence import CrashEvidence, ServerStart
+from sequoiafall.fleet_leader import _refusal
+from sequoiafall.prompt_quarantine import PromptQuarantine
+from sequoiafall.refusal import Reason, Refusal
+from sequoiafall.serving_ports import CallerRequest
+from sequoiafall.trial_admission import Admission, TrialAdmission
+from sequoiafall.trial_queue import MAX_WAITING, UNKNOWN_SERVICE, TrialQueue
+from sequoiafall.wire.gen import ttypes
+
+from .events import until
+
+REQUEST = "request:a"
+WAIT_S = 5.0
+
+
+def ask(request_id, key=REQUEST, wait_s=WAIT_S):
+    """Return a gateway's request to send to a plain service."""
+    return ttypes.EngineAsk(
+        request_id=request_id, on_time_ms=int(wait_s * 1e3), shared_parts=[key]
+    )
+
+
+def end(request_id, key=REQUEST, **changes):
+    """Return the end of such a request."""
+    values = {
+        "request_id": request_id,
+        "server": "d1",
+        "outcome": "broken",
+        "has_begun": False,
+        "has_crashed": False,
+        "born": 1,
+        "shared_parts": [key],
+    }
+    return ttypes.EngineEnd(**{**values, **changes})
+
+
+class TrialQueueTest(unittest.IsolatedAsyncioTestCase):
+    """The leader lets requests with the same suspect run one at a time."""
+
+    async def asyncSetUp(self):
+        self.evidence = CrashEvidence()
+        self.queue = TrialQueue(PromptQuarantine(self.evidence), self.evidence)
+        self.evidence.record_crash(ServerStart("d9", 1), [REQUEST], boot_time())
+
+    async def waiting(self, *request_ids):
+        tasks = [
+            asyncio.create_task(self.queue.admit(ask(name))) for name in request_ids
+        ]
+        await until(lambda: self.queue.waiting == len(tasks))
+        return tasks
+
+    async def test_one_at_a_time(self):
+        self.assertIsNone(await self.queue.admit(ask("r1")))
+        (second,) = await self.waiting("r2")
+        self.assertIsNone(await self.queue.admit(ask("r3", "request:other")))
+        self.queue.on_end(end("r1", outcome="ok", has_begun=True), boot_time() + 2.0)
+        self.assertIsNone(await second)
+
+    async def test_waiting_requests_hear_the_verdict(self):
+        self.assertIsNone(await self.queue.admit(ask("r1")))
+        tasks = await self.waiting("r2", "r3")
+        now = boot_time()
+        for number in (2, 3):
+            self.queue.on_end(
+                end("r1", has_crashed=True, born=number), now + number * 0.2
+            )
+        for task in tasks:
+            refusal = await task
+            self.assertIs(refusal.reason, Reason.HARMFUL_REQUEST)
+            self.assertGreater(refusal.retry_after_s, 20.0)
+
+    async def test_wait_is_bounded(self):
+        self.assertIsNone(await self.queue.admit(ask("r1")))
+        refusal = await self.queue.admit(ask("r2", wait_s=0.01))
+        self.assertIs(refusal.reason, Reason.OVERLOADED)
+        self.assertEqual(self.queue.waiting, 0)
+
+    async def test_queue_is_bounded(self):
+        self.assertIsNone(await self.queue.admit(ask("r1")))
+        tasks = await self.waiting(*(f"w{number}" for number in range(MAX_WAITING)))
+        refusal = await self.queue.admit(ask("r2"))
+        self.assertIs(refusal.reason, Reason.OVERLOADED)
+        self.queue.stop()
+        for refusal in await asyncio.gather(*tasks):
+            self.assertIs(refusal.reason, Reason.OWNER_UNAVAILABLE)
+
+
+class FakeFleet:
+    """A fleet whose leader gives prepared answers."""
+
+    def __init__(self):
+        self.crash_evidence = CrashEvidence()
+        self.has_leader = True
+        self.settings = SimpleNamespace(zone="z1", instance="node-1")
+        self.answers = []
+        self.asks = []
+        self.ends = []
+        self.may_try = True
+
+    async def request_place(self, request, _timeout_s):
+        self.asks.append(request)
+        return self.answers.pop(0)
+
+    def release_place(self, row):
+        self.ends.append(row)
+
+    def may_try_alone(self, _key):
+        return self.may_try
+
+
+class TrialAdmissionTest(unittest.IsolatedAsyncioTestCase):
+    """What a gateway does with the leader's decision, and without one."""
+
+    async def asyncSetUp(self):
+        self.fleet = FakeFleet()
+        self.trials = TrialAdmission(self.fleet)
+        self.request = CallerRequest(
+            "r1", "GET", "/x", "h", "/x", CIMultiDict(), b"", "", 4.0, identity=REQUEST
+        )
+
+    def suspect(self, crashes=1):
+        for number in range(crashes):
+            self.fleet.crash_evidence.record_crash(
+                ServerStart(f"d{number}", 1), [REQUEST], boot_time() - 9.0 + number
+            )
+
+    async def admit(self, wait_s=0.0):
+        return await self.trials.admit(self.request, "desk", boot_time() + wait_s)
+
+    async def test_no_message_without_a_suspicion(self):
+        self.assertEqual(await self.admit(), Admission(is_trial=False))
+        self.assertEqual(self.fleet.asks, [])
+
+    async def test_leader_decides(self):
+        self.suspect()
+        self.fleet.answers = [
+            ttypes.EngineAnswer("", 0, "", 0, False, "", "", True),
+            _refusal(Reason.HARMFUL_REQUEST, 12.0, "it crashes servers", False),
+        ]
+        self.assertEqual(await self.admit(), Admission(is_trial=True))
+        self.assertEqual(self.fleet.asks[0].shared_parts, [REQUEST])
+        refusal = await self.admit()
+        self.assertIs(refusal.reason, Reason.HARMFUL_REQUEST)
+        self.assertEqual(refusal.retry_after_s, 12.0)
+
+    async def test_leader_of_the_build_before(self):
+        """It does not know plain services, so the instance decides itself."""
+        self.suspect()
+        old = _refusal(Reason.NO_BACKEND_SERVER, 0.5, UNKNOWN_SERVICE, False)
+        self.fleet.answers = [old, old]
+        self.assertEqual(await self.admit(), Admission(is_trial=False))
+        self.suspect(3)
+        self.assertIs((await self.admit()).reason, Reason.HARMFUL_REQUEST)
+
+    async def test_lost_answer_of_the_leader(self):
+        """A trial that the leader may have granted is given back."""
+        self.suspect()
+        self.fleet.answers = [None]
+        self.fleet.may_try = False
+        self.assertIs((await self.admit()).reason, Reason.OVERLOADED)
+        self.assertEqual(self.fleet.ends[0].outcome, "withheld")
+
+    async def test_another_instance_makes_the_trials(self):
+        self.fleet.has_leader = False
+        self.fleet.may_try = False
+        self.suspect()
+        refusal = await self.admit()
+        self.assertIsInstance(refusal, Refusal)
+        self.assertIs(refusal.reason, Reason.OVERLOADED)
+        self.assertEqual(self.fleet.asks, [])
