Bound the messages and the work for suspects of many crashes

What callers saw: nothing yet. A crash of a full engine suspects 64 requests, so after a loss of power each poll and each reply of the leader would hold up to 1,024 suspects.

Cause: all changes went into one message, a refuted crash was applied to all suspects, and each dropped suspect had a log line.

Change: a message holds at most 64 suspects with a single crash, and the next one goes on from there. Verdicts and repeated crashes are always sent. Only suspects of a refuted crash are considered again, and dropped ones are counted in one line a second.

Evidence: `next_changes` is new, so test_messages_are_bounded cannot run on the code before.

--- a/sequoiafall/crash_evidence.py
+++ b/sequoiafall/crash_evidence.py
@@ -48,6 +48,8 @@
 # Suspects that are kept: a crashed engine with 64 running requests adds 64.
 MAX_SUSPECTS = 1024
 MAX_CRASHES_PER_SUSPECT = 16
+# Suspects with a single crash in one message: those of one full engine.
+MAX_SINGLES_PER_MESSAGE = 64
 # Covers `BEGUN_GRACE_S` and the exchange of evidence at 16,000 requests per second.
 MAX_BEGUN = 32_768
 # Evidence that is too old is looked for at most this often.
@@ -119,6 +121,11 @@
         """Whether the suspect crashes servers, as far as is known."""
         return self.trial_at > 0.0
 
+    @property
+    def is_single(self) -> bool:
+        """Whether it is a suspect with one crash at most."""
+        return not self.is_harmful and len(self.crashes_by_start) <= 1
+
     @property
     def last_crash_at(self) -> float:
         """Time of the latest crash in seconds; minus infinity if there is none."""
@@ -185,6 +192,7 @@
 
     __slots__ = (
         "_begun_at_by_key",
+        "_dropped",
         "_forgotten_at",
         "_is_changed",
         "_rows_by_key",
@@ -198,6 +206,8 @@
         self.revision = 0
         self._is_changed = False
         self._forgotten_at = float("-inf")
+        # Suspects that were dropped since the last log line about it.
+        self._dropped = 0
         # In the order of their last change.
         self._rows_by_key: OrderedDict[str, SuspectEvidence] = OrderedDict()
         self._begun_at_by_key: OrderedDict[str, float] = OrderedDict()
@@ -249,12 +259,18 @@
         if sent_at - crashed_at > RESPONSE_WINDOW_S:
             return
         for row in list(self._rows_by_key.values()):
-            for start, crash in row.crashes_by_start.items():
-                is_recent = 0.0 < sent_at - crash.at <= RESPONSE_WINDOW_S
-                if start.server == server and is_recent and not crash.is_refuted:
-                    crash.is_refuted = True
-                    self._change(row)
-            self._reconsider(row, now)
+            recent = [
+                crash
+                for start, crash in row.crashes_by_start.items()
+                if start.server == server
+                and 0.0 < sent_at - crash.at <= RESPONSE_WINDOW_S
+                and not crash.is_refuted
+            ]
+            for crash in recent:
+                crash.is_refuted = True
+            if recent:
+                self._reconsider(row, now)
+                self._change(row)
         log_event("server_crash_refuted", server=server)
         self._notify()
 
@@ -339,11 +355,29 @@
             rows.append(row)
         return rows[::-1]
 
+    def next_changes(
+        self, revision: int, now: float
+    ) -> tuple[list[SuspectEvidence], int]:
+        """Return changes after a revision for one message, and how far they reach.
+
+        Suspects with several crashes are always sent, those with one in small numbers.
+        """
+        rows = self.since_revision(revision, now)
+        singles = [row for row in rows if row.is_single]
+        if len(singles) <= MAX_SINGLES_PER_MESSAGE:
+            return rows, self.revision
+        reached = singles[MAX_SINGLES_PER_MESSAGE - 1].revision
+        rows = [row for row in rows if row.revision <= reached or not row.is_single]
+        return rows, reached
+
     def forget(self, now: float) -> None:
         """Forget evidence that is too old, at most once per `FORGET_INTERVAL_S`."""
         if now - self._forgotten_at < FORGET_INTERVAL_S:
             return
         self._forgotten_at = now
+        if self._dropped:
+            log_warning("suspects_dropped", count=self._dropped, suspects=MAX_SUSPECTS)
+            self._dropped = 0
         for key, row in list(self._rows_by_key.items()):
             if now > row.expires_at(now):
                 del self._rows_by_key[key]
@@ -369,7 +403,7 @@
         if len(self._rows_by_key) >= MAX_SUSPECTS:
             dropped = self._least_suspected(now)
             del self._rows_by_key[dropped.key]
-            log_warning("suspect_dropped", suspect=dropped.key, suspects=MAX_SUSPECTS)
+            self._dropped += 1
         row = SuspectEvidence(key, begun_at=self._begun_at_by_key.get(key, -1e9))
         self._rows_by_key[key] = row
         # It has not changed yet.
@@ -380,7 +414,7 @@
         """Return the evidence to drop: the oldest with a single crash, if any."""
         # Usually the first row, so that a flood of suspects costs little.
         for row in self._rows_by_key.values():
-            if not row.is_harmful and len(row.crashes_by_start) <= 1:
+            if row.is_single:
                 return row
         return min(
             self._rows_by_key.values(),
--- a/sequoiafall/evidence_exchange.py
+++ b/sequoiafall/evidence_exchange.py
@@ -118,6 +118,12 @@
             for row in self.evidence.since_revision(revision or 0, now)
         ]
 
+    def next_changes(self, revision: int | None) -> tuple[list[Any], int]:
+        """Return evidence for one message, and the revision that it reaches."""
+        now = boot_time()
+        rows, reached = self.evidence.next_changes(revision or 0, now)
+        return [_to_wire(row, now) for row in rows], reached
+
     def apply(self, rows: Iterable[Any] | None) -> None:
         """Apply evidence that another instance sent."""
         if not rows:
@@ -152,15 +158,16 @@
                 await asyncio.sleep(STORE_RETRY_S)
 
     async def _push(self) -> None:
-        revision = self.evidence.revision
-        evidence = self.since_revision(self._pushed_revision)
+        evidence, reached = self.next_changes(self._pushed_revision)
         if not evidence:
             return
         notice = ttypes.EvidenceNotice(evidence=evidence)
         await asyncio.gather(
             *(self._push_to(address, notice) for address in self._addresses())
         )
-        self._pushed_revision = revision
+        self._pushed_revision = reached
+        if reached < self.evidence.revision:
+            self._wake.set()
 
     async def _push_to(self, address: str, notice: Any) -> None:
         client = WireClient(address, self._secret)
--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -64,7 +64,7 @@
 # The leader does the most work, so smaller instances delay their candidacy by up
 # to three election steps in favour of larger ones.
 SMALL_INSTANCE_DELAY_S = 3.0 * ELECTION_INTERVAL_S
-# A candidate waits this long for the stored harmful parts of prompts before it leads.
+# A candidate waits this long for the stored harmful suspects before it leads.
 LOAD_EVIDENCE_S = 0.1
 # A leader releases the lease when an instance that is larger by this factor has
 # been a member for this long. It then pauses its own candidacy.
@@ -283,15 +283,15 @@
         if self.duties is not None:
             self.duties.on_evidence_changed()
 
-    def may_try_alone(self, part: str) -> bool:
-        """Whether this instance may try a suspected prompt part without a leader.
+    def may_try_alone(self, key: str) -> bool:
+        """Whether this instance may try a suspect without a leader.
 
         All instances that know the same members choose the same one of them.
         """
         own = self.settings.instance
         names = {own, *(row.instance for row in self.members)}
         digest = xxhash.xxh64_intdigest
-        first = max(names, key=lambda name: digest(f"{part} {name}".encode()))
+        first = max(names, key=lambda name: digest(f"{key} {name}".encode()))
         return first == own
 
     def record_token_use(self, organisation: str, tokens: int) -> None:
@@ -381,6 +381,9 @@
                 poll.newest_by_table or {},
             )
             rows = [row for row in rows if known.get(row.table) != own[row.table]]
+        evidence, evidence_revision = self.evidence_exchange.next_changes(
+            poll.evidence_revision
+        )
         return ttypes.FleetPollReply(
             leads=True,
             term=duties.term,
@@ -397,8 +400,8 @@
             left_revision=self.registry.left_revision,
             limits=self.notice_exchange.limits_since(poll.limits_revision),
             limits_revision=self.server_limits.revision,
-            evidence=self.evidence_exchange.since_revision(poll.evidence_revision),
-            evidence_revision=self.crash_evidence.revision,
+            evidence=evidence,
+            evidence_revision=evidence_revision,
         )
 
     async def _follow_announced(self, address: str) -> None:
@@ -525,6 +528,9 @@
             link.newest_by_table,
             [self._decoder.configuration_table, self._decoder.backend_table],
         )
+        evidence, evidence_revision_sent = self.evidence_exchange.next_changes(
+            link.evidence_revision_sent
+        )
         poll = ttypes.FleetPoll(
             member=self._member(),
             term=link.term,
@@ -546,11 +552,10 @@
             left_revision=link.left_revision,
             limits=self.notice_exchange.limits_since(link.limits_revision_sent),
             limits_revision=link.limits_revision,
-            evidence=self.evidence_exchange.since_revision(link.evidence_revision_sent),
+            evidence=evidence,
             evidence_revision=link.evidence_revision,
         )
         left_revision_sent = self.registry.left_revision
-        evidence_revision_sent = self.crash_evidence.revision
         limits_revision_sent = self.server_limits.revision
         result = await client.call(poll, POLL_TIMEOUT_S)
         if isinstance(result, Failure):
--- a/sequoiafall/wire/sequoiafall.thrift
+++ b/sequoiafall/wire/sequoiafall.thrift
@@ -331,7 +331,7 @@
 // `revision` the leader's revision of the rows that the member has.
 // `held` and `recent_tokens` are sent with the first poll of a term. A new leader
 // sends one with `announces` to make itself known.
-// Crash of one start of a server while it ran requests with a part of a prompt.
+// Crash of one start of a server while it ran requests with a suspect.
 struct PartCrash {
   1: string server
   2: i64 born
@@ -339,10 +339,11 @@
   4: bool refuted
 }
 
+// Evidence on a suspect: a part of prompts or the identity of a request, in `part`.
 struct PartEvidence {
   1: string part
   2: list<PartCrash> crashes
-  // Since a response to a prompt with the part last began; -1 if none is known.
+  // Since a response to a request with the suspect last began; -1 if none is known.
   3: i32 begun_age_ms
   // Until a request may be tried, negative after it; absent if it is not harmful.
   4: optional i32 trial_in_ms
@@ -367,7 +368,7 @@
   // Those that changed since the sender's last poll.
   14: list<ServerLimit> limits
   15: i64 limits_revision
-  // Evidence on parts of prompts that changed since the sender's last poll.
+  // Evidence on suspects that changed since the sender's last poll.
   16: list<PartEvidence> evidence
   17: i64 evidence_revision
 }
@@ -414,7 +415,8 @@
   14: bool charged
   15: i64 term
   16: string instance
-  // Parts of the prompt that other requests may share.
+  // Suspects: the identity of the request, and the parts of its prompt that other
+  // requests may share. For a plain service, which `pool` names, only the identity.
   17: list<string> shared_parts
 }
 
@@ -458,7 +460,7 @@
   4: string outcome
   // Whether a response has begun, as opposed to the end of the place.
   5: bool has_begun
-  // Whether the server crashed before that; then also its start and the parts.
+  // Whether the server crashed before that; then also its start and the suspects.
   6: bool has_crashed
   7: i64 born
   8: list<string> shared_parts
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -16,6 +16,7 @@
     MAX_CRASHES_PER_SUSPECT,
     MAX_FAILED_TRIALS,
     MAX_QUARANTINE_S,
+    MAX_SINGLES_PER_MESSAGE,
     MAX_SUSPECTS,
     QUARANTINE_S,
     QUARANTINE_TTL_S,
@@ -174,6 +175,25 @@
         self.assertTrue(evidence.suspect("harmful", now).is_harmful)
         self.assertEqual(evidence.suspect("repeated", now).events(now), 2)
 
+    def test_messages_are_bounded(self):
+        """A verdict does not wait behind a flood of single crashes."""
+        evidence = CrashEvidence()
+        for number in range(5 * MAX_SINGLES_PER_MESSAGE):
+            crash(evidence, [f"s{number}"], 0.0, first=number)
+        crash(evidence, ["harmful"], 0.0, 0.5, 1.0)
+        rows, revision = evidence.next_changes(0, NOW + 1.0)
+        self.assertIn("harmful", {row.key for row in rows})
+        messages = [rows]
+        while revision < evidence.revision:
+            rows, revision = evidence.next_changes(revision, NOW + 1.0)
+            messages.append(rows)
+        self.assertEqual(len(messages), 5)
+        for rows in messages:
+            singles = [row for row in rows if row.is_single]
+            self.assertLessEqual(len(singles), MAX_SINGLES_PER_MESSAGE)
+        keys = {row.key for rows in messages for row in rows}
+        self.assertEqual(len(keys), 5 * MAX_SINGLES_PER_MESSAGE + 1)
+
     def test_changes_are_in_order(self):
         """A row that changed again is sent again, and others are not."""
         evidence = CrashEvidence()
