Let the instance of a suspected part try requests without a leader

What callers saw: without a leader, a sound request that a crash had cut could wait for ever, if its identity and a part of its prompt were both suspected.

Cause: an instance makes a trial only if all suspects of the request belong to it, by hash. An identity and a part usually belong to different instances.

Evidence: test_trial_of_a_request_with_a_suspected_part failed before: "<Verdict.WAIT: 'wait'> is not <Verdict.TRIAL: 'trial'>".

Change: if parts are suspected, they alone decide which instance makes the trial.

Result: test_trial_queue passes (10 tests).

--- a/sequoiafall/trial_admission.py
+++ b/sequoiafall/trial_admission.py
@@ -17,6 +17,7 @@
 from .log import log_event
 from .prompt_quarantine import PromptQuarantine, Verdict
 from .refusal import Reason, Refusal
+from .request_identity import is_identity
 from .serving_ports import CallerRequest
 from .trial_queue import UNKNOWN_SERVICE
 from .wire.gen import ttypes
@@ -86,7 +87,10 @@
             return verdict
         evidence = self._fleet.crash_evidence
         suspects = [key for key in keys if evidence.suspect(key, now) is not None]
-        if all(self._fleet.may_try_alone(key) for key in suspects):
+        # Requests that share a part are tried by the same instance. If their identities
+        # counted as well, often no instance could try them.
+        parts = [key for key in suspects if not is_identity(key)]
+        if all(self._fleet.may_try_alone(key) for key in parts or suspects):
             return verdict
         return Verdict.WAIT
 
--- a/tests/test_trial_queue.py
+++ b/tests/test_trial_queue.py
@@ -9,7 +9,7 @@
 from sequoiafall.boot_clock import boot_time
 from sequoiafall.crash_evidence import CrashEvidence, ServerStart
 from sequoiafall.fleet_leader import _refusal
-from sequoiafall.prompt_quarantine import PromptQuarantine
+from sequoiafall.prompt_quarantine import PromptQuarantine, Verdict
 from sequoiafall.refusal import Reason, Refusal
 from sequoiafall.serving_ports import CallerRequest
 from sequoiafall.trial_admission import Admission, TrialAdmission
@@ -169,6 +169,16 @@
         self.assertIs((await self.admit()).reason, Reason.OVERLOADED)
         self.assertEqual(self.fleet.ends[0].outcome, "withheld")
 
+    async def test_trial_of_a_request_with_a_suspected_part(self):
+        """Its part and its identity may belong to different instances."""
+        keys = [REQUEST, "p"]
+        start = ServerStart("d1", 1)
+        self.fleet.crash_evidence.record_crash(start, keys, boot_time() - 9.0)
+        self.fleet.may_try_alone = lambda key: key == "p"
+        self.assertIs(self.trials.decide_alone("r1", keys), Verdict.TRIAL)
+        self.fleet.may_try_alone = lambda key: key == REQUEST
+        self.assertIs(self.trials.decide_alone("r1", keys), Verdict.WAIT)
+
     async def test_another_instance_makes_the_trials(self):
         self.fleet.has_leader = False
         self.fleet.may_try = False
