Charge a plain call only if it may run

What callers saw: a request to a plain service that was refused because it crashes servers was charged to its organisation, up to the limit for its sound requests.

Cause: the tokens were charged before the request was admitted.

Evidence: RefusalTest.test_refusal_0_plain_service failed before: "200.0 != 0".

Change: the rate is checked before the first send, after the admission. A request that is refused because all servers asked for a pause costs nothing either.

--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -448,9 +448,6 @@
                 return final
 
     async def _serve_plain(self, exchange: Exchange) -> web.StreamResponse:
-        refused = await self._check_rate_limit(exchange)
-        if refused is not None:
-            return self._finish_refusal(exchange, refused)
         while True:
             entries = self._fleet.registry.active_servers(exchange.service)
             pause_s = self._fleet.notices.shortest_pause_s(entries)
@@ -481,6 +478,11 @@
             return admission
         server, run = "", RunEnd("withheld")
         try:
+            if exchange.sends == 0:
+                # A request that is refused because it crashes servers costs no tokens.
+                refused = await self._check_rate_limit(exchange)
+                if refused is not None:
+                    return refused
             entries = self._fleet.registry.active_servers(exchange.service)
             choice = await self._choose_plain(
                 exchange, self._fleet.notices.usable(entries)
--- a/tests/test_harmful_requests.py
+++ b/tests/test_harmful_requests.py
@@ -1,11 +1,12 @@
 """Tests of fleets whose servers crash on one whole request that comes again."""
 
 import asyncio
+import json
 
 from parameterized import parameterized
 
 from sequoiafall.boot_clock import boot_time
-from sequoiafall.crash_evidence import ServerStart
+from sequoiafall.crash_evidence import QUARANTINE_S, ServerStart
 from sequoiafall.platform import names
 from sequoiafall.prompt_quarantine import HOLD_S
 from sequoiafall.request_identity import request_identity
@@ -247,3 +248,30 @@
         await asyncio.gather(*calls)
         self.assertEqual(self.suspected(), 1)
         self.assertEqual(self.evidence.harmful_suspects(), [])
+
+
+class RefusalTest(PlatformCase):
+    """What the caller of a harmful request gets."""
+
+    @parameterized.expand([("plain service", "/order/x"), ("engine", "/draft/x")])
+    async def test_refusal(self, _name, path):
+        """It is refused at once and costs no tokens; others are served."""
+        await self.start_fleet(1)
+        node = self.nodes[0]
+        evidence = node.fleet.crash_evidence
+        identity = request_identity("org-1", "POST", "shop.example", path, b"body")
+        now = boot_time()
+        for number in range(3):
+            start = ServerStart(f"gone-{number}", 1)
+            evidence.record_crash(start, [identity], now - 3.0 + number)
+        self.assertEqual(len(evidence.harmful_suspects()), 1)
+        status, body, headers = await self.call(node, path)
+        self.assertEqual(status, 503)
+        error = json.loads(body)["error"]
+        self.assertEqual(error["reason"], "harmful_request")
+        self.assertEqual(error["ran"], "not run")
+        self.assertIn(identity, error["detail"])
+        self.assertGreater(float(headers["Retry-After"]), QUARANTINE_S / 2.0)
+        self.assertEqual(sum(node.fleet.recent_use.sums(boot_time()).values()), 0)
+        status, _, _ = await self.call(node, path, body=b"another body")
+        self.assertEqual(status, 200)
