Keep requests sound that share an identity, and count lost trials

What callers saw: requests that differ in their prompt only, which the body need not hold, have the same identity. If a part of one of them crashed two engines, the others were held for 4 s, and after the third crash refused while one was tried. A harmful request whose gateway was lost during its trial was tried once more.

Cause: only another request, not a part, could explain the crashes of an identity; and the place of a lost gateway ended its trial like a response. Trials whose ends were lost were kept until the same suspect came again.

Evidence, on the code before: test_requests_with_the_same_identity "<Verdict.WAIT: 'wait'> is not <Verdict.TRIAL: 'trial'>", test_trial_of_a_gateway_that_is_lost "0 != 1", test_trials_whose_ends_are_lost_are_dropped "3072 not less than or equal to 1025".

Change: a part that a request lacks can explain the crashes of its identity. A place that is released without a known end counts as a failed trial. Expired trials are dropped when as many are kept as suspects.

Result: test_prompt_quarantine and test_engine_planner pass.

--- a/sequoiafall/crash_evidence.py
+++ b/sequoiafall/crash_evidence.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field
 
 from .log import log_event, log_warning
+from .request_identity import is_identity
 
 # Crashes within this time of each other count as one event: a loss of power ends
 # many servers at once, whatever they run.
@@ -341,6 +342,10 @@
         """Return the evidence of the suspects that count as harmful."""
         return [row for row in self._rows_by_key.values() if row.is_harmful]
 
+    def suspected_parts(self) -> list[SuspectEvidence]:
+        """Return the evidence on parts of prompts, as opposed to whole requests."""
+        return [row for row in self._rows_by_key.values() if not is_identity(row.key)]
+
     def suspected_count(self, now: float) -> int:
         """Return the number of suspects with a crash that nothing has cleared."""
         return sum(1 for row in self._rows_by_key.values() if row.crashed_starts(now))
--- a/sequoiafall/engine_planner.py
+++ b/sequoiafall/engine_planner.py
@@ -721,7 +721,8 @@
         placed = self._placed_by_id.pop(request_id, None)
         if placed is None:
             return None
-        self._quarantine.end_trial(request_id)
+        # Without a known end, a server may have run it.
+        self._quarantine.fail_trial(request_id, now)
         engine = self.pool.engines_by_name.get(placed.server)
         if engine is None:
             return placed
--- a/sequoiafall/prompt_quarantine.py
+++ b/sequoiafall/prompt_quarantine.py
@@ -12,7 +12,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from .crash_evidence import CrashEvidence, SuspectEvidence
+from .crash_evidence import MAX_SUSPECTS, CrashEvidence, SuspectEvidence
 from .refusal import Reason, Refusal
 from .request_identity import is_identity
 
@@ -73,12 +73,22 @@
             self._evidence.record_ask(row.key, now)
             if is_tried or not self._is_due(row, keys, now):
                 return Verdict.REFUSE
-        is_held = self._hold_left_s(suspects, now) > 0.0
+        is_held = self.hold_left_s(keys, now) > 0.0
         return Verdict.WAIT if is_tried or is_held else Verdict.TRIAL
 
     def hold_left_s(self, keys: Sequence[str], now: float) -> float:
         """Return the seconds until a suspected request may be tried."""
-        return self._hold_left_s(self._suspects(keys, now), now)
+        # A part of prompts is not held back: other requests that have it may be sound.
+        # Nor is a request if a part that it lacks explains all its crashes.
+        left_s = (
+            row.last_crash_at + HOLD_S - now
+            for row in self._suspects(keys, now)
+            if is_identity(row.key)
+            and not row.is_harmful
+            and row.events(now) >= HOLD_EVENTS
+            and not self._is_due_to_part(row, keys, now)
+        )
+        return max(0.0, max(left_s, default=0.0))
 
     def refusal(self, keys: Sequence[str], now: float, min_retry_s: float) -> Refusal:
         """Return the refusal of a request with a harmful suspect."""
@@ -106,6 +116,8 @@
         suspects = self._suspects(keys, now)
         if not suspects:
             return False
+        if len(self._trials_by_key) >= MAX_SUSPECTS:
+            self._drop_lost_trials(now)
         for row in suspects:
             trial = _Trial(request_id, now + TRIAL_TTL_S, row.failed_trials)
             self._trials_by_key[row.key] = trial
@@ -134,6 +146,11 @@
             if trial is not None and trial.request_id == request_id:
                 del self._trials_by_key[key]
 
+    def _drop_lost_trials(self, now: float) -> None:
+        for trial in list(self._trials_by_key.values()):
+            if now >= trial.expires_at:
+                self.fail_trial(trial.request_id, now)
+
     def _count_failure(self, key: str, trial: _Trial, now: float) -> None:
         """Count a failed trial of a harmful suspect, unless its crash was counted."""
         row = self._evidence.suspect(key, now)
@@ -144,17 +161,6 @@
         rows = (self._evidence.suspect(key, now) for key in keys)
         return [row for row in rows if row is not None]
 
-    def _hold_left_s(self, suspects: Sequence[SuspectEvidence], now: float) -> float:
-        # A part of prompts is not held back: other requests that have it may be sound.
-        left_s = (
-            row.last_crash_at + HOLD_S - now
-            for row in suspects
-            if is_identity(row.key)
-            and not row.is_harmful
-            and row.events(now) >= HOLD_EVENTS
-        )
-        return max(0.0, max(left_s, default=0.0))
-
     def _is_tried(self, key: str, request_id: str, now: float) -> bool:
         trial = self._trials_by_key.get(key)
         if trial is None:
@@ -183,17 +189,31 @@
     def _is_explained(
         self, row: SuspectEvidence, keys: Sequence[str], now: float
     ) -> bool:
-        """Whether another harmful request explains all crashes of a suspect.
+        """Whether something harmful that a request lacks explains all its crashes.
 
-        Requests with the suspect then run one at a time until one responds. One whose
-        server is crashed by the other request, or that shares a part with it, is sound.
+        Requests with the suspect then run one at a time until one responds. They may be
+        sound, and have shared a part or a server with the harmful request. Of two parts
+        that crash together, neither explains the other.
         """
         if row.failed_trials:
             return False
         starts = row.crashed_starts(now)
         return bool(starts) and any(
-            is_identity(other.key)
+            (is_identity(row.key) or is_identity(other.key))
             and other.key not in keys
             and other.crashed_starts(now) >= starts
             for other in self._evidence.harmful_suspects()
         )
+
+    def _is_due_to_part(
+        self, row: SuspectEvidence, keys: Sequence[str], now: float
+    ) -> bool:
+        """Whether a part that a request lacks explains all its crashes.
+
+        Requests whose prompts are not in their bodies may have the same identity.
+        """
+        starts = row.crashed_starts(now)
+        return any(
+            other.key not in keys and other.crashed_starts(now) >= starts
+            for other in self._evidence.suspected_parts()
+        )
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -487,6 +487,31 @@
             self.quarantine.end_run(f"r{time_s}", "broken", NOW + time_s + 0.3)
         self.assertEqual(sends, 3)
 
+    def test_requests_with_the_same_identity(self):
+        """Requests may differ in their prompt only, which the body need not hold."""
+        crash(self.evidence, [REQUEST, "p"], 0.0, 0.5)
+        self.assertIs(self.decide("r1", [REQUEST, "p"], 0.6), Verdict.WAIT)
+        self.assertIs(self.decide("r2", [REQUEST, "q"], 0.6), Verdict.TRIAL)
+        crash(self.evidence, [REQUEST, "p"], 1.0, first=7)
+        self.assertIs(self.decide("r1", [REQUEST, "p"], 1.1), Verdict.REFUSE)
+        self.assertIs(self.decide("r2", [REQUEST, "q"], 1.1), Verdict.TRIAL)
+        self.quarantine.begin_trial("r2", [REQUEST, "q"], NOW + 1.1)
+        self.assertIs(self.decide("r3", [REQUEST, "q"], 1.2), Verdict.WAIT)
+        self.evidence.record_begun([REQUEST, "q"], NOW + 1.3)
+        self.quarantine.end_run("r2", "ok", NOW + 1.3)
+        self.assertIs(self.decide("r3", [REQUEST, "q"], 1.4), Verdict.PASS)
+        self.assertIs(self.decide("r1", [REQUEST, "p"], 1.4), Verdict.REFUSE)
+
+    def test_trials_whose_ends_are_lost_are_dropped(self):
+        """Trials of requests that nobody sends again need no memory for ever."""
+        for number in range(3 * MAX_SUSPECTS):
+            key = f"request:{number}"
+            time_s = 0.1 * number
+            crash(self.evidence, [key], time_s, first=number)
+            self.quarantine.begin_trial(f"r{number}", [key], NOW + time_s)
+        self.assertLessEqual(len(self.quarantine._trials_by_key), MAX_SUSPECTS + 1)
+        self.assertLessEqual(len(self.quarantine._keys_by_request), MAX_SUSPECTS + 1)
+
     def test_sends_after_servers_crash_at_once(self):
         """Sends between the third crash and the verdict count as well."""
         crash(self.evidence, [REQUEST], 0.0, 0.02, 0.05)
@@ -588,6 +613,24 @@
         driver.run(0.01)
         self.assertIn("r2", driver.granted)
 
+    def test_trial_of_a_gateway_that_is_lost(self):
+        """It may have reached an engine, so it counts as a failed trial."""
+        driver = Driver(engines=3)
+        for number in range(3):
+            driver.now += 0.3
+            start = ServerStart("e0", number)
+            driver.evidence.record_crash(start, ("p",), driver.now)
+        driver.now += QUARANTINE_S
+        driver.report_all()
+        self.ask(driver, "r1", "p")
+        self.assertTrue(driver.granted["r1"].is_trial)
+        driver.now += 3.0
+        gateway = driver.planner._placed_by_id["r1"].request.gateway
+        driver.apply(driver.planner.release_gateway(gateway, frozenset(), driver.now))
+        self.assertEqual(driver.evidence.suspect("p", driver.now).failed_trials, 1)
+        self.ask(driver, "r2", "p")
+        self.assertIs(driver.refused["r2"].reason, Reason.HARMFUL_PROMPT)
+
     def test_waiting_for_a_trial_ends_in_time(self):
         driver = Driver(engines=3)
         driver.evidence.record_crash(ServerStart("e0", 1), ("p",), driver.now)
