Merge the evidence on whole requests

A place that is granted for a move and not used ends as `unused`, not as `cancelled`: the request goes on at its first place, so its trial has not failed. A place that ends while the request holds another one ends no trial.

--- a/sequoiafall/engine_planner.py
+++ b/sequoiafall/engine_planner.py
@@ -285,14 +285,18 @@
             The request.
         outcome : str
             ``ok``, ``cancelled``, ``withheld``, ``busy``, ``not_run``, ``failed``,
-            ``broken``, ``moved`` or ``unreachable``.
+            ``broken``, ``moved``, ``unused`` or ``unreachable``.
         now : float
             Time in seconds.
         server : str, default=""
             Engine of the place; empty for all places of the request.
         """
         held = self._places_by_id.get(request_id, {})
+        if server and held and server not in held:
+            return []
         servers = [server] if server else list(held)
+        if not held.keys() - set(servers):
+            self._quarantine.end_run(request_id, outcome, now)
         released = [self._release(request_id, name, now) for name in servers]
         for placed in released:
             engine = self.pool.engines_by_name.get(placed.server) if placed else None
@@ -301,7 +305,7 @@
         return self._on_change(now) if any(released) else []
 
     def shared_parts(self, request_id: str, server: str) -> tuple[str, ...]:
-        """Return the shared prompt parts of a request with a place at an engine."""
+        """Return the suspects of a request with a place at an engine."""
         placed = self._places_by_id.get(request_id, {}).get(server)
         return placed.request.shared_parts if placed is not None else ()
 
@@ -617,11 +621,11 @@
         return self._quarantine.decide(request.request_id, request.shared_parts, now)
 
     def _refuse_harmful(self, waiting: _Waiting, now: float) -> RefusePlace:
-        refusal = self._refuse(
-            waiting, Reason.HARMFUL_PROMPT, now, "a part of the prompt crashes engines"
+        harmful = self._quarantine.refusal(
+            waiting.request.shared_parts, now, MIN_RETRY_AFTER_S
         )
-        left_s = self._quarantine.retry_after_s(waiting.request.shared_parts, now)
-        return replace(refusal, retry_after_s=max(MIN_RETRY_AFTER_S, left_s))
+        refusal = self._refuse(waiting, harmful.reason, now, harmful.detail)
+        return replace(refusal, retry_after_s=harmful.retry_after_s)
 
     def _drop(self, waiting: _Waiting) -> None:
         """Remove a request from the queue, with its claim to an adapter slot."""
@@ -741,7 +745,8 @@
             return None
         if not places:
             del self._places_by_id[request_id]
-            self._quarantine.end_trial(request_id)
+            # Without a known end, a server may have run it.
+            self._quarantine.fail_trial(request_id, now)
         engine = self.pool.engines_by_name.get(placed.server)
         if engine is None:
             return placed
--- a/sequoiafall/refusal.py
+++ b/sequoiafall/refusal.py
@@ -35,6 +35,7 @@
     DRAINING = "draining"
     HARMFUL_PROMPT = "harmful_prompt"
     INTERNAL_ERROR = "internal_error"
+    HARMFUL_REQUEST = "harmful_request"
 
 
 _STATUS_BY_REASON = {
--- a/sequoiafall/stream_move.py
+++ b/sequoiafall/stream_move.py
@@ -12,11 +12,12 @@
 
 from .boot_clock import boot_time
 from .log import log_event, log_warning
-from .place_source import GatewayPlace, PendingPlacement, PlaceSource, RunEnd
+from .place_source import GatewayPlace, PendingPlacement, PlaceSource
 from .refusal import Reason, Refusal
 from .retry import RetryBudget, back_off_s
 from .server_notices import ServerNotices
 from .stall_timeout import FIRST_EVENT_TIMEOUT_S, LOOK_AGAIN_S, StallClock
+from .trial_admission import RunEnd
 
 # Longest delay before the next look for a server of a stream that has none. It
 # bounds the requests to the leader when all engines of a service are gone.
@@ -260,7 +261,7 @@
 
     def _release_found(self) -> None:
         if self._found is not None:
-            self._places.end(self._pending, self._found, RunEnd("cancelled"))
+            self._places.end(self._pending, self._found, RunEnd("unused"))
             self._found = None
 
     def _log_refusal(self, refusal: Refusal) -> None:
