Play silences, deadly requests and configuration changes in the soak

Each seed now has backend servers that are silent for 0.8 to 1.5 s, whole requests that crash engines and plain servers and come again at all nodes, and changes of the configuration while requests are under way. The servers of two further services and requests to four further routes are added for them. New checks judge requests that end without a complete response, arrivals of deadly requests, refusals of sound ones, and the counters of a node if it has them. Numbers of nodes and servers and the time with faults are options.

The new faults and requests draw from random generators of their own, so the former faults of a seed are chosen as before. Two things differ: harmful parts of prompts also crash the engines of the further service, and a crash ends the limit that a server names, as a restart does.

--- /dev/null
+++ b/soak/calls.py
@@ -0,0 +1,112 @@
+"""Requests of callers and what the callers get."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, field
+
+import aiohttp
+import msgspec
+
+from sequoiafall.platform import names
+
+from .configuration import HOST, REQUEST_DEADLINE_S
+
+
+@dataclass(slots=True)
+class Call:
+    """One request of a caller.
+
+    Parameters
+    ----------
+    request_id : str
+        Identifier of this attempt.
+    node : int
+        Number of the node that gets it.
+    route, organisation, key : str
+        Route, and the caller's organisation and key.
+    target : str
+        Path with query.
+    method : str
+        HTTP method.
+    body : bytes, default=b""
+        Body of the request.
+    headers : dict of str to str
+        Further headers.
+    is_sound : bool, default=True
+        Whether it crashes no server.
+    sent_at, ended_at : float
+        Monotonic times in seconds.
+    status : int
+        Status of the response, 0 without one.
+    received : bytes
+        Body of the response as far as it came.
+    error : str
+        Name of the error that ended the call; empty after a complete response.
+    was_sent : bool
+        Whether a connection to the node was made.
+    """
+
+    request_id: str
+    node: int
+    route: str
+    organisation: str
+    key: str
+    target: str
+    method: str
+    body: bytes = b""
+    headers: dict[str, str] = field(default_factory=dict)
+    is_sound: bool = True
+    sent_at: float = 0.0
+    ended_at: float = 0.0
+    status: int = 0
+    received: bytes = b""
+    error: str = ""
+    was_sent: bool = True
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the caller has got a complete response."""
+        return self.status > 0 and not self.error
+
+    @property
+    def shared_parts(self) -> str:
+        """Parts of the prompt without the last, which belongs to it alone."""
+        return self.headers.get(names.PROMPT_PARTS, "").rpartition(",")[0]
+
+    @property
+    def refusal_reason(self) -> str:
+        """Reason of a refusal; empty if it is none."""
+        if self.status < 400:
+            return ""
+        try:
+            return str(msgspec.json.decode(self.received)["error"]["reason"])
+        except (msgspec.DecodeError, KeyError, TypeError):
+            return ""
+
+    async def send(self, session: aiohttp.ClientSession, address: str) -> None:
+        """Send the request to a node and record its end."""
+        headers = {
+            names.REQUEST_ID: self.request_id,
+            names.DEADLINE_MS: str(int(REQUEST_DEADLINE_S * 1e3)),
+            "Host": HOST,
+            "Authorization": f"Bearer {self.key}",
+            **self.headers,
+        }
+        self.sent_at = time.monotonic()
+        try:
+            async with session.request(
+                self.method,
+                f"http://{address}{self.target}",
+                headers=headers,
+                data=self.body if self.method == "POST" else None,
+            ) as response:
+                self.status = response.status
+                async for chunk in response.content.iter_any():
+                    self.received += chunk
+        except aiohttp.ClientConnectorError as error:
+            self.was_sent = False
+            self.error = type(error).__name__
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            self.error = type(error).__name__
+        self.ended_at = time.monotonic()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,11 +7,11 @@
 import time
 from typing import TYPE_CHECKING
 
-from sequoiafall.standins.adapter_engine import AdapterEngine
-
 from .relay import FaultyRelay
 
 if TYPE_CHECKING:
+    from sequoiafall.standins.adapter_engine import AdapterEngine
+
     from .run import Soak
 
 # Lower seeds inject no peer link faults and settings changes. Adding these to the
@@ -95,6 +95,7 @@
         if process.returncode is not None or number in self._soak.paused:
             return
         self._soak.disturb(number)
+        self._soak.endings.record_kill(number)
         process.kill()
         await process.wait()
         await asyncio.sleep(self._soak.random.uniform(0.0, 1.0))
@@ -108,6 +109,7 @@
         if process.returncode is not None or number in self._soak.paused:
             return
         self._soak.disturb(number)
+        self._soak.endings.record_stop(number)
         process.send_signal(signal.SIGTERM)
         await process.wait()
         self._soak.disturb(number)
@@ -122,6 +124,7 @@
             return
         self._soak.paused.add(number)
         self._soak.disturb(number)
+        self._soak.endings.note(f"pause of node-{number}")
         process.send_signal(signal.SIGSTOP)
         await asyncio.sleep(self._soak.random.uniform(0.5, 4.0))
         if process.returncode is None:
@@ -163,20 +166,26 @@
         """Disrupt the connections to one backend server."""
         engine = self._soak.random.choice(self._soak.engines)
         self._soak.limits.lift(engine.name)
-        await self._disrupt(self._soak.relays[engine.name])
+        await self._disrupt(self._soak.relays[engine.name], engine)
         self._soak.limits.lift(engine.name)
 
-    async def _disrupt(self, relay: FaultyRelay) -> None:
+    async def _disrupt(
+        self, relay: FaultyRelay, server: AdapterEngine | None = None
+    ) -> None:
         kinds = ("delay", "up", "down", "both", "refuse", "reset")
         kind = self._soak.random.choice(kinds)
         relay.delay_s = 0.3 if kind == "delay" else 0.0
         relay.drops_up = kind in ("up", "both")
         relay.drops_down = kind in ("down", "both")
         relay.refuses = kind == "refuse"
+        if server is not None and kind != "delay":
+            self._soak.endings.begin_loss(server.name, bool(server.model))
         if kind == "reset":
             relay.reset()
         await asyncio.sleep(self._soak.random.uniform(0.3, 3.0))
         relay.clear_faults()
+        if server is not None:
+            self._soak.endings.end_loss(server.name)
 
     async def disrupt_store(self) -> None:
         """Make the store unavailable, slow or lossy for all nodes, or compact it."""
@@ -210,7 +219,8 @@
         soak.store.rejected_peers = set()
         await asyncio.sleep(soak.random.uniform(0.0, 1.0))
         soak.write_configuration(includes_withdrawn_key=not soak.key_withdrawn_at)
-        for engine in soak.engines:
+        soak.configuration.write_versions(soak.store)
+        for engine in soak.all_engines:
             soak.register_engine(engine)
         soak.disturb(0)
 
@@ -218,7 +228,7 @@
         """Restart an engine under the same name, with nothing loaded."""
         engine = self._soak.random.choice(self._soak.engines)
         if engine.model:
-            self._end_limit(engine)
+            self._soak.end_limit(engine)
             engine.restart()
             self._soak.register_engine(engine)
 
@@ -230,7 +240,7 @@
         engine.is_leaving = True
         await asyncio.sleep(self._soak.random.uniform(0.3, 3.0))
         engine.is_leaving = False
-        self._end_limit(engine)
+        self._soak.end_limit(engine)
         engine.restart()
         self._soak.register_engine(engine)
 
@@ -255,20 +265,15 @@
             self._soak.limits.name(engine.name, rate_per_s)
         await asyncio.sleep(self._soak.random.uniform(4.0, 9.0))
         for engine in self._soak.engines:
-            self._end_limit(engine)
-
-    def _end_limit(self, engine: AdapterEngine) -> None:
-        """End a server's limit, as a restart does."""
-        engine.limit_per_s = -1.0
-        self._soak.limits.lift(engine.name)
+            self._soak.end_limit(engine)
 
     async def send_harmful_prompts(self) -> None:
         """Give a share of the prompts a part that crashes engines."""
         soak = self._soak
         if soak.prompts.harmful_part:
             return
-        part = f"harmful-{len(soak.prompts.crashed_at_by_part)}"
-        for engine in soak.engines:
+        part = f"harmful-{len(soak.prompts.crashed_at_by_cause)}"
+        for engine in soak.all_engines:
             if engine.model:
                 engine.crashing_parts.add(part)
         soak.prompts.harmful_part = part
--- a/soak/run.py
+++ b/soak/run.py
@@ -15,10 +15,9 @@
 import sys
 import tempfile
 import time
-from collections import Counter, defaultdict
-from collections.abc import Callable
+from collections import Counter
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated
 
 import aiohttp
 import typer
@@ -28,16 +27,34 @@
 from sequoiafall.standins.adapter_engine import AdapterEngine
 from sequoiafall.standins.row_server import RowServer
 
+from .calls import Call
+from .configuration import (
+    ENGINE_SERVICES,
+    KEYS_BY_ORGANISATION,
+    PLAIN_SERVICES,
+    REQUEST_DEADLINE_S,
+    SINGLE_RUN_ROUTES,
+    STREAM_ROUTES,
+    WITHDRAWN_KEY,
+    Configuration,
+)
+from .deadly_requests import DeadlyRequests
+from .endings import EndingCheck
 from .faults import FaultInjector
+from .further_faults import FurtherFaults
 from .limits import LimitCheck
 from .prompts import PromptCheck
 from .relay import FaultyRelay
+from .request_counters import uncounted_requests
+from .servers import RecordingEngine, ServerObserver
+from .sound_requests import SoundRequestCheck
 
 ROOT = Path(__file__).resolve().parent.parent
 PEER_SECRET = "secret of the soak's nodes"
-KEYS_BY_ORGANISATION = {"org-1": "key-of-org-1-abcdef", "org-2": "key-of-org-2-abcdef"}
-WITHDRAWN_KEY = "key-that-is-withdrawn"
 NODE_COUNT = 5
+METRICS_PORT = 17601
+# Backend servers of each service.
+SERVER_COUNT = 2
 TRAFFIC_S = 10.0
 # Faults begin once all nodes are ready. With 30 processes that compete for each of
 # 8 cores, the start has taken over 25 s.
@@ -45,61 +62,13 @@
 # All nodes must serve requests again this long after the last fault.
 RECOVERY_TIMEOUT_S = 15.0
 REQUESTS_PER_S = 30.0
-REQUEST_DEADLINE_S = 4.0
+# Events of the second engine service, so that changes meet streams under way.
+SLOW_EVENT_INTERVAL_S = 0.15
 # Route that only the last configuration of a run has.
 LAST_ROUTE = "last"
 
 
-class RecordingEngine(AdapterEngine):
-    """Engine stand-in that records the holders of fencing tokens and its requests.
-
-    Parameters
-    ----------
-    on_request : callable
-        Called with the server's name and the identifier of each request.
-    on_harmful : callable
-        Called with the part and the identifier of each request that crashes engines.
-    on_crash : callable
-        Called with the part that crashed the engine.
-    """
-
-    def __init__(
-        self,
-        *arguments: Any,
-        on_request: Callable[[str, str], None] = lambda _name, _request_id: None,
-        on_harmful: Callable[[str, str], None] = lambda _part, _request_id: None,
-        on_crash: Callable[[str], None] = lambda _part: None,
-        **options: Any,
-    ) -> None:
-        super().__init__(*arguments, **options)
-        self._report_request = on_request
-        self._report_harmful = on_harmful
-        self._report_crash = on_crash
-        self.holders_by_token: dict[int, set[str]] = defaultdict(set)
-        self.received_bodies: list[str] = []
-
-    async def _on_request(self, request: web.Request) -> web.StreamResponse:
-        request_id = request.headers.get(names.REQUEST_ID, "")
-        self._report_request(self.name, request_id)
-        parts = request.headers.get(names.PROMPT_PARTS, "").split(",")
-        harmful = {part.partition(":")[0] for part in parts} & self.crashing_parts
-        for part in harmful:
-            self._report_harmful(part, request_id)
-        crashes = len(self.crashed_at)
-        response = await super()._on_request(request)
-        if len(self.crashed_at) > crashes:
-            for part in harmful:
-                self._report_crash(part)
-        return response
-
-    def _execute_order(self, order: dict[str, Any]) -> int:
-        status = super()._execute_order(order)
-        if status in (200, 202):
-            self.holders_by_token[order["fencing_token"]].add(order["holder"])
-        return status
-
-
-class Soak:
+class Soak(ServerObserver):
     """Run of one seed: its stand-ins, node processes, callers and findings.
 
     Parameters
@@ -108,17 +77,31 @@
         Determines the requests, the faults and their times.
     folder : Path
         Holds the settings and the log of each node.
+    node_count : int
+        Number of nodes, counted from 1.
+    server_count : int
+        Number of backend servers of each service.
 
     Attributes
     ----------
+    engines, further_engines : list of RecordingEngine
+        Servers of the first services, which all faults affect, and of the second.
     findings : list of str
         Invariants that were violated.
     counts_by_status : Counter of str
         Responses by status; ``lost`` counts requests without a response.
     """
 
-    def __init__(self, seed: int, folder: Path) -> None:
+    def __init__(
+        self,
+        seed: int,
+        folder: Path,
+        node_count: int = NODE_COUNT,
+        server_count: int = SERVER_COUNT,
+    ) -> None:
         self.seed = seed
+        self.node_count = node_count
+        self.server_count = server_count
         self.random = random.Random(seed)
         self.folder = folder
         # Concurrent runs must not use the same addresses.
@@ -128,15 +111,21 @@
         )
         self.store = RowServer(seed)
         self.engines: list[RecordingEngine] = []
-        self.addresses: dict[str, str] = {}
+        self.further_engines: list[RecordingEngine] = []
         self.relays: dict[str, FaultyRelay] = {}
         self.processes: dict[int, asyncio.subprocess.Process] = {}
         self.paused: set[int] = set()
         self.findings: list[str] = []
         self.counts_by_status: Counter[str] = Counter()
-        self.config_version = 1
+        self.configuration = Configuration()
+        self.endings = EndingCheck(self.configuration)
+        self.sound_requests = SoundRequestCheck()
+        self.deadly = DeadlyRequests(seed, random.Random(f"{seed} deadly requests"))
+        self.traffic_span_s = (0.0, 0.0)
         self.web_runners: list[web.AppRunner] = []
         self.request_numbers = itertools.count(1)
+        self.further_numbers = itertools.count(1)
+        self.further_random = random.Random(f"{seed} further versions")
         self.key_withdrawn_at = 0.0
         self.limits = LimitCheck()
         self.prompts = PromptCheck(seed)
@@ -156,22 +145,21 @@
     async def start(self) -> None:
         """Start the stand-ins, relays and nodes."""
         self.store_address = await self._listen(self.store.application())
-        for name, model in (("e1", "base"), ("e2", "base"), ("d1", ""), ("d2", "")):
-            engine = RecordingEngine(
-                name,
-                model,
-                on_request=self._on_request,
-                on_harmful=self._on_harmful,
-                on_crash=self.prompts.record_crash,
-            )
-            engine.on_restart = functools.partial(self.register_engine, engine)
-            relay = FaultyRelay(await engine.listen("127.0.0.1"))
-            await relay.start()
-            self.relays[name] = relay
-            self.engines.append(engine)
+        count = self.server_count
+        for letter, model, first, servers in (
+            ("e", "base", 1, self.engines),
+            ("d", "", 1, self.engines),
+            ("e", "base", count + 1, self.further_engines),
+            ("d", "", count + 1, self.further_engines),
+        ):
+            for number in range(first, first + count):
+                servers.append(await self._start_engine(f"{letter}{number}", model))
+        for engine in self.further_engines:
+            engine.event_interval_s = SLOW_EVENT_INTERVAL_S
+        for engine in self.all_engines:
             self.register_engine(engine)
         self.write_configuration()
-        for number in range(1, NODE_COUNT + 1):
+        for number in range(1, self.node_count + 1):
             relay = FaultyRelay(self.store_address)
             await relay.start()
             self.relays[f"store-{number}"] = relay
@@ -180,21 +168,70 @@
             self.relays[f"peer-{number}"] = relay
             await self.start_node(number)
 
-    def _on_request(self, server: str, request_id: str) -> None:
+    async def _start_engine(self, name: str, model: str) -> RecordingEngine:
+        engine = RecordingEngine(name, model, observer=self)
+        engine.on_restart = functools.partial(self.register_engine, engine)
+        relay = FaultyRelay(await engine.listen("127.0.0.1"))
+        await relay.start()
+        self.relays[name] = relay
+        return engine
+
+    @property
+    def all_engines(self) -> list[RecordingEngine]:
+        """Servers of all services."""
+        return [*self.engines, *self.further_engines]
+
+    def service(self, engine: AdapterEngine) -> str:
+        """Return the service of a backend server."""
+        services = ENGINE_SERVICES if engine.model else PLAIN_SERVICES
+        return services[engine in self.further_engines]
+
+    # What happens at the servers
+
+    def on_request(self, server: str, request_id: str) -> None:
+        """Record the arrival of a request."""
         self.limits.record(server, self.nodes_by_request.get(request_id, 0))
+        self.endings.record_arrival(server, request_id)
+
+    def on_harmful(self, cause: str, request_id: str) -> None:
+        """Record the arrival of a request that crashes the server."""
+        node = self.nodes_by_request.get(request_id, 0)
+        self._budget(cause).record(cause, node)
 
-    def _on_harmful(self, part: str, request_id: str) -> None:
-        self.prompts.record(part, self.nodes_by_request.get(request_id, 0))
+    def on_crash(self, cause: str, server: str) -> None:
+        """Record a crash, which also ends the server's limit."""
+        self._budget(cause).record_crash(cause)
+        for engine in self.all_engines:
+            if engine.name == server:
+                self.end_limit(engine)
+        self.endings.note(f"{server} crashed by {cause}")
+
+    def _budget(self, cause: str) -> PromptCheck | DeadlyRequests:
+        return self.deadly if cause.startswith("/") else self.prompts
+
+    def on_broken(self, server: str, request_id: str) -> None:
+        """Record a request that its server has broken off."""
+        self.endings.record_broken(server, request_id)
+
+    def on_left(self, server: str, request_id: str) -> None:
+        """Record a request whose connection was closed before its end."""
+        self.endings.record_left(server, request_id)
+
+    def end_limit(self, engine: AdapterEngine) -> None:
+        """End a server's limit, as a restart does."""
+        engine.limit_per_s = -1.0
+        self.limits.lift(engine.name)
 
     def disturb(self, node: int) -> None:
         """Excuse a node that is stopped, paused, cut off, or back; 0 for the store."""
         self.limits.disturb(node)
         self.prompts.disturb(node)
+        self.deadly.disturb(node)
 
     def register_engine(self, engine: AdapterEngine, state: str = "ready") -> None:
         """Write the entry of a backend server to the store."""
         entry = {
-            "service": "assist" if engine.model else "desk",
+            "service": self.service(engine),
             "address": self.relays[engine.name].address,
             "zone": "z1",
             "slots": 64,
@@ -207,52 +244,17 @@
         self, includes_withdrawn_key: bool = True, added_route: str = ""
     ) -> None:
         """Write the next version of the configuration to the store."""
-        self.config_version += self.random.randint(1, 4)
-        routes = [
-            ("draft", "streaming", "assist", True),
-            ("check", "streaming", "assist", False),
-            ("order", "non_idempotent", "desk", False),
-            ("look", "idempotent", "desk", False),
-        ]
-        if added_route:
-            routes.append((added_route, "idempotent", "desk", False))
-        tenants = [
-            {"name": name, "api_keys": [key], "plain_tokens": 200}
-            for name, key in KEYS_BY_ORGANISATION.items()
-        ]
-        if includes_withdrawn_key:
-            tenants[0]["api_keys"].append(WITHDRAWN_KEY)
-        for tenant in tenants:
-            tenant.update(rate_per_s=200_000, burst=200_000)
-        content = {
-            "version": self.config_version,
-            "routes": [
-                {
-                    "name": name,
-                    "host": "shop.example",
-                    "path_prefix": f"/{name}/",
-                    "route_type": route_type,
-                    "service": service,
-                    "resumable": resumable,
-                    "timeout_ms": REQUEST_DEADLINE_S * 1e3,
-                    "target_latency_ms": 800,
-                    "max_attempts": 2,
-                }
-                for name, route_type, service, resumable in routes
-            ],
-            "services": [
-                {
-                    "name": "assist",
-                    "engine": {
-                        "models": [{"name": "base", "adapters": 50}],
-                        "adapter_slots": 6,
-                    },
-                },
-                {"name": "desk"},
-            ],
-            "tenants": tenants,
-        }
-        self.store.put(names.CONFIGURATION_TABLE, names.CONFIGURATION_KEY, content)
+        self.configuration.version += self.random.randint(1, 4)
+        self._write(includes_withdrawn_key, added_route)
+
+    def write_changes(self) -> None:
+        """Write the next version of the configuration, with further changes."""
+        self.configuration.version += self.further_random.randint(1, 4)
+        self._write(not self.key_withdrawn_at)
+
+    def _write(self, includes_withdrawn_key: bool, added_route: str = "") -> None:
+        extra_keys = [WITHDRAWN_KEY] if includes_withdrawn_key else []
+        self.configuration.write(self.store, extra_keys, added_route)
 
     def caller_address(self, number: int) -> str:
         """Return the address at which a node accepts callers."""
@@ -300,7 +302,7 @@
             await process.wait()
         for relay in self.relays.values():
             await relay.stop()
-        for engine in self.engines:
+        for engine in self.all_engines:
             await engine.close()
         for runner in self.web_runners:
             await runner.cleanup()
@@ -313,55 +315,86 @@
         The status is 0 without a response.
         """
         request_id = f"s{self.seed}-{next(self.request_numbers)}"
-        self.nodes_by_request[request_id] = number
         route = self.random.choice(("draft", "draft", "check", "order", "look"))
         organisation = self.random.choice(list(KEYS_BY_ORGANISATION))
-        headers = {
-            names.REQUEST_ID: request_id,
-            names.DEADLINE_MS: str(int(REQUEST_DEADLINE_S * 1e3)),
-            "Host": "shop.example",
-            "Authorization": f"Bearer {KEYS_BY_ORGANISATION[organisation]}",
-        }
-        if route in ("draft", "check"):
+        headers: dict[str, str] = {}
+        is_sound = True
+        if route in STREAM_ROUTES:
             adapter = f"a{min(40, int(self.random.paretovariate(0.9)))}"
-            headers[names.MODEL] = f"base/{adapter}"
-            headers[names.TOKENS] = "800,20"
-            number_text = request_id.rpartition("-")[2]
-            headers[names.PROMPT_PARTS] = self.prompts.prompt(int(number_text))
+            parts = self.prompts.prompt(int(request_id.rpartition("-")[2]))
+            headers = self.stream_headers(adapter, parts)
+            is_sound = "harmful-" not in parts
         method = "GET" if route == "look" else "POST"
-        url = f"http://{self.caller_address(number)}/{route}/x"
-        status, body = 0, b""
-        try:
-            async with session.request(
-                method, url, headers=headers, data=b"b" if method == "POST" else None
-            ) as response:
-                status = response.status
-                body = await response.read()
-        except (aiohttp.ClientError, TimeoutError, OSError):
-            self.counts_by_status["lost"] += 1
-            status = 0
-        else:
-            self.counts_by_status[str(status)] += 1
-        self._check_response(request_id, route, organisation, status, body)
-        return status
+        call = Call(
+            request_id,
+            number,
+            route,
+            organisation,
+            KEYS_BY_ORGANISATION[organisation],
+            f"/{route}/x",
+            method,
+            b"b" if method == "POST" else b"",
+            headers,
+            is_sound,
+        )
+        await self.make_call(session, call)
+        return call.status if call.is_complete else 0
+
+    def stream_headers(self, adapter: str, parts: str) -> dict[str, str]:
+        """Return the headers of a request that an engine serves."""
+        return {
+            names.MODEL: f"base/{adapter}",
+            names.TOKENS: "800,20",
+            names.PROMPT_PARTS: parts,
+        }
+
+    async def make_call(self, session: aiohttp.ClientSession, call: Call) -> None:
+        """Send a request and check its response."""
+        self.nodes_by_request[call.request_id] = call.node
+        await call.send(session, self.caller_address(call.node))
+        self.counts_by_status[str(call.status) if call.is_complete else "lost"] += 1
+        self.endings.record_end(call)
+        self.sound_requests.record_end(call)
+        status = call.status if call.is_complete else 0
+        is_denial_expected = self.configuration.is_denial_expected(call.route, call.key)
+        self._check_response(
+            call.request_id,
+            call.route,
+            call.organisation,
+            status,
+            call.received,
+            call.body,
+            is_denial_expected,
+        )
 
     def _check_response(
-        self, request_id: str, route: str, organisation: str, status: int, body: bytes
+        self,
+        request_id: str,
+        route: str,
+        organisation: str,
+        status: int,
+        body: bytes,
+        sent_body: bytes = b"b",
+        is_denial_expected: bool = False,
     ) -> None:
-        runs = sum(engine.runs[request_id] for engine in self.engines)
-        if route in ("order", "check") and runs > 1:
+        runs = sum(engine.runs[request_id] for engine in self.all_engines)
+        if route in SINGLE_RUN_ROUTES and runs > 1:
             self.add_finding(f"{request_id}: a {route} ran {runs} times")
-        if status in (429, 503) and runs and route in ("order", "check"):
+        if status in (429, 503) and runs and route in SINGLE_RUN_ROUTES:
             self.add_finding(f"{request_id}: answered {status} and ran")
-        if status == 200 and route in ("draft", "check"):
+        if status == 200 and route in STREAM_ROUTES:
             event_ids = [row for row in body.split(b"\n") if row.startswith(b"id:")]
             if event_ids != [b"id: %d" % number for number in range(1, 6)]:
                 self.add_finding(f"{request_id}: events {event_ids}")
-        if status == 200 and route == "order" and body != b"done:b":
+        if (
+            status == 200
+            and route not in STREAM_ROUTES
+            and body != b"done:" + sent_body
+        ):
             self.add_finding(f"{request_id}: body {body!r}")
-        if status in (400, 401, 403, 404):
+        if status in (400, 401, 403, 404) and not is_denial_expected:
             self.add_finding(f"{request_id}: denied with {status}")
-        for engine in self.engines:
+        for engine in self.all_engines:
             received_headers = engine.headers_by_request.get(request_id)
             if received_headers is None:
                 continue
@@ -386,27 +419,36 @@
         end_at : float
             Monotonic time in seconds after which no further request is sent.
         """
-        timeout = aiohttp.ClientTimeout(total=REQUEST_DEADLINE_S + 2.0)
-        connector = aiohttp.TCPConnector(limit=0)
         calls: set[asyncio.Task[int]] = set()
-        async with aiohttp.ClientSession(
-            timeout=timeout, connector=connector
-        ) as session:
-            session._retry_connection = False
+        async with self.caller_session() as session:
             while time.monotonic() < end_at:
-                number = self.random.randint(1, NODE_COUNT)
+                number = self.random.randint(1, self.node_count)
                 task = asyncio.create_task(self.send_request(session, number))
                 calls.add(task)
                 task.add_done_callback(calls.discard)
                 await asyncio.sleep(self.random.expovariate(REQUESTS_PER_S))
             await asyncio.gather(*calls)
 
+    def caller_session(self) -> aiohttp.ClientSession:
+        """Return a client that sends each request once."""
+        session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=REQUEST_DEADLINE_S + 2.0),
+            connector=aiohttp.TCPConnector(limit=0),
+        )
+        session._retry_connection = False
+        return session
+
+    async def send_further(self, end_at: float) -> None:
+        """Inject silences, deadly requests and changes, beside further requests."""
+        async with self.caller_session() as session:
+            await FurtherFaults(self).run(session, end_at)
+
     # Final checks
 
     async def check_recovery(self) -> None:
         """Check that all nodes serve requests again and what the engines recorded."""
         end_at = time.monotonic() + RECOVERY_TIMEOUT_S
-        waiting = set(range(1, NODE_COUNT + 1))
+        waiting = set(range(1, self.node_count + 1))
         if not self.key_withdrawn_at:
             self.key_withdrawn_at = time.monotonic()
         self.write_configuration(False, added_route=LAST_ROUTE)
@@ -423,8 +465,11 @@
                 f"node-{number} not serving {RECOVERY_TIMEOUT_S} s after the faults, "
                 f"statuses {self.recovery_statuses_by_node.get(number)}"
             )
+        self.findings += self.endings.findings() + self.deadly.findings()
         self.findings += self.limits.findings() + self.prompts.findings()
-        for engine in self.engines:
+        self.findings += self.sound_requests.findings(*self.traffic_span_s)
+        await self._check_counters()
+        for engine in self.all_engines:
             if engine.exceeded_slots:
                 self.add_finding(
                     f"{engine.name} was ordered to load more adapters than it can hold"
@@ -435,9 +480,27 @@
                         f"{engine.name}: token {token} used by {sorted(holders)}"
                     )
 
+    async def _check_counters(self) -> None:
+        """Check that each node has counted an end for each request it has read."""
+        async with aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=3.0)
+        ) as session:
+            for number in range(1, self.node_count + 1):
+                url = f"http://{self.subnet}.{number}:{METRICS_PORT}/metrics"
+                try:
+                    async with session.get(url) as response:
+                        text = await response.text()
+                except (aiohttp.ClientError, TimeoutError, OSError):
+                    # A node that does not serve is a finding of its own.
+                    continue
+                if missing := uncounted_requests(text):
+                    self.add_finding(
+                        f"node-{number} counts {missing:g} requests without an end"
+                    )
+
     async def all_ready(self, session: aiohttp.ClientSession) -> bool:
         """Return whether all nodes report that they are ready."""
-        for number in range(1, NODE_COUNT + 1):
+        for number in range(1, self.node_count + 1):
             url = f"http://{self.subnet}.{number}:18224{names.READY_PATH}"
             try:
                 async with session.get(url) as response:
@@ -490,7 +553,13 @@
             return False
 
 
-async def run_seed(seed: int, folder: Path, traffic_s: float = TRAFFIC_S) -> Soak:
+async def run_seed(
+    seed: int,
+    folder: Path,
+    traffic_s: float = TRAFFIC_S,
+    node_count: int = NODE_COUNT,
+    server_count: int = SERVER_COUNT,
+) -> Soak:
     """Run one seed and return it with its findings.
 
     Parameters
@@ -501,8 +570,12 @@
         Holds the settings and the log of each node.
     traffic_s : float
         Time in seconds during which requests are sent and faults injected.
+    node_count : int
+        Number of nodes.
+    server_count : int
+        Number of backend servers of each of the four services.
     """
-    soak = Soak(seed, folder)
+    soak = Soak(seed, folder, node_count, server_count)
     try:
         await soak.start()
         async with aiohttp.ClientSession() as session:
@@ -514,9 +587,14 @@
                     )
                     break
                 await asyncio.sleep(0.1)
-        end_at = time.monotonic() + traffic_s
+        started_at = time.monotonic()
+        end_at = started_at + traffic_s
+        soak.endings.started_at = started_at
+        soak.traffic_span_s = (started_at, end_at)
         await asyncio.gather(
-            soak.send_traffic(end_at), FaultInjector(soak, NODE_COUNT).run(end_at)
+            soak.send_traffic(end_at),
+            FaultInjector(soak, node_count).run(end_at),
+            soak.send_further(end_at),
         )
         await soak.check_recovery()
     finally:
@@ -530,22 +608,37 @@
     keep: Annotated[
         Path | None, typer.Option(help="Folder for the logs of failed seeds.")
     ] = None,
+    nodes: Annotated[int, typer.Option(help="Number of nodes.")] = NODE_COUNT,
+    servers: Annotated[
+        int, typer.Option(help="Number of servers of each of the four services.")
+    ] = SERVER_COUNT,
+    seconds: Annotated[
+        float, typer.Option(help="Time with requests and faults, in seconds.")
+    ] = TRAFFIC_S,
 ) -> None:
     """Run seeds one after another; exit status 1 if an invariant was violated."""
     failed = 0
     for seed in range(first, first + seeds):
         with tempfile.TemporaryDirectory() as name:
-            soak = asyncio.run(run_seed(seed, Path(name)))
+            soak = asyncio.run(run_seed(seed, Path(name), seconds, nodes, servers))
             counts = " ".join(
                 f"{k}={v}" for k, v in sorted(soak.counts_by_status.items())
             )
             typer.echo(f"seed={seed} findings={len(soak.findings)} {counts}")
+            excused = " ".join(
+                f"{reason.replace(' ', '_')}={count}"
+                for reason, count in sorted(soak.endings.counts_by_excuse.items())
+            )
+            if excused:
+                typer.echo(f"  excused {excused}")
             for finding in soak.findings[:10]:
                 typer.echo(f"  {finding}")
             if soak.findings:
                 failed += 1
                 if keep is not None:
                     keep.mkdir(parents=True, exist_ok=True)
+                    findings = "".join(f"{row}\n" for row in soak.findings)
+                    (keep / f"seed-{seed}-findings.txt").write_text(findings)
                     for log in Path(name).glob("*.log"):
                         (keep / f"seed-{seed}-{log.name}").write_bytes(log.read_bytes())
     if failed:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,16 +1,29 @@
 """Short soak runs with fixed seeds, and tests of the invariant checks."""
 
 import asyncio
+import json
+import random
 import tempfile
 import unittest
 from pathlib import Path
 from unittest.mock import patch
 
+import aiohttp
 from parameterized import parameterized
 
+from sequoiafall.platform import names
+from sequoiafall.standins.row_server import RowServer
+from soak.calls import Call
+from soak.configuration import CHANGING_KEYS, Configuration
+from soak.deadly_requests import DeadlyRequests
+from soak.endings import EndingCheck
 from soak.limits import LimitCheck
 from soak.prompts import PromptCheck
+from soak.request_counters import uncounted_requests
 from soak.run import Soak, run_seed
+from soak.servers import RecordingEngine
+from soak.sound_requests import SoundRequestCheck
+from tests.events import until
 
 TRAFFIC_S = 4.0
 
@@ -97,8 +110,6 @@
         ]
     )
     def test_violated_invariant(self, _name, route, status, body, runs, expected):
-        from soak.run import RecordingEngine
-
         soak = Soak(1, Path())
         engine = RecordingEngine("e1", "base")
         soak.engines.append(engine)
@@ -108,8 +119,7 @@
         self.assertIn(expected, soak.findings[0])
 
     def test_request_that_ran_for_another_organisation(self):
-        from sequoiafall.platform import names
-        from soak.run import KEYS_BY_ORGANISATION, RecordingEngine
+        from soak.run import KEYS_BY_ORGANISATION
 
         soak = Soak(1, Path())
         engine = RecordingEngine("d1")
@@ -120,3 +130,233 @@
         }
         soak._check_response("r1", "order", "org-1", 200, b"done:b")
         self.assertEqual(len(soak.findings), 2)
+
+
+def _call(route="note", sent_at=100.0, ended_at=101.0, **fields):
+    call = Call("r1", 1, route, "org-1", "key", f"/{route}/x", "POST", b"b")
+    call.sent_at, call.ended_at = sent_at, ended_at
+    for name, value in fields.items():
+        setattr(call, name, value)
+    return call
+
+
+class EndingCheckTest(unittest.TestCase):
+    """A response that is cut is reported unless the letter of the check excuses it.
+
+    Guards against checks that pass a cut beside a silence or a configuration change.
+    """
+
+    def _findings(self, call, *events):
+        now = 0.0
+        configuration = Configuration()
+        check = EndingCheck(configuration)
+        with patch("time.monotonic", lambda: now):
+            for at, name, *arguments in events:
+                now = at
+                if name == "timeout":
+                    state = configuration.states_by_route[call.route]
+                    state.timeout_s = arguments[0]
+                    configuration.write(RowServer(), [], "")
+                else:
+                    getattr(check, name)(*arguments)
+            now = call.ended_at
+            check.record_end(call)
+            return check.findings()
+
+    @parameterized.expand(
+        [
+            ("nothing", [], True),
+            ("silence", [(100.2, "note", "e1 silent")], True),
+            ("server left", [(100.9, "record_left", "e1", "r1")], True),
+            ("server broke off", [(100.9, "record_broken", "e1", "r1")], False),
+            ("another request", [(100.9, "record_broken", "e1", "r2")], True),
+            ("node killed", [(100.9, "record_kill", 1)], False),
+            ("another node killed", [(100.9, "record_kill", 2)], True),
+            ("node killed before", [(99.0, "record_kill", 1)], True),
+            ("node stops", [(100.5, "record_stop", 1)], True),
+            ("grace is over", [(98.0, "record_stop", 1)], False),
+            ("link lost", [(100.5, "begin_loss", "e1", True)], False),
+            ("link of a plain server", [(100.5, "begin_loss", "d1", False)], True),
+            (
+                "link lost before",
+                [(98.0, "begin_loss", "e1", True), (99.0, "end_loss", "e1")],
+                True,
+            ),
+            ("configuration changed", [(100.5, "timeout", 4.0)], True),
+            ("timeout shortened", [(99.0, "timeout", 1.0)], False),
+        ]
+    )
+    def test_cut_response(self, _name, events, is_found):
+        call = _call(status=200, received=b"id: 1\n\n", error="ClientPayloadError")
+        findings = self._findings(call, *events)
+        self.assertEqual(len(findings), int(is_found), findings)
+
+    @parameterized.expand(
+        [
+            ("complete", {"status": 200}, False),
+            ("refused", {"status": 503}, False),
+            ("no response", {"error": "ServerDisconnectedError"}, True),
+            ("not connected", {"error": "x", "was_sent": False}, False),
+            ("deadline passed", {"error": "x", "ended_at": 104.1}, False),
+            (
+                "handler failed",
+                {"status": 500, "received": b"500 Internal Server Error"},
+                True,
+            ),
+            ("backend failed", {"status": 500, "received": b"{}"}, False),
+        ]
+    )
+    def test_end(self, _name, fields, is_found):
+        self.assertEqual(len(self._findings(_call(**fields))), int(is_found))
+
+    def test_node_stops_before_it_reads_a_request(self):
+        call = _call(error="ServerDisconnectedError")
+        self.assertEqual(self._findings(call, (100.5, "record_stop", 1)), [])
+
+    def test_finding_names_request_node_second_and_what_was_beside(self):
+        call = _call(status=200, error="ClientPayloadError")
+        (line,) = self._findings(
+            call,
+            (100.1, "record_arrival", "e1", "r1"),
+            (100.2, "note", "e1 silent"),
+            (100.9, "record_left", "e1", "r1"),
+        )
+        for text in ("r1 (note) at node-1, second", "left e1 +0.90s", "e1 silent"):
+            self.assertIn(text, line)
+
+
+class DeadlyRequestsTest(unittest.TestCase):
+    """Sends later than 3 s after the third crash are counted, at most 3 allowed."""
+
+    @parameterized.expand(
+        [
+            ("few", 3, 3.1, 3, None, False),
+            ("too many", 3, 3.1, 4, None, True),
+            ("too early", 3, 2.0, 9, None, False),
+            ("two crashes", 2, 3.1, 9, None, False),
+            ("node was cut off", 3, 3.1, 4, 1, False),
+            ("another node was cut off", 3, 3.1, 4, 2, True),
+        ]
+    )
+    def test_arrivals(self, _name, crashes, after_s, arrivals, disturbed, is_found):
+        now = 100.0
+        check = DeadlyRequests(1, random.Random(1))
+        with patch("time.monotonic", lambda: now):
+            target = check.add("order").target
+            for _ in range(crashes):
+                check.record(target, 1)
+                check.record_crash(target)
+            now += after_s
+            if disturbed is not None:
+                check.disturb(disturbed)
+            for _ in range(arrivals):
+                check.record(target, 1)
+        self.assertEqual(len(check.findings()), int(is_found))
+
+
+class SoundRequestCheckTest(unittest.TestCase):
+    """Sound requests that are refused as harmful, or not served at all, are found."""
+
+    REFUSAL = json.dumps({"error": {"reason": "harmful_prompt"}}).encode()
+
+    def _check(self, *rows):
+        check = SoundRequestCheck()
+        for at, status, *is_sound in rows:
+            for route in ("ask", "note"):
+                received = self.REFUSAL if status == 503 else b""
+                call = _call(route, at, at, status=status, received=received)
+                call.is_sound = all(is_sound)
+                check.record_end(call)
+        return check
+
+    @parameterized.expand(
+        [
+            ("one trial", [(101.0, 503), (104.9, 503)], 0),
+            ("longer", [(101.0, 503), (105.1, 503)], 2),
+            ("served in between", [(101.0, 503), (103.0, 200), (106.0, 503)], 0),
+            ("deadly", [(101.0, 503, False), (106.0, 503, False)], 0),
+        ]
+    )
+    def test_refused_as_harmful(self, _name, rows, findings):
+        check = self._check((100.5, 200), *rows)
+        self.assertEqual(len(check.findings(100.0, 107.0)), findings)
+
+    @parameterized.expand(
+        [
+            ("served", [(104.0, 200), (110.0, 200)], 0),
+            ("long gap", [(102.0, 200), (109.1, 200)], 2),
+            ("never", [], 2),
+            ("deadly ones do not count", [(105.0, 200, False)], 2),
+        ]
+    )
+    def test_not_served(self, _name, rows, findings):
+        self.assertEqual(len(self._check(*rows).findings(100.0, 112.0)), findings)
+
+
+class RequestCountersTest(unittest.TestCase):
+    """Requests that were read and have no counted end are found."""
+
+    @parameterized.expand(
+        [
+            ("no counters", "sequoiafall_node_state 1\n", 0.0),
+            ("add up", 'READ 5\nENDS{end="ok"} 3\nENDS{end="gone"} 2\n', 0.0),
+            ("one lacks", '# HELP READ\nREAD 5\nENDS{end="ok"} 4\n', 1.0),
+        ]
+    )
+    def test_counters(self, _name, text, expected):
+        text = text.replace("READ", "sequoiafall_node_requests_read_total")
+        text = text.replace("ENDS", "sequoiafall_node_request_ends_total")
+        self.assertEqual(uncounted_requests(text), expected)
+
+
+class ConfigurationTest(unittest.TestCase):
+    """Denials are expected only after a route was dropped or a key withdrawn."""
+
+    def test_denials(self):
+        configuration = Configuration()
+        store = RowServer()
+        configuration.write(store, [], "")
+        self.assertFalse(configuration.is_denial_expected("note", CHANGING_KEYS[1]))
+        configuration.states_by_route["note"].is_dropped = True
+        configuration.keys.discard(CHANGING_KEYS[1])
+        configuration.write(store, [], "last")
+        row = store.rows[names.CONFIGURATION_TABLE, names.CONFIGURATION_KEY]
+        content = json.loads(row.value)
+        routes = [route["name"] for route in content["routes"]]
+        self.assertEqual(
+            routes, ["draft", "check", "order", "look", "talk", "buy", "ask", "last"]
+        )
+        self.assertTrue(configuration.is_denial_expected("note", "key"))
+        self.assertTrue(configuration.is_denial_expected("ask", CHANGING_KEYS[1]))
+        self.assertFalse(configuration.is_denial_expected("ask", CHANGING_KEYS[0]))
+
+
+class RecordingEngineTest(unittest.IsolatedAsyncioTestCase):
+    """The observer hears of crashes and of requests that a crash breaks off."""
+
+    async def test_crash_on_a_request(self):
+        soak = Soak(1, Path())
+        engine = RecordingEngine("d1", observer=soak)
+        engine.crashing_requests.add(("/order/1?x=1", b"deadly"))
+        address = await engine.listen("127.0.0.1")
+        self.addAsyncCleanup(engine.close)
+        engine.processing_s = 5.0
+        async with aiohttp.ClientSession() as session:
+            beside = asyncio.create_task(
+                session.post(
+                    f"http://{address}/order/x", headers={names.REQUEST_ID: "r1"}
+                )
+            )
+            await until(lambda: engine.running)
+            with self.assertRaises(aiohttp.ClientError):
+                await session.post(
+                    f"http://{address}/order/1?x=1",
+                    data=b"deadly",
+                    headers={names.REQUEST_ID: "r2"},
+                )
+            with self.assertRaises(aiohttp.ClientError):
+                await beside
+        self.assertEqual(len(soak.deadly.crashed_at_by_cause["/order/1?x=1"]), 1)
+        for request_id in ("r1", "r2"):
+            call = _call("order", request_id=request_id, error="reset")
+            self.assertEqual(soak.endings.excuse(call), "server broke off")
