Simulate deadly requests and silent engines in the experiment

The key of the whole request goes to the planner and to the evidence beside the shared parts of the prompt, as "request:...". The report has the share of sound requests served and the most sends of a deadly request later than 3 s after its third crash. A silent engine answers no report or order; an order is executed once it goes on, if no other was accepted. Moves of streams away from a silent engine are not simulated.

Without evidence on whole requests or parts the new figure exceeds 3 (test_sends_that_go_on_are_counted).

--- a/sequoiafall/day.py
+++ b/sequoiafall/day.py
@@ -129,15 +129,18 @@
         ``restart`` restarts `count` engines, ``slow`` makes them `x` times slower,
         during ``limit`` they take `x` requests per second. During ``no_leader`` no
         leader places requests. During ``harmful`` a share `x` of the requests have a
-        part in their prompts that crashes engines.
+        part in their prompts that crashes engines. During ``deadly`` a share `x` of
+        the requests are sends of `count` requests that crash engines as a whole. A
+        ``silence`` lets `count` engines send nothing for a time and go on.
     at, for_s : float
         Start and duration in seconds.
     x : float
         Factor, rate or share, see `kind`.
     count : int
-        Number of affected engines.
+        Number of affected engines, or of different deadly requests.
     request : str
-        Kind of request that a burst or harmful prompts affect; empty for all.
+        Kind of request that a burst, harmful prompts or deadly requests affect;
+        empty for all.
     """
 
     kind: Literal[
@@ -149,6 +152,8 @@
         "limit",
         "no_leader",
         "harmful",
+        "deadly",
+        "silence",
     ]
     at: NonNegative
     for_s: Positive = 3.0
--- a/sequoiafall/day_arrivals.py
+++ b/sequoiafall/day_arrivals.py
@@ -15,6 +15,8 @@
 OUTPUT_TOKEN_WEIGHT = 10.0
 # Different second parts of the prompts of one kind of request; all share the first.
 PARTS_PER_KIND = 40
+# Prefix of the key by which a whole request is known, beside the parts of its prompt.
+IDENTITY_PREFIX = "request:"
 # A shift of demand moves each adapter by this many popularity ranks, so that the few
 # most popular ones become rare.
 SHIFT_RANKS = 7
@@ -52,7 +54,9 @@
     shared_parts : tuple of str
         Parts of the prompt that other requests share.
     is_harmful : bool
-        Whether one of the parts crashes engines.
+        Whether it crashes engines, by one of the parts or as a whole.
+    deadly_identity : str
+        Key that all sends of the same deadly request have; empty for others.
     """
 
     request_id: str
@@ -72,6 +76,7 @@
     excluded: frozenset[str] = frozenset()
     shared_parts: tuple[str, ...] = ()
     is_harmful: bool = False
+    deadly_identity: str = ""
 
     @property
     def is_served(self) -> bool:
@@ -86,6 +91,12 @@
             and self.first_event_at - self.arrived_at <= self.kind.on_time_s
         )
 
+    @property
+    def evidence_keys(self) -> tuple[str, ...]:
+        """Keys of what may crash engines: the shared parts and the whole request."""
+        identity = self.deadly_identity or IDENTITY_PREFIX + self.request_id
+        return (*self.shared_parts, identity)
+
     @property
     def cost_tokens(self) -> float:
         """Cost in tokens, as token limits count it."""
@@ -113,8 +124,11 @@
                 _draw_request(day, generator, kind, cumulative_weights, at, number)
             )
     for number, row in enumerate(day.disturbances):
+        generator = random.Random(f"{seed}-{row.kind}-{number}")
         if row.kind == "harmful":
-            _add_harmful_part(requests, row, random.Random(f"{seed}-harmful-{number}"))
+            _add_harmful_part(requests, row, generator)
+        elif row.kind == "deadly":
+            _make_deadly(requests, row, generator)
     return sorted(requests, key=lambda request: request.arrived_at)
 
 
@@ -123,13 +137,41 @@
 ) -> None:
     """Add a part that crashes engines to a share of the prompts."""
     part = f"harmful-{row.at:g}"
-    for request in requests:
-        is_affected = row.at <= request.arrived_at < row.at + row.for_s
-        if not is_affected or row.request not in ("", request.kind.name):
-            continue
-        if generator.random() < row.x:
-            request.shared_parts += (part,)
-            request.is_harmful = True
+    for request in _draw_affected(requests, row, generator):
+        request.shared_parts += (part,)
+        request.is_harmful = True
+
+
+def _make_deadly(
+    requests: list[DayRequest], row: Disturbance, generator: random.Random
+) -> None:
+    """Make a share of the requests sends of the same few deadly ones."""
+    first_by_identity: dict[str, DayRequest] = {}
+    for request in _draw_affected(requests, row, generator):
+        number = generator.randrange(row.count)
+        # Requests of another kind cannot be the same request.
+        name = f"deadly-{row.at:g}-{number}-{request.kind.name}"
+        first = first_by_identity.setdefault(name, request)
+        request.organisation = first.organisation
+        request.adapter = first.adapter
+        request.prompt_tokens = first.prompt_tokens
+        request.output_tokens = first.output_tokens
+        request.shared_parts = first.shared_parts
+        request.deadly_identity = IDENTITY_PREFIX + name
+        request.is_harmful = True
+
+
+def _draw_affected(
+    requests: list[DayRequest], row: Disturbance, generator: random.Random
+) -> list[DayRequest]:
+    """Return a random share of the requests during a disturbance."""
+    return [
+        request
+        for request in requests
+        if row.at <= request.arrived_at < row.at + row.for_s
+        and row.request in ("", request.kind.name)
+        and generator.random() < row.x
+    ]
 
 
 def _active_disturbances(day: Day, kind: str, at: float) -> list[Disturbance]:
--- a/sequoiafall/day_report.py
+++ b/sequoiafall/day_report.py
@@ -87,6 +87,10 @@
             "served": _share(
                 sum(row.is_served for row in within_limit), len(within_limit)
             ),
+            "sound served": _share(
+                sum(row.is_served for row in within_limit if not row.is_harmful),
+                sum(not row.is_harmful for row in within_limit),
+            ),
             "on time": _share(
                 sum(row.is_on_time for row in within_limit), len(within_limit)
             ),
@@ -137,6 +141,9 @@
     request_counts: dict[str, int] = defaultdict(int)
     served: set[str] = set()
     for row in requests:
+        # A deadly request is never served, whichever adapter it names.
+        if row.deadly_identity:
+            continue
         request_counts[row.adapter] += 1
         if row.is_served:
             served.add(row.adapter)
--- a/sequoiafall/day_session.py
+++ b/sequoiafall/day_session.py
@@ -9,6 +9,7 @@
 import heapq
 import itertools
 import random
+from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
@@ -52,6 +53,12 @@
 DRAIN_S = 16.0
 # Maximum number of engines on which a request is tried.
 MAX_ATTEMPTS = 2
+# Times after which a report, or an order, counts as one without an answer.
+REPORT_TIMEOUT_S = 0.5
+ORDER_TIMEOUT_S = 0.25
+# Sends of a deadly request are counted from this time after this many crashes.
+KNOWN_CRASHES = 3
+CONTACT_S = 3.0
 # Time for which an engine is down after a crash.
 CRASH_S = 3.2
 # Tokens after which a response counts as begun.
@@ -72,6 +79,8 @@
     available_at: float = 0.0
     slowdown_factor: float = 1.0
     prefill_until: float = 0.0
+    silent_from: float = 0.0
+    silent_until: float = 0.0
 
     def report(self) -> EngineReport:
         """Return the current state as a report, which is delivered with a delay."""
@@ -108,6 +117,8 @@
         self.requests: list[DayRequest] = []
         self.max_adapters_held = 0
         self.crashes = 0
+        self._crashed_at_by_identity: dict[str, list[float]] = defaultdict(list)
+        self._late_sends_by_identity: Counter[str] = Counter()
         self._now = 0.0
         self._event_queue: list[
             tuple[float, int, Callable[..., None], tuple[Any, ...]]
@@ -202,8 +213,14 @@
             "evictions": float(sum(row.counts.evictions for row in planners)),
             "most adapters held": float(self.max_adapters_held),
             "crashes": float(self.crashes),
+            "late deadly sends": float(self.late_deadly_sends),
         }
 
+    @property
+    def late_deadly_sends(self) -> int:
+        """Most sends of a deadly request after its third crash and `CONTACT_S`."""
+        return max(self._late_sends_by_identity.values(), default=0)
+
     # Arrivals
 
     def _schedule_arrivals(self) -> None:
@@ -322,6 +339,11 @@
         allowance = self._allowances_by_engine.get(engine.name)
         if allowance is not None and not allowance.try_report(self._now):
             return
+        if engine.silent_until > self._now:
+            self._schedule(
+                self._now + REPORT_TIMEOUT_S, self._deliver_report, engine.name, None
+            )
+            return
         report = engine.report() if engine.available_at <= self._now else None
         self._schedule(
             self._now + REPORT_LAG_S, self._deliver_report, engine.name, report
@@ -335,6 +357,15 @@
 
     def _on_order(self, order: LoadOrder, term: int) -> None:
         engine = self._engines_by_name[order.server]
+        if engine.silent_until > self._now:
+            sequence = engine.sequence
+            self._schedule(
+                engine.silent_until, self._execute_late_order, engine, order, sequence
+            )
+            self._schedule(
+                self._now + ORDER_TIMEOUT_S, self._on_lost_order, order, term, sequence
+            )
+            return
         is_up = engine.available_at <= self._now
         is_admitted = self._admit_order(order)
         if is_up and is_admitted and order.adapter:
@@ -346,6 +377,20 @@
             self._planner.on_order_result(order, accepted, self._now, engine.sequence)
         )
 
+    def _execute_late_order(
+        self, engine: _SimulatedEngine, order: LoadOrder, sequence: int
+    ) -> None:
+        """Execute an order after a silence, unless another one was accepted since."""
+        is_up = engine.available_at <= self._now
+        if is_up and order.adapter and engine.sequence == sequence:
+            self._execute_order(engine, order)
+
+    def _on_lost_order(self, order: LoadOrder, term: int, sequence: int) -> None:
+        if self._planner is not None and term == self._term:
+            self._execute(
+                self._planner.on_order_result(order, None, self._now, sequence)
+            )
+
     def _admit_order(self, order: LoadOrder) -> bool:
         """Count the calls of an order, if the engine's limit allows them."""
         allowance = self._allowances_by_engine.get(order.server)
@@ -406,13 +451,16 @@
             request.attempts -= 1
             self._schedule(self._now + 2 * ONE_WAY_S, self._request_place, request)
             return
+        self._count_late_send(request)
         engines = self.day.engines
         prefill_s = (
             request.prompt_tokens
             / engines.prefill_tokens_per_s
             * engine.slowdown_factor
         )
-        engine.prefill_until = max(engine.prefill_until, self._now) + prefill_s
+        engine.prefill_until = (
+            max(engine.prefill_until, engine.silent_until, self._now) + prefill_s
+        )
         engine.model.prefilling_by_id[request.request_id] = (request.adapter, "")
         self._schedule(
             engine.prefill_until, self._join_batch, request, engine, engine.incarnation
@@ -427,9 +475,18 @@
         ):
             engine.model.prefilling_by_id.pop(request.request_id, None)
             return
+        if engine.silent_until > self._now:
+            silence_s = engine.silent_until - engine.silent_from
+            self._schedule(
+                self._now + silence_s, self._join_batch, request, engine, incarnation
+            )
+            return
         key = (request.adapter, "")
         engine.model.join(request.request_id, key, request.output_tokens, self._now)
         if request.is_harmful:
+            if request.deadly_identity:
+                crashes = self._crashed_at_by_identity[request.deadly_identity]
+                crashes.append(self._now)
             self._crash(engine)
             return
         self._schedule(
@@ -449,17 +506,28 @@
     ) -> None:
         if engine.incarnation != incarnation:
             return
-        self._evidence.record_begun(request.shared_parts, self._now)
+        if engine.silent_until > self._now:
+            self._schedule(
+                engine.silent_until, self._on_begun, request, engine, incarnation
+            )
+            return
+        self._evidence.record_begun(request.evidence_keys, self._now)
         if self._planner is not None:
             self._execute(self._planner.on_begun(request.request_id, self._now))
 
+    def _count_late_send(self, request: DayRequest) -> None:
+        crashes = self._crashed_at_by_identity.get(request.deadly_identity, [])
+        is_known = len(crashes) >= KNOWN_CRASHES
+        if is_known and self._now > crashes[KNOWN_CRASHES - 1] + CONTACT_S:
+            self._late_sends_by_identity[request.deadly_identity] += 1
+
     def _crash(self, engine: _SimulatedEngine) -> None:
         """Crash an engine that begins to respond to a harmful prompt."""
         self.crashes += 1
         start = ServerStart(engine.name, engine.incarnation)
         tokens_by_id = engine.model.restart(self._now)
         for request_id, tokens in tokens_by_id.items():
-            parts = self._requests_by_id[request_id].shared_parts
+            parts = self._requests_by_id[request_id].evidence_keys
             if tokens < BEGUN_TOKENS:
                 self._evidence.record_crash(start, parts, self._now)
             else:
@@ -502,7 +570,7 @@
             self._planner = None
             self._schedule(self._now + row.for_s + LEADER_RECOVERY_S, self._start_term)
             return
-        if row.kind not in ("restart", "slow", "limit"):
+        if row.kind not in ("restart", "slow", "limit", "silence"):
             return
         names = self._random.sample(
             list(self._engines_by_name), min(row.count, len(self._engines_by_name))
@@ -512,12 +580,31 @@
             if row.kind == "limit":
                 self._set_limit(name, row.x)
                 self._schedule(self._now + row.for_s, self._set_limit, name, None)
+            elif row.kind == "silence":
+                self._silence(engine, row.for_s)
             elif row.kind == "slow":
                 self._set_slowdown(engine, row.x)
                 self._schedule(self._now + row.for_s, self._set_slowdown, engine, 1.0)
             else:
                 self._restart(engine, row.for_s, engine.model.restart(self._now))
 
+    def _silence(self, engine: _SimulatedEngine, for_s: float) -> None:
+        """Let an engine send nothing for a time and go on."""
+        if max(engine.available_at, engine.silent_until) > self._now:
+            return
+        engine.silent_from, engine.silent_until = self._now, self._now + for_s
+        engine.prefill_until = max(engine.prefill_until, self._now) + for_s
+        engine.model.set_silent(True, self._now)
+        self._schedule_end(engine)
+        self._schedule(
+            engine.silent_until, self._end_silence, engine, engine.incarnation
+        )
+
+    def _end_silence(self, engine: _SimulatedEngine, incarnation: int) -> None:
+        if engine.incarnation == incarnation:
+            engine.model.set_silent(False, self._now)
+            self._schedule_end(engine)
+
     def _set_limit(self, name: str, rate_per_s: float | None) -> None:
         if rate_per_s is None:
             self._limit_rates_by_engine.pop(name, None)
@@ -547,7 +634,7 @@
         engine.resident.clear()
         engine.incoming.clear()
         engine.warm.clear()
-        engine.prefill_until = 0.0
+        engine.prefill_until = engine.silent_until = 0.0
         engine.available_at = self._now + for_s
         for request_id in aborted_ids:
             place = self._places_by_id.get(request_id)
@@ -569,5 +656,5 @@
         on_time_s,
         remaining_s,
         request.excluded,
-        request.shared_parts,
+        request.evidence_keys,
     )
--- a/sequoiafall/engine_model.py
+++ b/sequoiafall/engine_model.py
@@ -116,13 +116,14 @@
         self.prefilling_by_id: dict[str, AdapterKey] = {}
         self.generated_tokens = 0.0
         self.schedule_id = 0
+        self.is_silent = False
         self._request_counts_by_adapter: Counter[AdapterKey] = Counter()
         self._steps = 0.0
         self._updated_at = 0.0
 
     def advance(self, now: float) -> None:
         """Generate tokens up to `now`."""
-        if self.batch_by_id:
+        if self.batch_by_id and not self.is_silent:
             elapsed = now - self._updated_at
             steps = elapsed / self.times.seconds(
                 len(self.batch_by_id), len(self._request_counts_by_adapter)
@@ -131,6 +132,11 @@
             self.generated_tokens += steps * len(self.batch_by_id)
         self._updated_at = now
 
+    def set_silent(self, is_silent: bool, now: float) -> None:
+        """Stop to generate tokens, or go on."""
+        self.advance(now)
+        self.is_silent = is_silent
+
     def join(self, request_id: str, key: AdapterKey, tokens: int, now: float) -> None:
         """Add a request to the batch after its prefill."""
         self.advance(now)
@@ -154,9 +160,9 @@
     def next_end(self, now: float) -> tuple[float, str] | None:
         """Return time and identifier of the next request to end, None without any.
 
-        The time holds as long as the batch does not change.
+        The time holds as long as the batch does not change. A silent engine ends none.
         """
-        if not self.batch_by_id:
+        if not self.batch_by_id or self.is_silent:
             return None
         self.advance(now)
         step_s = self.times.seconds(
@@ -186,6 +192,7 @@
         }
         generated_by_id.update(dict.fromkeys(self.prefilling_by_id, 0))
         self.incarnation += 1
+        self.is_silent = False
         self.resident.clear()
         self.loading.clear()
         self.batch_by_id.clear()
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -4,6 +4,7 @@
 import tempfile
 import unittest
 from pathlib import Path
+from unittest.mock import patch
 
 from parameterized import parameterized
 from typer.testing import CliRunner
@@ -17,8 +18,9 @@
     RequestKind,
     read_day,
 )
+from sequoiafall.day_arrivals import DayRequest
 from sequoiafall.day_report import DayMetrics
-from sequoiafall.day_session import DaySession
+from sequoiafall.day_session import KNOWN_CRASHES, DaySession
 from sequoiafall.experiment import app
 from sequoiafall.placement_policy import LATE_WAIT_MAX_S, POLICIES_BY_NAME
 
@@ -299,6 +301,88 @@
         self.assertEqual(session._evidence.harmful_parts(), [])
 
 
+class DeadlyDayTest(unittest.TestCase):
+    """Pattern: whole requests crash each engine that begins to run them.
+
+    They come again with the same identity. Guards against sends that go on reaching
+    engines after the third crash, and against sound requests that are refused beside.
+    """
+
+    @parameterized.expand(
+        [
+            ("one request", 1, 0.05, []),
+            ("two requests", 2, 0.1, []),
+            ("leader changes", 1, 0.05, [5.0]),
+        ]
+    )
+    def test_few_sends_after_the_third_crash(self, _name, count, share, leaderless):
+        deadly = Disturbance(kind="deadly", at=4.0, for_s=14.0, x=share, count=count)
+        losses = [Disturbance(kind="no_leader", at=at, for_s=1.0) for at in leaderless]
+        session = simulate(quiet_day(disturbances=[deadly, *losses]))
+        identities = {row.deadly_identity for row in session.requests} - {""}
+        self.assertEqual(len(identities), count)
+        self.assertGreaterEqual(session.crashes, KNOWN_CRASHES)
+        self.assertLessEqual(session.late_deadly_sends, 3)
+        sound = [row for row in session.requests if not row.is_harmful]
+        self.assertGreater(sum(row.is_served for row in sound) / len(sound), 0.95)
+
+    @parameterized.expand([(seed,) for seed in (1, 2, 3)])
+    def test_day_of_the_project(self, seed):
+        session = simulate(load_day("deadly"), seed=seed)
+        values = DayMetrics.from_session(session).values_by_name
+        self.assertLessEqual(values["late deadly sends"], 3.0)
+        self.assertGreater(values["sound served"], 0.9)
+
+    def test_sends_that_go_on_are_counted(self):
+        """The figure shows the fault if nothing is known of whole requests."""
+        deadly = Disturbance(kind="deadly", at=4.0, for_s=14.0, x=0.2)
+        day = quiet_day(disturbances=[deadly])
+        with patch.object(DayRequest, "evidence_keys", ()):
+            session = simulate(day)
+        self.assertGreater(session.late_deadly_sends, 3)
+
+
+class SilentDayTest(unittest.TestCase):
+    """Pattern: sound engines send nothing for a second or so and go on.
+
+    Guards against silences that end requests or overfill an engine afterwards.
+    """
+
+    @parameterized.expand(
+        [
+            ("one", [(6.0, 1.0, 1)]),
+            ("most", [(6.0, 1.5, 5)]),
+            ("all", [(6.0, 1.0, 6)]),
+            ("one after the other", [(5.0 + at, 1.0, 1) for at in range(10)]),
+        ]
+    )
+    def test_requests_are_served(self, _name, silences):
+        rows = [
+            Disturbance(kind="silence", at=at, for_s=for_s, count=count)
+            for at, for_s, count in silences
+        ]
+        session = simulate(quiet_day(disturbances=rows))
+        values = DayMetrics.from_session(session).values_by_name
+        self.assertGreater(values["served"], 0.99)
+        self.assertEqual(values["crashes"], 0.0)
+        self.assertEqual(session._evidence.harmful_parts(), [])
+        self.assertLessEqual(
+            session.max_adapters_held, session.day.engines.adapter_slots
+        )
+
+    def test_silent_engine_sends_nothing(self):
+        silence = Disturbance(kind="silence", at=6.0, for_s=1.0, count=6)
+        session = simulate(quiet_day(disturbances=[silence]))
+        within = [row for row in session.requests if 6.05 < row.ended_at < 7.0]
+        self.assertEqual(within, [])
+
+    @parameterized.expand([(seed,) for seed in (1, 2, 3)])
+    def test_day_of_the_project(self, seed):
+        session = simulate(load_day("silent"), seed=seed)
+        values = DayMetrics.from_session(session).values_by_name
+        self.assertGreater(values["sound served"], 0.9)
+
+
 class _CallRecorder(DaySession):
     """Records when each engine gets a request, a report request or an order."""
 
