--- a/sequoiafall/standins/engine.py
+++ b/sequoiafall/standins/engine.py
@@ -29,7 +29,7 @@
     PrefixCache,
     token_text,
 )
-from .recording import RecordingService, abort, parse_json
+from .recording import RecordingService, ServerFaults, abort, parse_json
 
 PREFIX_CACHE_BLOCKS = 256
 # State snapshots are kept this long; bounds the fault `report_lag_s`.
@@ -37,7 +37,7 @@
 LOAD_ATTEMPTS = 20
 
 
-class EngineFaults(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+class EngineFaults(ServerFaults, kw_only=True, forbid_unknown_fields=True):
     """Injectable faults of an engine.
 
     Parameters
@@ -201,14 +201,21 @@
         """Simulate a cold restart if `cold_restart` is set."""
         if self.faults.cold_restart:
             self.faults.cold_restart = False
-            self.incarnation += 1
-            self.fencing_token = 0
-            self.resident.clear()
-            self.loading.clear()
-            self._imported.clear()
-            self.cache = PrefixCache(PREFIX_CACHE_BLOCKS)
-            for generation in self.batch:
-                self.batch.remove(generation, "killed")
+            self._restart_cold()
+
+    async def on_crash(self) -> None:
+        """Forget everything that was loaded."""
+        self._restart_cold()
+
+    def _restart_cold(self) -> None:
+        self.incarnation += 1
+        self.fencing_token = 0
+        self.resident.clear()
+        self.loading.clear()
+        self._imported.clear()
+        self.cache = PrefixCache(PREFIX_CACHE_BLOCKS)
+        for generation in self.batch:
+            self.batch.remove(generation, "killed")
 
     @Service.task
     async def _run_batch(self) -> None:
@@ -363,12 +370,15 @@
         return web.json_response({"imported": True})
 
     async def _complete(self, request: web.Request) -> web.StreamResponse:
-        body = parse_json(await request.text())
+        text = await request.text()
+        body = parse_json(text)
         if self.faults.error_status:
             return _reject(self.faults.error_status, "internal_error")
         generation = self._admit(request, body)
         if generation is None:
             return _reject(409, "adapter_not_resident")
+        if await self.crash_if_deadly(request, text):
+            return web.Response()
         self.batch.submit(generation)
         self._wake.set()
         try:
@@ -412,6 +422,7 @@
                 abort(request)
                 return web.Response()
             tokens.append(token_text(*generation.text_key, item))
+        await self.wait_silence_over()
         content = {
             "id": generation.request_id,
             "model": generation.adapter,
@@ -439,6 +450,7 @@
                 return response
             if self.faults.late_s:
                 await asyncio.sleep(self.faults.late_s)
+            await self.wait_silence_over()
             event = _event(request, generation, item)
             await response.write(event * (2 if self.faults.doubled else 1))
             if self.faults.crossed:
--- a/sequoiafall/standins/plain_service.py
+++ b/sequoiafall/standins/plain_service.py
@@ -10,10 +10,10 @@
 
 from ..process import run_service
 from ..settings import Setting, parse_address, parse_name, settings_from_command_line
-from .recording import POLLED_PATHS, RecordingService, abort
+from .recording import POLLED_PATHS, RecordingService, ServerFaults, abort
 
 
-class PlainServiceFaults(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+class PlainServiceFaults(ServerFaults, kw_only=True, forbid_unknown_fields=True):
     """Injectable faults of a plain service.
 
     Parameters
@@ -115,7 +115,10 @@
         self.handled_by_request_id[request_id] += 1
         self.handled_by_body[hashlib.sha256(body).hexdigest()] += 1
         self.handled_by_idempotency_key[request.headers.get("Idempotency-Key", "")] += 1
+        if await self.crash_if_deadly(request, body.decode("utf-8", "replace")):
+            return web.Response()
         await self._hold("answer")
+        await self.wait_silence_over()
         if close == "after":
             abort(request)
             return web.Response()
--- a/sequoiafall/standins/recording.py
+++ b/sequoiafall/standins/recording.py
@@ -1,6 +1,9 @@
 """HTTP server of the simulated backend servers, with recording and faults."""
 
+import asyncio
+import contextlib
 import json
+import time
 from abc import abstractmethod
 from collections import deque
 from typing import Any, Generic, TypeVar
@@ -9,6 +12,7 @@
 from aiohttp import web
 from mode import Service
 
+from ..connection_reset import reset_connection
 from ..log import log_event
 
 # Bounds the memory that recorded requests take in a long test.
@@ -21,7 +25,28 @@
 # Controllers poll engines at these paths all the time; not recorded.
 POLLED_PATHS = ("/state", "/cache-events")
 
-FaultsT = TypeVar("FaultsT", bound=msgspec.Struct)
+
+class ServerFaults(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """Injectable faults of every simulated backend server.
+
+    Parameters
+    ----------
+    crashing_requests : list of (str, str)
+        Paths, with their queries, and bodies of requests that crash the server as
+        soon as it begins to run them.
+    down_s : float
+        Seconds from a crash to the restart.
+    silent_s : float
+        Seconds for which the server sends nothing from when this is set; then it goes
+        on. Setting 0 ends a silence.
+    """
+
+    crashing_requests: list[tuple[str, str]] = []
+    down_s: float = 1.0
+    silent_s: float = 0.0
+
+
+FaultsT = TypeVar("FaultsT", bound=ServerFaults)
 
 
 class RecordingService(Service, Generic[FaultsT]):
@@ -44,7 +69,12 @@
         self._faults_type = faults_type
         self.faults = faults_type()
         self.recorded: deque[dict[str, Any]] = deque(maxlen=MAX_RECORDED)
+        self.crashes = 0
+        self._silent_until = 0.0
+        self._silence_changed = asyncio.Event()
         self._runner: web.AppRunner | None = None
+        self._site: web.TCPSite | None = None
+        self._restart_task: asyncio.Task[None] | None = None
 
     @property
     def address(self) -> str:
@@ -71,16 +101,57 @@
             application, handler_cancellation=True, access_log=None, shutdown_timeout=1
         )
         await self._runner.setup()
-        site = web.TCPSite(self._runner, self._host, self._port, backlog=LISTEN_BACKLOG)
-        await site.start()
+        await self._open_port()
         self._port = self._runner.addresses[0][1]
         log_event("listening", service=type(self).__name__, address=self.address)
 
     async def on_stop(self) -> None:
         """Close the port and the connections."""
+        if self._restart_task is not None:
+            self._restart_task.cancel()
         if self._runner is not None:
             await self._runner.cleanup()
 
+    async def _open_port(self) -> None:
+        assert self._runner is not None
+        self._site = web.TCPSite(
+            self._runner, self._host, self._port, backlog=LISTEN_BACKLOG
+        )
+        await self._site.start()
+
+    async def on_crash(self) -> None:
+        """Forget what a crash loses."""
+
+    async def crash_if_deadly(self, request: web.Request, body: str) -> bool:
+        """Crash if a request that begins to run is one that crashes the server.
+
+        All connections are reset and new ones refused until `down_s` is over.
+        """
+        if (request.raw_path, body) not in self.faults.crashing_requests:
+            return False
+        assert self._runner is not None and self._runner.server is not None
+        if self._restart_task is not None and not self._restart_task.done():
+            return True
+        self.crashes += 1
+        assert self._site is not None
+        self._restart_task = asyncio.create_task(self._restart_later())
+        await self._site.stop()
+        await self.on_crash()
+        for connection in list(self._runner.server.connections):
+            reset_connection(connection.transport)
+        return True
+
+    async def _restart_later(self) -> None:
+        await asyncio.sleep(self.faults.down_s)
+        await self._open_port()
+
+    async def wait_silence_over(self) -> None:
+        """Wait until the server may send again."""
+        while (left_s := self._silent_until - time.monotonic()) > 0.0:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(left_s):
+                    await self._silence_changed.wait()
+
     @web.middleware
     async def _record(self, request: web.Request, handler: Any) -> web.StreamResponse:
         if request.path not in ("/recorded", "/faults", "/healthz", *POLLED_PATHS):
@@ -94,6 +165,8 @@
                     "body": body.decode("utf-8", "replace"),
                 }
             )
+        if request.path not in ("/recorded", "/faults"):
+            await self.wait_silence_over()
         return await handler(request)
 
     async def _get_recorded(self, _request: web.Request) -> web.Response:
@@ -109,6 +182,10 @@
             self.faults = msgspec.convert(merged, self._faults_type)
         except msgspec.ValidationError as error:
             return web.json_response({"error": str(error)}, status=400)
+        if "silent_s" in changes:
+            self._silent_until = time.monotonic() + self.faults.silent_s
+            self._silence_changed.set()
+            self._silence_changed = asyncio.Event()
         await self.on_faults(set(changes))
         return web.json_response(msgspec.structs.asdict(self.faults))
 
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 import unittest
 
 import aiohttp
@@ -172,3 +173,95 @@
         self.assertEqual(answered, not close)
         self.assertEqual(service.handled_by_request_id["r1"], handled)
         self.assertEqual(service.handled_by_idempotency_key["k"], handled)
+
+
+class ServerFaultsTest(unittest.IsolatedAsyncioTestCase):
+    """A request crashes the server that runs it; a silent server goes on.
+
+    Tests of both troubles rely on these faults.
+    """
+
+    DEADLY = ("/orders?part=1", "deadly")
+
+    async def asyncSetUp(self):
+        self.session = aiohttp.ClientSession()
+        self.addAsyncCleanup(self.session.close)
+
+    async def start(self, service, **faults):
+        """Start a server and set its faults."""
+        await service.start()
+        self.addAsyncCleanup(service.stop)
+        url = f"http://{service.address}"
+        async with self.session.post(f"{url}/faults", json=faults) as response:
+            self.assertEqual(response.status, 200)
+        return url
+
+    async def test_plain_service_crashes_and_comes_back(self):
+        service = PlainService("127.0.0.1:0", "plain")
+        url = await self.start(service, crashing_requests=[self.DEADLY], down_s=0.05)
+        service.faults.hold = "answer"
+        beside = asyncio.ensure_future(
+            self.session.post(
+                f"{url}/orders", data=b"wood", headers={"X-Request-Id": "r1"}
+            )
+        )
+        await until(lambda: service.handled_by_request_id["r1"])
+        with self.assertRaises(aiohttp.ClientError):
+            await self.session.post(url + self.DEADLY[0], data=b"deadly")
+        with self.assertRaises(aiohttp.ClientError):
+            await beside
+        with self.assertRaises(aiohttp.ClientConnectorError):
+            await self.session.post(f"{url}/orders", data=b"wood")
+        service.faults.hold = ""
+        statuses = []
+        while not statuses:
+            try:
+                async with self.session.post(f"{url}/orders", data=b"x") as response:
+                    statuses.append(response.status)
+            except aiohttp.ClientConnectorError:
+                await asyncio.sleep(0.01)
+        self.assertEqual((statuses, service.crashes), ([200], 1))
+
+    @parameterized.expand(
+        [("another body", "/orders?part=1", "x"), ("another path", "/orders", "deadly")]
+    )
+    async def test_similar_request_is_handled(self, _name, target, body):
+        service = PlainService("127.0.0.1:0", "plain")
+        url = await self.start(service, crashing_requests=[self.DEADLY])
+        async with self.session.post(url + target, data=body) as response:
+            self.assertEqual((response.status, service.crashes), (200, 0))
+
+    async def test_engine_crashes_and_forgets_its_adapters(self):
+        engine = Engine(EngineConfig(load_seconds=0.01, token_seconds=0.001))
+        body = json.dumps({"prompt": PROMPT, "stream": True})
+        target = "/v1/completions?part=1"
+        url = await self.start(engine, crashing_requests=[(target, body)])
+        order = {"adapter": "a", "version": "1"}
+        await self.session.post(f"{url}/orders/load", json=order)
+        with self.assertRaises(aiohttp.ClientError):
+            await self.session.post(url + target, data=body, headers=HEADERS)
+        self.assertEqual((engine.crashes, engine.resident), (1, set()))
+
+    async def test_silent_engine_goes_on(self):
+        engine = Engine(EngineConfig(load_seconds=0.01, token_seconds=0.001))
+        url = await self.start(engine)
+        order = {"adapter": "a", "version": "1"}
+        await self.session.post(f"{url}/orders/load", json=order)
+        body = {"prompt": PROMPT, "stream": True, "max_tokens": 4}
+        async with self.session.post(f"{url}/faults", json={"silent_s": 60.0}):
+            request = asyncio.ensure_future(
+                self.session.post(f"{url}/v1/completions", json=body, headers=HEADERS)
+            )
+        await until(lambda: len(engine.recorded) == 2)
+        self.assertFalse(request.done() or engine.batch.running)
+        async with self.session.post(f"{url}/faults", json={"silent_s": 0.0}):
+            pass
+        text = await (await asyncio.wait_for(request, 20.0)).text()
+        self.assertTrue(text.endswith("id: r1:4\ndata: [DONE]\n\n"))
+
+    async def test_silent_plain_service_goes_on(self):
+        service = PlainService("127.0.0.1:0", "plain")
+        url = await self.start(service, silent_s=0.1)
+        async with self.session.post(f"{url}/orders", data=b"wood") as response:
+            self.assertEqual(response.status, 200)
+        self.assertGreaterEqual(time.monotonic(), service._silent_until)
