--- a/soak/calls.py
+++ b/soak/calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from dataclasses import dataclass, field
 
@@ -35,6 +36,8 @@
         Further headers.
     is_sound : bool, default=True
         Whether it crashes no server.
+    leaves_after_s : float
+        Seconds after which the caller leaves; 0 if it waits for the response.
     sent_at, ended_at : float
         Monotonic times in seconds.
     status : int
@@ -57,6 +60,7 @@
     body: bytes = b""
     headers: dict[str, str] = field(default_factory=dict)
     is_sound: bool = True
+    leaves_after_s: float = 0.0
     sent_at: float = 0.0
     ended_at: float = 0.0
     status: int = 0
@@ -69,6 +73,12 @@
         """Whether the caller has got a complete response."""
         return self.status > 0 and not self.error
 
+    @property
+    def has_left(self) -> bool:
+        """Whether the caller has left before the response was complete."""
+        seconds = self.ended_at - self.sent_at
+        return bool(self.error) and 0.0 < self.leaves_after_s <= seconds
+
     @property
     def shared_parts(self) -> str:
         """Parts of the prompt without the last, which belongs to it alone."""
@@ -95,12 +105,15 @@
         }
         self.sent_at = time.monotonic()
         try:
-            async with session.request(
-                self.method,
-                f"http://{address}{self.target}",
-                headers=headers,
-                data=self.body if self.method == "POST" else None,
-            ) as response:
+            async with (
+                asyncio.timeout(self.leaves_after_s or None),
+                session.request(
+                    self.method,
+                    f"http://{address}{self.target}",
+                    headers=headers,
+                    data=self.body if self.method == "POST" else None,
+                ) as response,
+            ):
                 self.status = response.status
                 async for chunk in response.content.iter_any():
                     self.received += chunk
--- a/soak/endings.py
+++ b/soak/endings.py
@@ -35,7 +35,8 @@
     """Judges requests without a complete response.
 
     Excused are requests whose server crashed or broke off, whose node was killed,
-    whose link to a server lost data, and those whose deadline has passed.
+    whose link to a server lost data, whose caller has left, and those whose deadline
+    has passed.
 
     Parameters
     ----------
@@ -105,6 +106,8 @@
         """Return why a request may have no complete response; empty if it must."""
         if not call.was_sent:
             return "not connected"
+        if call.has_left:
+            return "caller left"
         limit_s = min(
             REQUEST_DEADLINE_S, self._configuration.shortest_timeout_s(call.route)
         )
--- a/soak/further_faults.py
+++ b/soak/further_faults.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import random
 import time
 from typing import TYPE_CHECKING
@@ -35,6 +36,9 @@
     from .servers import RecordingEngine
 
 REQUESTS_PER_S = 20.0
+# Share of sound requests whose callers leave, and when.
+LEAVING_SHARE = 0.05
+MAX_STAY_S = 1.0
 # Share of sound requests that differ from a deadly one in their body only.
 TWIN_SHARE = 0.1
 ADAPTER_COUNT = 8
@@ -62,6 +66,7 @@
         self._soak = soak
         self._random = random.Random(f"{soak.seed} further faults")
         self._traffic_random = random.Random(f"{soak.seed} further requests")
+        self._leaving_random = random.Random(f"{soak.seed} leaving callers")
         self._silent_until_by_server: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -76,7 +81,7 @@
             Monotonic time in seconds after which no further fault starts.
         """
         traffic = asyncio.create_task(self._send_sound(session, end_at))
-        faults = [
+        faults: list[Callable[[], Coroutine[None, None, None]]] = [
             self.silence_server,
             self.silence_server,
             self.silence_service,
@@ -84,11 +89,20 @@
             self.change_configuration,
             self.storm_configuration,
         ]
-        for routes in (ENGINE_ROUTES, PLAIN_ROUTES):
-            self._start(self._send_deadly(session, routes, end_at))
-        while time.monotonic() < end_at:
-            self._start(self._random.choice(faults)())
-            await asyncio.sleep(self._random.uniform(0.1, 0.9))
+        deadly_faults = [
+            functools.partial(self._send_deadly, session, routes, end_at)
+            for routes in (ENGINE_ROUTES, PLAIN_ROUTES)
+        ]
+        if self._soak.is_series:
+            faults += deadly_faults
+            while time.monotonic() < end_at:
+                await self._random.choice(faults)()
+        else:
+            for fault in deadly_faults:
+                self._start(self._repeat(fault, end_at))
+            while time.monotonic() < end_at:
+                self._start(self._random.choice(faults)())
+                await asyncio.sleep(self._random.uniform(0.1, 0.9))
         await asyncio.gather(traffic, *self._tasks)
         self._restore_configuration()
 
@@ -96,19 +110,28 @@
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
 
+    async def _repeat(
+        self, fault: Callable[[], Coroutine[None, None, None]], end_at: float
+    ) -> None:
+        await asyncio.sleep(self._random.uniform(0.0, 2.0))
+        while time.monotonic() < end_at:
+            await fault()
+
     # Silences
 
     async def silence_server(self) -> None:
         """Let a server send nothing for a time and go on."""
-        self._silence([self._random.choice(self._soak.all_engines)])
+        await self._silence([self._random.choice(self._soak.all_engines)])
 
     async def silence_service(self) -> None:
         """Let all servers of a service send nothing for a time and go on."""
         service = self._random.choice((*ENGINE_SERVICES, *PLAIN_SERVICES))
         engines = self._soak.all_engines
-        self._silence([row for row in engines if self._soak.service(row) == service])
+        await self._silence(
+            [row for row in engines if self._soak.service(row) == service]
+        )
 
-    def _silence(self, engines: list[RecordingEngine]) -> None:
+    async def _silence(self, engines: list[RecordingEngine]) -> None:
         seconds = self._random.uniform(MIN_SILENCE_S, MAX_SILENCE_S)
         now = time.monotonic()
         for engine in engines:
@@ -117,6 +140,7 @@
             self._silent_until_by_server[engine.name] = now + seconds
             engine.fall_silent(seconds)
             self._soak.endings.note(f"{engine.name} silent for {seconds:.2f} s")
+        await asyncio.sleep(seconds)
 
     # Changes of the configuration
 
@@ -141,9 +165,11 @@
 
     async def storm_configuration(self) -> None:
         """Make several changes in quick succession."""
+        changes = []
         for _ in range(self._random.randint(2, 5)):
-            self._start(self.change_configuration())
+            changes.append(asyncio.create_task(self.change_configuration()))
             await asyncio.sleep(self._random.uniform(0.02, 0.15))
+        await asyncio.gather(*changes)
 
     def _random_state(self, names: tuple[str, ...]) -> tuple[str, RouteState]:
         name = self._random.choice(names)
@@ -227,6 +253,8 @@
                 call = self._new_call(
                     twin.route, twin.organisation, key, target, b"twin"
                 )
+            if self._leaving_random.random() < LEAVING_SHARE:
+                call.leaves_after_s = self._leaving_random.uniform(0.01, MAX_STAY_S)
             self._start(self._soak.make_call(session, call))
             await asyncio.sleep(generator.expovariate(REQUESTS_PER_S))
 
@@ -255,21 +283,17 @@
     async def _send_deadly(
         self, session: aiohttp.ClientSession, routes: tuple[str, ...], end_at: float
     ) -> None:
-        """Send a deadly request again and again, then another one."""
-        await asyncio.sleep(self._random.uniform(0.0, 2.0))
-        while time.monotonic() < end_at:
-            request = self._soak.deadly.add(self._random.choice(routes))
-            for engine in self._soak.all_engines:
-                engine.crashing_requests.add((request.target, request.body))
-            self._soak.endings.note(f"{request.target} is deadly")
-            until = min(end_at, time.monotonic() + self._random.uniform(8.0, 15.0))
-            while time.monotonic() < until:
-                for _ in range(self._random.choice((1, 1, 1, 3))):
-                    self._start(
-                        self._soak.make_call(session, self._deadly_call(request))
-                    )
-                await asyncio.sleep(self._random.uniform(0.05, 0.4))
-            self._soak.deadly.active.remove(request)
+        """Send a deadly request again and again for a time."""
+        request = self._soak.deadly.add(self._random.choice(routes))
+        for engine in self._soak.all_engines:
+            engine.crashing_requests.add((request.target, request.body))
+        self._soak.endings.note(f"{request.target} is deadly")
+        until = min(end_at, time.monotonic() + self._random.uniform(8.0, 15.0))
+        while time.monotonic() < until:
+            for _ in range(self._random.choice((1, 1, 1, 3))):
+                self._start(self._soak.make_call(session, self._deadly_call(request)))
+            await asyncio.sleep(self._random.uniform(0.05, 0.4))
+        self._soak.deadly.active.remove(request)
 
     def _deadly_call(self, request: DeadlyRequest) -> Call:
         call = self._new_call(
--- a/soak/run.py
+++ b/soak/run.py
@@ -81,6 +81,9 @@
         Number of nodes, counted from 1.
     server_count : int
         Number of backend servers of each service.
+    is_series : bool
+        Whether silences, deadly requests and changes come one after the other and
+        without other faults.
 
     Attributes
     ----------
@@ -98,8 +101,10 @@
         folder: Path,
         node_count: int = NODE_COUNT,
         server_count: int = SERVER_COUNT,
+        is_series: bool = False,
     ) -> None:
         self.seed = seed
+        self.is_series = is_series
         self.node_count = node_count
         self.server_count = server_count
         self.random = random.Random(seed)
@@ -559,6 +564,7 @@
     traffic_s: float = TRAFFIC_S,
     node_count: int = NODE_COUNT,
     server_count: int = SERVER_COUNT,
+    is_series: bool = False,
 ) -> Soak:
     """Run one seed and return it with its findings.
 
@@ -574,8 +580,11 @@
         Number of nodes.
     server_count : int
         Number of backend servers of each of the four services.
+    is_series : bool
+        Whether silences, deadly requests and changes come one after the other and
+        without other faults.
     """
-    soak = Soak(seed, folder, node_count, server_count)
+    soak = Soak(seed, folder, node_count, server_count, is_series)
     try:
         await soak.start()
         async with aiohttp.ClientSession() as session:
@@ -591,11 +600,10 @@
         end_at = started_at + traffic_s
         soak.endings.started_at = started_at
         soak.traffic_span_s = (started_at, end_at)
-        await asyncio.gather(
-            soak.send_traffic(end_at),
-            FaultInjector(soak, node_count).run(end_at),
-            soak.send_further(end_at),
-        )
+        tasks = [soak.send_traffic(end_at), soak.send_further(end_at)]
+        if not is_series:
+            tasks.append(FaultInjector(soak, node_count).run(end_at))
+        await asyncio.gather(*tasks)
         await soak.check_recovery()
     finally:
         await soak.stop()
@@ -615,12 +623,21 @@
     seconds: Annotated[
         float, typer.Option(help="Time with requests and faults, in seconds.")
     ] = TRAFFIC_S,
+    series: Annotated[
+        bool,
+        typer.Option(
+            "--series",
+            help="Silences, deadly requests and changes one by one, no other faults.",
+        ),
+    ] = False,
 ) -> None:
     """Run seeds one after another; exit status 1 if an invariant was violated."""
     failed = 0
     for seed in range(first, first + seeds):
         with tempfile.TemporaryDirectory() as name:
-            soak = asyncio.run(run_seed(seed, Path(name), seconds, nodes, servers))
+            soak = asyncio.run(
+                run_seed(seed, Path(name), seconds, nodes, servers, series)
+            )
             counts = " ".join(
                 f"{k}={v}" for k, v in sorted(soak.counts_by_status.items())
             )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -31,6 +31,13 @@
 class SoakTest(unittest.TestCase):
     """Node processes are killed, paused and disconnected while requests arrive."""
 
+    def test_seed_in_series(self):
+        """Without other faults, so that a cut has no other cause."""
+        with tempfile.TemporaryDirectory() as folder:
+            soak = asyncio.run(run_seed(2, Path(folder), TRAFFIC_S, is_series=True))
+        self.assertEqual(soak.findings, [])
+        self.assertGreater(soak.counts_by_status["200"], 20)
+
     @parameterized.expand([(3,), (56,), (505,), (1004,), (1104,), (1206,)])
     def test_seed(self, seed):
         with tempfile.TemporaryDirectory() as folder:
@@ -198,6 +205,8 @@
             ("no response", {"error": "ServerDisconnectedError"}, True),
             ("not connected", {"error": "x", "was_sent": False}, False),
             ("deadline passed", {"error": "x", "ended_at": 104.1}, False),
+            ("caller left", {"error": "x", "leaves_after_s": 0.9}, False),
+            ("cut before it left", {"error": "x", "leaves_after_s": 1.1}, True),
             (
                 "handler failed",
                 {"status": 500, "received": b"500 Internal Server Error"},
