Judge the counters of request ends by their causes

Ends of requests that were not read completely are counted apart, and an end by an internal error is a finding.

Not run against nodes that have the counters.

--- a/soak/request_counters.py
+++ b/soak/request_counters.py
@@ -2,32 +2,42 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
-
 READ_METRIC = "sequoiafall_node_requests_read_total"
 ENDS_METRIC = "sequoiafall_node_request_ends_total"
+# Labels of ends that are counted apart, and of ends that only an error explains.
+UNREAD_LABEL = 'read="no"'
+ERROR_LABEL = 'cause="internal_error"'
 
 
-def _totals_by_metric(text: str) -> dict[str, float]:
-    totals: dict[str, float] = defaultdict(float)
+def _samples(text: str, metric: str) -> list[tuple[str, float]]:
+    """Return labels and value of each sample of a metric in the text format."""
+    rows = []
     for line in text.splitlines():
-        if line.startswith("#") or not line.strip():
-            continue
         labelled, _, value = line.rpartition(" ")
-        totals[labelled.partition("{")[0]] += float(value)
-    return totals
+        name, _, labels = labelled.partition("{")
+        if name == metric:
+            rows.append((labels, float(value)))
+    return rows
 
 
-def uncounted_requests(text: str) -> float:
-    """Return how many requests a node has read that have no counted end.
+def counter_findings(text: str) -> list[str]:
+    """Return what is wrong with the counters of a node without open requests.
 
     Parameters
     ----------
     text : str
-        Metrics of a node without open requests, in the text format. Zero is returned
-        if it has no such counters.
+        Metrics of the node in the text format. Nothing is judged if it has no such
+        counters.
     """
-    totals = _totals_by_metric(text)
-    if READ_METRIC not in totals:
-        return 0.0
-    return totals[READ_METRIC] - totals[ENDS_METRIC]
+    read = _samples(text, READ_METRIC)
+    if not read:
+        return []
+    ends = [row for row in _samples(text, ENDS_METRIC) if UNREAD_LABEL not in row[0]]
+    missing = sum(value for _, value in read) - sum(value for _, value in ends)
+    errors = sum(value for labels, value in ends if ERROR_LABEL in labels)
+    findings = []
+    if missing:
+        findings.append(f"counts {missing:g} requests without an end")
+    if errors:
+        findings.append(f"counts {errors:g} requests that an internal error ended")
+    return findings
--- a/soak/run.py
+++ b/soak/run.py
@@ -45,7 +45,7 @@
 from .limits import LimitCheck
 from .prompts import PromptCheck
 from .relay import FaultyRelay
-from .request_counters import uncounted_requests
+from .request_counters import counter_findings
 from .servers import RecordingEngine, ServerObserver
 from .sound_requests import SoundRequestCheck
 
@@ -498,10 +498,9 @@
                 except (aiohttp.ClientError, TimeoutError, OSError):
                     # A node that does not serve is a finding of its own.
                     continue
-                if missing := uncounted_requests(text):
-                    self.add_finding(
-                        f"node-{number} counts {missing:g} requests without an end"
-                    )
+                self.findings += [
+                    f"node-{number} {line}" for line in counter_findings(text)
+                ]
 
     async def all_ready(self, session: aiohttp.ClientSession) -> bool:
         """Return whether all nodes report that they are ready."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -19,7 +19,7 @@
 from soak.endings import EndingCheck
 from soak.limits import LimitCheck
 from soak.prompts import PromptCheck
-from soak.request_counters import uncounted_requests
+from soak.request_counters import counter_findings
 from soak.run import Soak, run_seed
 from soak.servers import RecordingEngine
 from soak.sound_requests import SoundRequestCheck
@@ -307,15 +307,29 @@
 
     @parameterized.expand(
         [
-            ("no counters", "sequoiafall_node_state 1\n", 0.0),
-            ("add up", 'READ 5\nENDS{end="ok"} 3\nENDS{end="gone"} 2\n', 0.0),
-            ("one lacks", '# HELP READ\nREAD 5\nENDS{end="ok"} 4\n', 1.0),
+            ("no counters", "sequoiafall_node_state 1\n", []),
+            (
+                "add up",
+                'READ 3\nENDS{read="yes",cause="completed"} 2\n'
+                'ENDS{cause="caller_left",read="yes"} 1\nENDS{read="no"} 7\n',
+                [],
+            ),
+            ("one lacks", '# HELP READ\nREAD 5\nENDS{read="yes"} 4\n', ["1 requests"]),
+            ("none ended", "READ 2\n", ["2 requests without"]),
+            (
+                "error",
+                'READ 1\nENDS{cause="internal_error",read="yes"} 1\n',
+                ["an internal error"],
+            ),
         ]
     )
     def test_counters(self, _name, text, expected):
         text = text.replace("READ", "sequoiafall_node_requests_read_total")
         text = text.replace("ENDS", "sequoiafall_node_request_ends_total")
-        self.assertEqual(uncounted_requests(text), expected)
+        findings = counter_findings(text)
+        self.assertEqual(len(findings), len(expected), findings)
+        for part, finding in zip(expected, findings, strict=True):
+            self.assertIn(part, finding)
 
 
 class ConfigurationTest(unittest.TestCase):
