Send the same prompt parts and adapter with each send of a deadly request

The sends of one deadly request named other parts and adapters each time, although their bodies are the same. That convicted all parts of the sound requests beside them; now at most those that the request has in common with them are suspected.

--- a/soak/deadly_requests.py
+++ b/soak/deadly_requests.py
@@ -5,9 +5,11 @@
 import random
 from dataclasses import dataclass
 
-from .configuration import KEYS_BY_ORGANISATION, STREAM_ROUTES
+from .configuration import KEYS_BY_ORGANISATION
 from .crash_budget import CrashBudget
 
+# Adapters of the further requests, sound or deadly.
+ADAPTER_COUNT = 8
 # Crashes after which a request is known.
 KNOWN_CRASHES = 3
 
@@ -21,11 +23,8 @@
     method: str
     body: bytes
     organisation: str
-
-    @property
-    def is_stream(self) -> bool:
-        """Whether engines serve it."""
-        return self.route in STREAM_ROUTES
+    adapter: str
+    parts: str
 
 
 class DeadlyRequests(CrashBudget):
@@ -57,6 +56,8 @@
             method,
             f"deadly {number}".encode() if method == "POST" else b"",
             self._random.choice(sorted(KEYS_BY_ORGANISATION)),
+            f"a{self._random.randint(1, ADAPTER_COUNT)}",
+            f"6d2f:568,c{self._random.randrange(5)}:200,own-deadly{number}:250",
         )
         self.active.append(request)
         return request
--- a/soak/further_faults.py
+++ b/soak/further_faults.py
@@ -24,7 +24,7 @@
     REQUEST_DEADLINE_S,
     STREAM_ROUTES,
 )
-from .deadly_requests import DeadlyRequest
+from .deadly_requests import ADAPTER_COUNT, DeadlyRequest
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -41,7 +41,6 @@
 MAX_STAY_S = 1.0
 # Share of sound requests that differ from a deadly one in their body only.
 TWIN_SHARE = 0.1
-ADAPTER_COUNT = 8
 MIN_SILENCE_S = 0.8
 MAX_SILENCE_S = 1.5
 # A sound server answers for this long before it falls silent again.
@@ -304,4 +303,6 @@
             request.body,
         )
         call.is_sound = False
+        if call.headers:
+            call.headers = self._soak.stream_headers(request.adapter, request.parts)
         return call
