Excuse cuts at a short timeout only while it may be in force

A cut counted as one at the deadline if it came after the shortest timeout that its route had ever had. Timeouts that were lengthened 6 s before the request do not count any more: links to the store are disrupted for at most 3 s, and the news takes as long.

--- a/soak/configuration.py
+++ b/soak/configuration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections import defaultdict
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -16,6 +17,9 @@
 CHANGING_ORGANISATION = "org-3"
 CHANGING_KEYS = ("key-of-org-3-abcdef", "second-key-of-org-3")
 REQUEST_DEADLINE_S = 4.0
+# Every node has a configuration this long after it was written: its link to the store
+# is disrupted for at most 3 s, and the news takes as long again.
+MAX_NEWS_S = 6.0
 PLAIN_TOKENS = 200
 FULL_RATE_PER_S = 200_000.0
 ENGINE_SERVICES = ("assist", "assist-2")
@@ -87,15 +91,32 @@
     changed_at: list[float] = field(default_factory=list)
     _dropped_routes: set[str] = field(default_factory=set)
     _withdrawn_keys: set[str] = field(default_factory=set)
-    _shortest_timeouts_s: dict[str, float] = field(default_factory=dict)
+    _timeouts_by_route: dict[str, list[tuple[float, float]]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
 
     def is_denial_expected(self, route: str, key: str) -> bool:
         """Return whether a route has been dropped or a key withdrawn in this run."""
         return route in self._dropped_routes or key in self._withdrawn_keys
 
-    def shortest_timeout_s(self, route: str) -> float:
-        """Return the shortest timeout that a route has had, in seconds."""
-        return self._shortest_timeouts_s.get(route, REQUEST_DEADLINE_S)
+    def shortest_timeout_s(self, route: str, first: float, last: float) -> float:
+        """Return the shortest timeout of a route in a span, in seconds.
+
+        Parameters
+        ----------
+        route : str
+            Name of the route.
+        first, last : float
+            Monotonic times in seconds between which a node took up the route. A node
+            that was cut off may have had an older configuration.
+        """
+        shortest_s = REQUEST_DEADLINE_S
+        ended_at = last
+        for begun_at, timeout_s in reversed(self._timeouts_by_route[route]):
+            if begun_at <= last and ended_at >= first - MAX_NEWS_S:
+                shortest_s = min(shortest_s, timeout_s)
+            ended_at = begun_at
+        return shortest_s
 
     def write(self, store: RowServer, extra_keys: list[str], added_route: str) -> None:
         """Write the configuration to the store.
@@ -109,14 +130,13 @@
         added_route : str
             Name of a further route; empty for none.
         """
+        now = time.monotonic()
         for name, state in self.states_by_route.items():
             if state.is_dropped:
                 self._dropped_routes.add(name)
-            self._shortest_timeouts_s[name] = min(
-                state.timeout_s, self.shortest_timeout_s(name)
-            )
+            self._timeouts_by_route[name].append((now, state.timeout_s))
         self._withdrawn_keys |= set(CHANGING_KEYS) - self.keys
-        self.changed_at.append(time.monotonic())
+        self.changed_at.append(now)
         content = {
             "version": self.version,
             "routes": self._routes(added_route),
--- a/soak/endings.py
+++ b/soak/endings.py
@@ -108,10 +108,9 @@
             return "not connected"
         if call.has_left:
             return "caller left"
-        limit_s = min(
-            REQUEST_DEADLINE_S, self._configuration.shortest_timeout_s(call.route)
+        limit_s = self._configuration.shortest_timeout_s(
+            call.route, call.sent_at, call.ended_at
         )
-        # A timeout in force before or since may be the one that counts.
         if call.ended_at - call.sent_at >= limit_s - DEADLINE_MARGIN_S:
             return "deadline"
         if call.request_id in self._broken_requests:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -166,7 +166,7 @@
                     configuration.write(RowServer(), [], "")
                 else:
                     getattr(check, name)(*arguments)
-            now = call.ended_at
+            now = max(now, call.ended_at)
             check.record_end(call)
             return check.findings()
 
@@ -191,6 +191,13 @@
             ),
             ("configuration changed", [(100.5, "timeout", 4.0)], True),
             ("timeout shortened", [(99.0, "timeout", 1.0)], False),
+            ("shorter before", [(50.0, "timeout", 1.0), (60.0, "timeout", 4.0)], True),
+            (
+                "shorter until now",
+                [(50.0, "timeout", 1.0), (99.0, "timeout", 4.0)],
+                False,
+            ),
+            ("shorter since", [(101.5, "timeout", 1.0)], True),
         ]
     )
     def test_cut_response(self, _name, events, is_found):
