Judge refusals of sound requests for the whole request as well

The branch that knows whole requests refuses with harmful_request. A sound request that is refused so for longer than a trial is a finding, as with harmful_prompt.

--- a/soak/sound_requests.py
+++ b/soak/sound_requests.py
@@ -9,7 +9,8 @@
 from .configuration import REQUEST_DEADLINE_S, STREAM_ROUTES
 from .crash_budget import CONTACT_S
 
-HARMFUL_REASON = "harmful_prompt"
+# Reasons of refusals for a part of the prompt, and for the whole request.
+HARMFUL_REASONS = ("harmful_prompt", "harmful_request")
 # A trial is one request, which ends within its deadline.
 TRIAL_S = REQUEST_DEADLINE_S
 # What is known of a trouble reaches all nodes within the first term, and a request
@@ -34,7 +35,7 @@
             kind = "engines" if call.route in STREAM_ROUTES else "plain services"
             self._served_at_by_kind[kind].append(call.ended_at)
             self._refused_at_by_identity.pop(identity, None)
-        elif call.refusal_reason == HARMFUL_REASON:
+        elif call.refusal_reason in HARMFUL_REASONS:
             first = self._refused_at_by_identity.setdefault(identity, call.sent_at)
             if call.sent_at - first > TRIAL_S:
                 self._findings_by_identity[identity] = (
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -273,13 +273,12 @@
 class SoundRequestCheckTest(unittest.TestCase):
     """Sound requests that are refused as harmful, or not served at all, are found."""
 
-    REFUSAL = json.dumps({"error": {"reason": "harmful_prompt"}}).encode()
-
-    def _check(self, *rows):
+    def _check(self, *rows, reason="harmful_prompt"):
+        refusal = json.dumps({"error": {"reason": reason}}).encode()
         check = SoundRequestCheck()
         for at, status, *is_sound in rows:
             for route in ("ask", "note"):
-                received = self.REFUSAL if status == 503 else b""
+                received = refusal if status == 503 else b""
                 call = _call(route, at, at, status=status, received=received)
                 call.is_sound = all(is_sound)
                 check.record_end(call)
@@ -297,6 +296,14 @@
         check = self._check((100.5, 200), *rows)
         self.assertEqual(len(check.findings(100.0, 107.0)), findings)
 
+    @parameterized.expand(
+        [("harmful_prompt", 2), ("harmful_request", 2), ("overloaded", 0)]
+    )
+    def test_reason(self, reason, findings):
+        rows = [(101.0, 503), (105.1, 503), (106.0, 200)]
+        check = self._check(*rows, reason=reason)
+        self.assertEqual(len(check.findings(100.0, 107.0)), findings)
+
     @parameterized.expand(
         [
             ("served", [(104.0, 200), (110.0, 200)], 0),
