Refuse connections to crashed servers of the soak

The relay's port is closed now until the server is back. Crashes by parts of prompts are played so as well.

--- a/soak/relay.py
+++ b/soak/relay.py
@@ -37,6 +37,16 @@
         self.address = f"{host}:{port}"
         return self.address
 
+    def close_port(self) -> None:
+        """Refuse connections, as the host of a target that is down does."""
+        assert self._server is not None
+        self._server.close()
+
+    async def open_port(self) -> None:
+        """Accept connections again at the same address."""
+        host, _, port = self.address.rpartition(":")
+        self._server = await asyncio.start_server(self._forward, host, int(port))
+
     async def stop(self) -> None:
         """Stop listening and reset all connections."""
         assert self._server is not None
--- a/soak/run.py
+++ b/soak/run.py
@@ -128,6 +128,7 @@
         self.deadly = DeadlyRequests(seed, random.Random(f"{seed} deadly requests"))
         self.traffic_span_s = (0.0, 0.0)
         self.web_runners: list[web.AppRunner] = []
+        self._return_tasks: set[asyncio.Task[None]] = set()
         self.request_numbers = itertools.count(1)
         self.further_numbers = itertools.count(1)
         self.further_random = random.Random(f"{seed} further versions")
@@ -175,7 +176,7 @@
 
     async def _start_engine(self, name: str, model: str) -> RecordingEngine:
         engine = RecordingEngine(name, model, observer=self)
-        engine.on_restart = functools.partial(self.register_engine, engine)
+        engine.on_restart = functools.partial(self._start_return, engine)
         relay = FaultyRelay(await engine.listen("127.0.0.1"))
         await relay.start()
         self.relays[name] = relay
@@ -209,11 +210,25 @@
         for engine in self.all_engines:
             if engine.name == server:
                 self.end_limit(engine)
+        # A relay that accepts connections to a server that is down would make each
+        # request sent meanwhile look like one that crashed it.
+        if server in self.relays:
+            self.relays[server].close_port()
         self.endings.note(f"{server} crashed by {cause}")
 
     def _budget(self, cause: str) -> PromptCheck | DeadlyRequests:
         return self.deadly if cause.startswith("/") else self.prompts
 
+    def _start_return(self, engine: RecordingEngine) -> None:
+        task = asyncio.create_task(self._return(engine))
+        self._return_tasks.add(task)
+        task.add_done_callback(self._return_tasks.discard)
+
+    async def _return(self, engine: RecordingEngine) -> None:
+        """Accept connections to a server that is up again, and announce it."""
+        await self.relays[engine.name].open_port()
+        self.register_engine(engine)
+
     def on_broken(self, server: str, request_id: str) -> None:
         """Record a request that its server has broken off."""
         self.endings.record_broken(server, request_id)
