Blame a harmful request for its failed trials, not the parts of its prompt

A part with a failed trial is no longer tried, although the harmful request explains its crashes.

Only a run that began after the verdict is a trial. If the request as a whole is harmful, its trials say nothing on its parts.

test_part_is_not_blamed_for_the_trial_of_a_harmful_request on the code before: [1, 1] instead of [0, 0] failed trials.

--- a/sequoiafall/crash_evidence.py
+++ b/sequoiafall/crash_evidence.py
@@ -233,13 +233,19 @@
     def record_crash(self, start: ServerStart, keys: Sequence[str], now: float) -> None:
         """Record that a server crashed before it began to respond to a request."""
         suspects = []
+        tried = self._tried_keys(keys, now)
         for key in keys:
             if now - self._begun_at_by_key.get(key, float("-inf")) <= BEGUN_GRACE_S:
                 continue
             row = self._row(key, now)
             crashed = _crashed_start(row, start, now)
             if crashed is not None:
-                self._add_crash(row, crashed, Crash(now), now)
+                row.crashes_by_start[crashed] = Crash(now)
+                _trim(row)
+                if key in tried:
+                    self._fail_trial(row, now)
+                self._reconsider(row, now)
+                self._change(row)
                 suspects.append(key)
         if suspects:
             self._expect_response(start.server, now, now)
@@ -426,15 +432,14 @@
             key=lambda item: (item.is_harmful, item.events(now), item.revision),
         )
 
-    def _add_crash(
-        self, row: SuspectEvidence, start: ServerStart, crash: Crash, now: float
-    ) -> None:
-        row.crashes_by_start[start] = crash
-        _trim(row)
-        if row.is_harmful and now >= row.trial_at:
-            self._fail_trial(row, now)
-        self._reconsider(row, now)
-        self._change(row)
+    def _tried_keys(self, keys: Sequence[str], now: float) -> frozenset[str]:
+        """Return the suspects of which a request with these keys is a due trial."""
+        rows = (self._rows_by_key.get(key) for key in keys)
+        return tried_suspects(
+            row.key
+            for row in rows
+            if row is not None and row.is_harmful and now >= row.trial_at
+        )
 
     def _fail_trial(self, row: SuspectEvidence, now: float) -> None:
         row.failed_trials += 1
@@ -493,6 +498,16 @@
             self.on_change()
 
 
+def tried_suspects(harmful_keys: Iterable[str]) -> frozenset[str]:
+    """Return the suspects that a failed trial of one request speaks against.
+
+    A request that is harmful as a whole explains the crash. Other requests share the
+    parts of its prompt and may be sound, so these are not blamed.
+    """
+    keys = frozenset(harmful_keys)
+    return frozenset(key for key in keys if is_identity(key)) or keys
+
+
 def quarantine_s(failed_trials: int) -> float:
     """Return the seconds for which a harmful suspect gets no request."""
     if failed_trials >= MAX_FAILED_TRIALS:
--- a/sequoiafall/prompt_quarantine.py
+++ b/sequoiafall/prompt_quarantine.py
@@ -12,7 +12,12 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from .crash_evidence import MAX_SUSPECTS, CrashEvidence, SuspectEvidence
+from .crash_evidence import (
+    MAX_SUSPECTS,
+    CrashEvidence,
+    SuspectEvidence,
+    tried_suspects,
+)
 from .refusal import Reason, Refusal
 from .request_identity import is_identity
 
@@ -39,8 +44,8 @@
 class _Trial:
     request_id: str
     expires_at: float
-    # Of the suspect before the trial.
-    failed_trials: int
+    # Of the suspect before the trial, None if it was not harmful then.
+    failed_trials: int | None
 
 
 class PromptQuarantine:
@@ -119,7 +124,8 @@
         if len(self._trials_by_key) >= MAX_SUSPECTS:
             self._drop_lost_trials(now)
         for row in suspects:
-            trial = _Trial(request_id, now + TRIAL_TTL_S, row.failed_trials)
+            failed_trials = row.failed_trials if row.is_harmful else None
+            trial = _Trial(request_id, now + TRIAL_TTL_S, failed_trials)
             self._trials_by_key[row.key] = trial
         self._keys_by_request[request_id] = [row.key for row in suspects]
         return True
@@ -133,10 +139,16 @@
 
     def fail_trial(self, request_id: str, now: float) -> None:
         """Record that a request reached a server, and no response began."""
-        for key in self._keys_by_request.get(request_id, ()):
-            trial = self._trials_by_key.get(key)
-            if trial is not None and trial.request_id == request_id:
-                self._count_failure(key, trial, now)
+        keys = self._keys_by_request.get(request_id, ())
+        trials_by_key = {
+            key: trial
+            for key in keys
+            if (trial := self._trials_by_key.get(key)) is not None
+            and trial.request_id == request_id
+            and trial.failed_trials is not None
+        }
+        for key in tried_suspects(trials_by_key):
+            self._count_failure(key, trials_by_key[key], now)
         self.end_trial(request_id)
 
     def end_trial(self, request_id: str) -> None:
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -416,6 +416,26 @@
             self.assertIs(self.decide("r4", keys, 2.6), Verdict.PASS)
         self.assertIs(self.decide("r1", harmful, 2.6), Verdict.REFUSE)
 
+    def test_part_is_not_blamed_for_the_trial_of_a_harmful_request(self):
+        """Sound requests with the part were refused for the time of failed trials."""
+        keys = ["p", "request:a"]
+        crash(self.evidence, keys, 0.0, 0.5)
+        self.quarantine.begin_trial("r1", keys, NOW + 5.0)
+        crash(self.evidence, keys, 5.1, first=5)
+        self.quarantine.end_run("r1", "broken", NOW + 5.1)
+        rows = [self.evidence.suspect(key, NOW + 5.2) for key in keys]
+        self.assertEqual([row.is_harmful for row in rows], [True, True])
+        self.assertEqual([row.failed_trials for row in rows], [0, 0])
+        due_s = 5.2 + quarantine_s(0)
+        self.assertIs(self.decide("r2", keys, due_s), Verdict.TRIAL)
+        self.quarantine.begin_trial("r2", keys, NOW + due_s)
+        crash(self.evidence, keys, due_s + 0.1, first=6)
+        self.quarantine.end_run("r2", "broken", NOW + due_s + 0.1)
+        self.assertEqual([row.failed_trials for row in rows], [0, 1])
+        self.assertIs(self.decide("r3", keys, due_s + 0.2), Verdict.REFUSE)
+        sound = ["p", "request:b"]
+        self.assertIs(self.decide("r4", sound, due_s + 0.2), Verdict.TRIAL)
+
     def test_harmful_part_in_several_requests(self):
         """A part that crashes servers in another request as well is harmful itself."""
         crash(self.evidence, [REQUEST, "p"], 0.0, 0.5, 1.0)
