Route every path of a caller to the forwarder

Callers of a path with an encoded line break ("/order/a%0Ab") got the HTTP library's 404 as text: the pattern of the only route did not match it. No line and no counter said so.

tests.test_final_responses.CallerHabitsTest.test_path_with_a_line_break, on the code before: AssertionError: 404 != 502 (the stand-in itself does not find it)

--- a/sequoiafall/node.py
+++ b/sequoiafall/node.py
@@ -107,7 +107,8 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self._on_reload)
         callers = web.Application(client_max_size=MAX_BODY_BYTES)
-        callers.router.add_route("*", "/{path:.*}", self.forwarder.handle)
+        # A dot would not match an encoded line break.
+        callers.router.add_route("*", r"/{path:[\s\S]*}", self.forwarder.handle)
         self._caller_site = await self._listen(callers, self.settings.front_address)
         self._caller_runner = self._runners[-1]
         await self._listen(self._applications.ready(self), self.settings.ready_address)
--- a/sequoiafall/request_ends.py
+++ b/sequoiafall/request_ends.py
@@ -198,7 +198,7 @@
                 await self._write(response)
                 return response
         except web.HTTPException as error:
-            # The HTTP library refuses the body, such as one that is too long.
+            # The body cannot be read.
             self.cause = EndCause.REFUSED
             self._log(error.status, error.reason)
             await self._write(error)
