Test random changes beside requests at random moments

120 requests at three instances beside eight changes of the configuration, from a seed; each gets a complete response or a final refusal.

--- a/tests/test_final_responses.py
+++ b/tests/test_final_responses.py
@@ -4,6 +4,7 @@
 import contextlib
 import gzip
 import json
+import random
 import re
 import socket
 import unittest
@@ -22,6 +23,10 @@
 from .platform_case import KEY, PlatformCase, configuration
 
 COMPLETE = ResponseState.COMPLETE.value
+SERVED = {
+    (EndCause.COMPLETED.value, COMPLETE),
+    (EndCause.REFUSED.value, COMPLETE),
+}
 EVENTS = 5
 # Route, whether its responses are streams, and the adapter that its requests name.
 ROUTES = (
@@ -92,7 +97,7 @@
         self.assertIn(status, (401, 404, 429, 503), body)
         self.assertEqual(json.loads(body)["error"]["ran"], "not run")
 
-    async def assert_ends_add_up(self, count, causes=None):
+    async def assert_ends_add_up(self, count, causes=None, among=SERVED):
         """Check that every request that was read has one cause of its end."""
         await until(
             lambda: not any(node.forwarder.open_requests for node in self.nodes)
@@ -110,11 +115,7 @@
                 ends[end] = ends.get(end, 0) + number
         self.assertEqual(read, count, ends)
         if causes is None:
-            served = {
-                (EndCause.COMPLETED.value, COMPLETE),
-                (EndCause.REFUSED.value, COMPLETE),
-            }
-            self.assertLessEqual(set(ends), served)
+            self.assertLessEqual(set(ends), among)
         else:
             self.assertEqual(ends, causes)
 
@@ -447,6 +448,57 @@
         await self.assert_ends_add_up(len(ends))
 
 
+class RandomChangesTest(FinalResponseCase):
+    """Changes and requests of callers at random moments, from a seed."""
+
+    @parameterized.expand([(seed,) for seed in range(4)])
+    async def test_seed(self, seed):
+        """Guards against interleavings that no case of the table has."""
+        self.enterContext(capture_log())
+        random_source = random.Random(seed)
+        await self.start_fleet(3)
+        changes = Changes(self)
+        # Without changes that remove the servers for good.
+        names_of_changes = [name for name in CHANGES if not name.startswith("servers_")]
+        plan = [
+            (random_source.uniform(0.0, 2.0), random_source.choice(ROUTES))
+            for _ in range(120)
+        ]
+        calls = [
+            asyncio.create_task(
+                self._call_later(delay_s, node, route, random_source.randrange(9))
+            )
+            for delay_s, (route, *_) in plan
+            for node in [random_source.choice(self.nodes)]
+        ]
+        for _ in range(8):
+            if self.leader is not None:
+                await changes.apply(random_source.choice(names_of_changes))
+            await asyncio.sleep(random_source.uniform(0.0, 0.2))
+            await changes._write()
+        for status, body in await asyncio.gather(*calls):
+            if status == 502:
+                # Routes that were moved lead to servers of another kind.
+                self.assertEqual(json.loads(body)["error"]["ran"], "unknown")
+            else:
+                self.assert_final(status, body)
+        ends = {
+            (cause.value, COMPLETE)
+            for cause in (
+                EndCause.COMPLETED,
+                EndCause.REFUSED,
+                EndCause.SERVER_BROKE_OFF,
+            )
+        }
+        await self.assert_ends_add_up(len(plan), among=ends)
+
+    async def _call_later(self, delay_s, node, route, number):
+        await asyncio.sleep(delay_s)
+        adapter = f"a{number}" if route in ("draft", "check") else ""
+        status, body, _ = await self.call(node, f"/{route}/x", adapter=adapter)
+        return status, body
+
+
 class UnexpectedErrorTest(FinalResponseCase):
     """Errors that no branch expects still give a final response and a log line."""
 
