Let a planned stop pass over requests whose end is being written

The stop of a process ended with an error, before its connections were closed, if a caller read the refusal of an unexpected error slowly at that moment: the scope of the request could not be rescheduled any more.

tests.test_final_responses.PlannedStopTest. test_request_whose_refusal_is_being_written, on the code before: RuntimeError: Cannot change state of finished Timeout

--- a/sequoiafall/request_ends.py
+++ b/sequoiafall/request_ends.py
@@ -182,7 +182,7 @@
 
     def stop(self) -> None:
         """End the request, because the process ends."""
-        if self._scope is not None:
+        if self._scope is not None and not self._scope.expired():
             self._scope.reschedule(asyncio.get_running_loop().time())
 
     async def _serve_until_stop(
@@ -191,12 +191,16 @@
         on_unserved: Callable[[EndCause, str], web.Response],
     ) -> web.StreamResponse:
         cause, detail = EndCause.INTERNAL_ERROR, ""
-        self._scope = scope = asyncio.timeout(None)
+        scope = asyncio.timeout(None)
         try:
             async with scope:
-                response = await serve()
-                await self._write(response)
-                return response
+                self._scope = scope
+                try:
+                    response = await serve()
+                    await self._write(response)
+                    return response
+                finally:
+                    self._scope = None
         except web.HTTPException as error:
             # The body cannot be read.
             self.cause = EndCause.REFUSED
--- a/tests/test_final_responses.py
+++ b/tests/test_final_responses.py
@@ -16,7 +16,7 @@
 from sequoiafall.engine_client import _SingleSendConnector
 from sequoiafall.lease_keeper import LeaseKeeper
 from sequoiafall.platform import names
-from sequoiafall.request_ends import EndCause, ResponseState
+from sequoiafall.request_ends import EndCause, OpenRequest, ResponseState
 
 from .events import until
 from .gateway_case import capture_log
@@ -670,6 +670,27 @@
             ends[EndCause.COMPLETED.value, COMPLETE] = 1
         await self.assert_ends_add_up(len(ends), ends)
 
+    async def test_request_whose_refusal_is_being_written(self):
+        """Guards against a stop that an error ends halfway."""
+        write, released = OpenRequest._write, asyncio.Event()
+        writing = []
+
+        async def write_later(request, response):
+            writing.append(request)
+            await released.wait()
+            await write(request, response)
+
+        owner = type(self.node.forwarder._places)
+        with (
+            patch.object(owner, "take", side_effect=KeyError("k")),
+            patch.object(OpenRequest, "_write", write_later),
+        ):
+            call = asyncio.create_task(self.call(self.node, "/draft/x", adapter="a1"))
+            await until(lambda: writing)
+            self.node.forwarder.stop()
+            released.set()
+            self.assertEqual((await call)[0], 503)
+
     async def test_body_that_is_not_read_by_the_deadline(self):
         reader, writer = await self.connect(self.node)
         writer.write(self.head("/order/x") + b"bo")
