--- a/sequoiafall/day_session.py
+++ b/sequoiafall/day_session.py
@@ -386,10 +386,12 @@
             self._execute_order(engine, order)
 
     def _on_lost_order(self, order: LoadOrder, term: int, sequence: int) -> None:
-        if self._planner is not None and term == self._term:
-            self._execute(
-                self._planner.on_order_result(order, None, self._now, sequence)
-            )
+        if self._planner is None or term != self._term:
+            return
+        if order.evicted:
+            # The engine may still hold the adapter, as the unload is not confirmed.
+            self._planner.restore_slot(order.server, order.evicted, self._now, sequence)
+        self._execute(self._planner.on_order_result(order, None, self._now, sequence))
 
     def _admit_order(self, order: LoadOrder) -> bool:
         """Count the calls of an order, if the engine's limit allows them."""
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -365,7 +365,7 @@
         values = DayMetrics.from_session(session).values_by_name
         self.assertGreater(values["served"], 0.99)
         self.assertEqual(values["crashes"], 0.0)
-        self.assertEqual(session._evidence.harmful_parts(), [])
+        self.assertEqual(session._evidence.harmful_suspects(), [])
         self.assertLessEqual(
             session.max_adapters_held, session.day.engines.adapter_slots
         )
