--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -100,7 +100,8 @@
 
     async def asyncSetUp(self):
         number = next(_fleet_numbers)
-        self._network = f"127.{1 + os.getpid() % 199}.{number}"
+        network = 1 + number % 254
+        self._network = f"127.{1 + os.getpid() % 199}.{network}"
         self._runners = []
         self.nodes = []
         self.engines = {}
