Give each process of tests a loopback network of its own

Tests of two processes whose identifiers differ by a multiple of 199 started their nodes at the same addresses: "address already in use" (test_all_instances_restart_1_idempotent and two cases of test_final_responses, once each beside other test processes). A process holds a port of its network now, and takes another one if that is held.

--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import os
+import socket
 import unittest
 
 import aiohttp
@@ -23,6 +24,9 @@
 
 SECRET = b"secret of the tests"
 KEY = "key-of-org-1"
+# Loopback networks that processes of tests choose from, and the port that one holds.
+NETWORKS = 199
+RESERVED_PORT = 17999
 _fleet_numbers = itertools.count(1)
 
 
@@ -100,8 +104,7 @@
 
     async def asyncSetUp(self):
         number = next(_fleet_numbers)
-        network = 1 + number % 254
-        self._network = f"127.{1 + os.getpid() % 199}.{network}"
+        self._network = self._reserve_network(number)
         self._runners = []
         self.nodes = []
         self.engines = {}
@@ -110,6 +113,23 @@
         self.session = aiohttp.ClientSession()
         self._request_numbers = itertools.count(1)
 
+    def _reserve_network(self, number):
+        """Return a loopback network that no other process of tests uses.
+
+        Processes whose identifiers differ by a multiple of 199 used the same one.
+        """
+        for attempt in range(NETWORKS):
+            second = 1 + (os.getpid() + attempt) % NETWORKS
+            network = f"127.{second}.{1 + number % 254}"
+            holder = socket.socket()
+            self.addCleanup(holder.close)
+            try:
+                holder.bind((f"{network}.254", RESERVED_PORT))
+            except OSError:
+                continue
+            return network
+        raise AssertionError("all loopback networks are in use")
+
     async def asyncTearDown(self):
         await self.session.close()
         await asyncio.gather(*(node.stop() for node in self.nodes))
