Watch a stream again after a request for a place that was withdrawn late

A request for a place that is withdrawn because the server goes on may be answered late, such as without a leader. If the gateway waits for a slow caller meanwhile, the timer that fires in that wait is dropped, and hold sets no new one while the request is pending. The answer set one only for requests that were still wanted. So the stream was not watched any more: if its server then sent nothing, no other server was looked for until the deadline.

Found by reading; no such request was seen. The answer now always sets the timer. test_silence_after_a_slow_caller_is_noticed failed before with 'AssertionError: unexpectedly None' and passes now.

--- a/sequoiafall/stream_move.py
+++ b/sequoiafall/stream_move.py
@@ -240,10 +240,14 @@
                 return
         elif self._is_wanted:
             self._log_refusal(reply)
-        if self._scope is not None and self._is_wanted:
+        if self._scope is None:
+            return
+        if self._is_wanted:
             self._clock.on_not_found(boot_time())
-            if not self._clock.is_held:
-                self._schedule()
+        # Also after a request that was withdrawn: `hold` sets no timer while one is
+        # pending.
+        if not self._clock.is_held:
+            self._schedule()
 
     def _avoided(self) -> frozenset[str]:
         paused = (row.server for row in self._notices.pauses())
--- a/tests/test_stream_move.py
+++ b/tests/test_stream_move.py
@@ -223,6 +223,18 @@
         self.assertFalse(send.done())
         await self.finish(send)
 
+    async def test_silence_after_a_slow_caller_is_noticed(self):
+        """A withdrawn request that was answered late left the stream unwatched."""
+        self.places.withdraw = lambda _pending: None
+        send = await self.start()
+        self.move.on_event(60.0)
+        with self.move.hold():
+            self.move._on_timer()
+        self.places.answer(REFUSAL)
+        await until(lambda: self.move._search is None)
+        self.assertIsNotNone(self.move._timer)
+        await self.finish(send)
+
     async def test_search_goes_on_when_the_server_breaks_off(self):
         """The place that was requested for the move serves the next send."""
         send = await self.start()
