Take the retry of a move when its place is granted

Two streams without events whose places are granted in the same iteration of the event loop both saw the last retry unused, as each took it only when its connection had been closed, and ignored whether there was one. Both moved, the second one neither allowed nor counted by the retry budget.

The retry is now taken with the grant, and given back if the server goes on or ends before the move.

--- a/sequoiafall/retry.py
+++ b/sequoiafall/retry.py
@@ -85,10 +85,6 @@
         self.requests += 1
         self._saved = min(self._saved + self._share, self._max_saved)
 
-    def can_retry(self) -> bool:
-        """Return whether `try_retry` would allow a retry now."""
-        return self._saved >= 1.0
-
     def try_reserve(self) -> bool:
         """Reserve a retry that may not be needed, if one is not reserved yet.
 
@@ -117,6 +113,11 @@
         self.retries += 1
         return True
 
+    def give_back(self) -> None:
+        """Return a retry that was taken and not made."""
+        self._saved = min(self._saved + 1.0, self._max_saved)
+        self.retries -= 1
+
     def delay_s(self, attempt: int) -> float:
         """Return a random delay with an exponentially growing upper bound.
 
--- a/sequoiafall/stream_move.py
+++ b/sequoiafall/stream_move.py
@@ -58,6 +58,7 @@
         "_clock",
         "_excluded",
         "_found",
+        "_has_retry",
         "_is_closed",
         "_is_wanted",
         "_logged_refusals",
@@ -92,6 +93,8 @@
         # Whether the stream still has no events since the search began.
         self._is_wanted = False
         self._found: GatewayPlace | None = None
+        # Whether a retry was taken for a move that has not happened yet.
+        self._has_retry = False
         self._is_closed = False
         self._logged_refusals = 0
         self.has_moved = False
@@ -159,7 +162,7 @@
             if not scope.expired() or self._found is None:
                 raise
             self.has_moved = True
-            self._budget.try_retry()
+            self._has_retry = False
             log_event(
                 "stream_moved",
                 request_id=self._pending.request.request_id,
@@ -170,6 +173,7 @@
         finally:
             self._scope = None
             self._stop_timer()
+            self._give_back_retry()
 
     def on_event(self, timeout_s: float) -> None:
         """Record new events of the stream, and the seconds until the next are due."""
@@ -231,9 +235,7 @@
         if isinstance(reply, GatewayPlace):
             self._found = reply
             # Without a send in progress, `take` is waiting for the place.
-            is_moving = self._is_wanted and self._budget.can_retry()
-            is_moving = is_moving and not self._clock.is_held
-            if self._is_closed or (self._scope is not None and not is_moving):
+            if self._is_closed or (self._scope is not None and not self._may_move()):
                 self._release_found()
             elif self._scope is not None:
                 self._scope.reschedule(asyncio.get_running_loop().time())
@@ -249,6 +251,17 @@
         if not self._clock.is_held:
             self._schedule()
 
+    def _may_move(self) -> bool:
+        """Take the retry of a move, unless it is not wanted or there is none."""
+        if self._is_wanted and not self._clock.is_held:
+            self._has_retry = self._budget.try_retry()
+        return self._has_retry
+
+    def _give_back_retry(self) -> None:
+        if self._has_retry:
+            self._has_retry = False
+            self._budget.give_back()
+
     def _avoided(self) -> frozenset[str]:
         paused = (row.server for row in self._notices.pauses())
         return frozenset(self._excluded.union(paused))
@@ -258,6 +271,7 @@
         if self._found is not None:
             if self._scope is not None:
                 self._scope.reschedule(None)
+            self._give_back_retry()
             self._release_found()
         if self._search is not None and self._is_wanted:
             self._places.withdraw(self._pending)
--- a/tests/test_stream_move.py
+++ b/tests/test_stream_move.py
@@ -223,6 +223,48 @@
         self.assertFalse(send.done())
         await self.finish(send)
 
+    async def test_places_that_come_together_do_not_move_more_than_the_budget(self):
+        """Both streams found the last retry unused, and both were moved."""
+        self.budget = self.move._budget = RetryBudget(random.Random(1), reserve=2.0)
+        other = StreamMove(
+            self.move._pending, self.places, self.move._notices, self.budget, set()
+        )
+        send = await self.start()
+
+        async def send_other():
+            async with other.watch("e1", 0.0):
+                await self.can_end.wait()
+
+        other_send = asyncio.create_task(send_other())
+        await until(lambda: len(self.places.requests) == 2)
+        self.budget.try_retry()
+        for request in self.places.requests:
+            request.set_result(PLACE)
+        await until(lambda: send.done() or other_send.done())
+        self.can_end.set()
+        results = await asyncio.gather(send, other_send, return_exceptions=True)
+        self.assertEqual(sum(isinstance(row, MovedError) for row in results), 1)
+        self.assertEqual(self.budget.retries, 2)
+        self.move.close()
+        other.close()
+
+    @parameterized.expand([("goes on", True), ("ends", False)])
+    async def test_retry_of_an_unused_place_is_returned(self, _name, goes_on):
+        send = await self.start()
+        self.places.answer(PLACE)
+        for _ in range(100):
+            if self.move._found is not None:
+                break
+            await asyncio.sleep(0)
+        if goes_on:
+            self.move.on_event(60.0)
+        else:
+            self.move.close()
+        await self.finish(send)
+        self.assertEqual(self.places.ended, [("e2", "unused")])
+        self.assertEqual(self.budget.retries, 0)
+        self.assertTrue(self.budget.try_retry())
+
     async def test_silence_after_a_slow_caller_is_noticed(self):
         """A withdrawn request that was answered late left the stream unwatched."""
         self.places.withdraw = lambda _pending: None
