Answer each of two requests for a place with the same identifier

The leader keys the requests that wait for a place by their identifier. When an instance lost its connection and asked again on a new one, and the leader saw the end of the old connection only afterwards, the cancelled request took its successor out of the queue: no reply until the caller's deadline. The first of two requests with an identifier was not answered at all either.

A request that another one replaces is now refused at once, and a cancelled one withdraws only itself. Found by reading; not seen in a run of the fleet. The two tests of PlaceRequestTest failed before ('AssertionError: 0 != 1' and TimeoutError after 2 s, a shortened wait) and pass now.

--- a/sequoiafall/fleet_leader.py
+++ b/sequoiafall/fleet_leader.py
@@ -417,6 +417,7 @@
             tuple(request.shared_parts or ()),
         )
         reply = asyncio.get_running_loop().create_future()
+        self._refuse_replaced(placement_request.request_id)
         self._replies_by_request[placement_request.request_id] = reply
         self._organisations_by_request[placement_request.request_id] = (
             placement_request.organisation
@@ -431,10 +432,9 @@
             now, request_id = boot_time(), placement_request.request_id
             if reply.done() and not reply.cancelled() and reply.result().server:
                 server = reply.result().server
-                actions = planner.end(request_id, "cancelled", now, server)
-            else:
-                actions = planner.withdraw(request_id, now)
-            self._apply(planner, actions)
+                self._apply(planner, planner.end(request_id, "cancelled", now, server))
+            elif self._replies_by_request.get(request_id) is reply:
+                self._apply(planner, planner.withdraw(request_id, now))
             raise
         finally:
             if self._replies_by_request.get(placement_request.request_id) is reply:
@@ -442,6 +442,18 @@
                 del self._organisations_by_request[placement_request.request_id]
         return result
 
+    def _refuse_replaced(self, request_id: str) -> None:
+        """Answer a waiting request that another one with its identifier replaces.
+
+        It was sent again on a new connection, or its caller uses an identifier twice.
+        """
+        reply = self._replies_by_request.get(request_id)
+        if reply is not None and not reply.done():
+            detail = "replaced by a request with the same identifier"
+            reply.set_result(
+                _refusal(Reason.OVERLOADED, LIMIT_RETRY_MIN_S, detail, False)
+            )
+
     def take_permit(self, servers: Sequence[str], max_wait_s: float) -> Permit:
         """Return a permit to send a request to one of several servers, or a refusal."""
         now = boot_time()
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -10,10 +10,11 @@
 from parameterized import parameterized
 from returns.result import Failure, Success
 
-from sequoiafall.backend_registry import BackendRegistry
+from sequoiafall.backend_registry import BackendEntry, BackendRegistry
 from sequoiafall.boot_clock import boot_time
 from sequoiafall.catalog import RepeatPolicy, TokenLimit
 from sequoiafall.crash_evidence import CrashEvidence
+from sequoiafall.engine_choice import EngineChooser
 from sequoiafall.engine_planner import EnginePlanner
 from sequoiafall.fleet import ranked_members
 from sequoiafall.fleet_leader import LeaderDuties, poll_interval_s
@@ -539,6 +540,79 @@
         await until(lambda: all(node.fleet.member_count == 3 for node in nodes))
 
 
+class PlaceRequestTest(unittest.IsolatedAsyncioTestCase):
+    """The leader answers each request for a place, whatever arrives beside it."""
+
+    async def asyncSetUp(self):
+        registry = BackendRegistry()
+        self.duties = LeaderDuties(
+            SimpleNamespace(instance="node-1", is_fenced=True),
+            SimpleNamespace(token=7, leads=True),
+            registry,
+            None,
+            NodeMetrics(),
+            ServerLimits(registry),
+            CrashEvidence(),
+            lambda _: None,
+        )
+        self.addAsyncCleanup(self.duties.stop)
+        # The engine is unknown to the registry, so that no report is read.
+        entry = BackendEntry("e1", "assist", "10.0.0.1:80", "z1", 6, False, 7)
+        self.planner = EnginePlanner("assist")
+        self.planner.set_entries([entry], 6, boot_time())
+        self.enterContext(patch.object(EngineChooser, "choose", lambda *_: None))
+        self.duties.planners_by_service["assist"] = self.planner
+
+    def ask(self, **changes):
+        values = {
+            "request_id": "r1",
+            "organisation": "",
+            "pool": "assist",
+            "adapter": "a1",
+            "prompt_tokens": 500,
+            "cost_tokens": 500,
+            "rank": 1,
+            "on_time_ms": 60_000,
+            "time_left_ms": 60_000,
+            "zone": "z1",
+            "excluded": [],
+            "charged": False,
+            "instance": "node-2",
+        }
+        request = ttypes.EngineAsk(**{**values, **changes})
+        return asyncio.create_task(self.duties.request_place(request))
+
+    async def waiting(self):
+        task = self.ask()
+        await until(lambda: self.planner.waiting_count)
+        return task
+
+    async def test_cancelled_request_leaves_its_successor_waiting(self):
+        """A request that is sent again on a new connection was never answered.
+
+        The end of the old connection, seen later, removed it from the queue.
+        """
+        first = await self.waiting()
+        second = self.ask()
+        await asyncio.sleep(0)
+        first.cancel()
+        await asyncio.wait({first})
+        self.assertEqual(self.planner.waiting_count, 1)
+        second.cancel()
+        await asyncio.wait({second})
+        self.assertEqual(self.planner.waiting_count, 0)
+
+    async def test_request_that_is_replaced_is_answered(self):
+        """The first of two requests with an identifier waited for its deadline."""
+        first = await self.waiting()
+        second = self.ask()
+        await until(first.done)
+        self.assertEqual(first.result().reason, Reason.OVERLOADED.value)
+        self.assertFalse(second.done())
+        self.assertEqual(self.planner.waiting_count, 1)
+        second.cancel()
+
+
 class NewTermTest(unittest.IsolatedAsyncioTestCase):
     """A new leader does not know the recent token use of organisations yet."""
 
