Refuse a place without an engine

A leader that does not know an engine service yet, such as while a new configuration reaches the instances one by one, takes a request for a place as one to send to a plain service, and admits it with an answer that names no engine. The instance took the answer for a place and sent to an empty address, which used up retries of the budget.

The instance now refuses such a request, and tells the leader that the admitted call is not made. Found by reading; not seen in a run of the fleet.

--- a/sequoiafall/place_source.py
+++ b/sequoiafall/place_source.py
@@ -36,6 +36,8 @@
 # Maximum wait for a new leader if no engine has the adapter.
 LEADER_WAIT_S = 1.0
 LEADER_POLL_S = 0.05
+# Retry time if the leader does not have the configuration of this instance yet.
+UNKNOWN_SERVICE_RETRY_S = 0.5
 # No election can complete while the store is unavailable. Callers then retry after
 # a share of their remaining time, up to a maximum, when most outages are over.
 BLOCKED_RETRY_SHARES = (0.25, 0.5)
@@ -308,6 +310,15 @@
                 retry_after_s=reply.retry_after_ms / 1e3,
                 detail=reply.detail,
             )
+        if not reply.server:
+            # The leader does not know the service as one of engines. It has admitted
+            # the request as a plain call, which is not made.
+            self.end(pending, GatewayPlace("", "", 0), RunEnd("withheld"))
+            return Refusal(
+                Reason.NO_BACKEND_SERVER,
+                retry_after_s=UNKNOWN_SERVICE_RETRY_S,
+                detail="the leader does not know the engine service",
+            )
         if reply.charged and not pending.charged and organisation:
             self._fleet.recent_use.add(organisation, pending.cost_tokens, boot_time())
         pending.charged = pending.charged or reply.charged
--- a/tests/test_place_source.py
+++ b/tests/test_place_source.py
@@ -11,13 +11,14 @@
 from sequoiafall.boot_clock import boot_time
 from sequoiafall.crash_evidence import CrashEvidence
 from sequoiafall.engine_pool import EngineReport
+from sequoiafall.fleet_leader import _admission
 from sequoiafall.place_source import (
     BLOCKED_RETRY_MAX_S,
     LEADER_WAIT_S,
     PendingPlacement,
     PlaceSource,
 )
-from sequoiafall.refusal import Reason
+from sequoiafall.refusal import Reason, Refusal
 from sequoiafall.server_limits import ServerLimits
 from sequoiafall.server_notices import ServerNotice, ServerNotices
 
@@ -63,6 +64,47 @@
         self.crash_evidence = CrashEvidence()
 
 
+class AdmittingFleet(FakeFleet):
+    """A fleet whose leader does not know the service yet, and admits a plain call."""
+
+    has_leader = True
+    settings = SimpleNamespace(zone="z1", instance="node-1")
+
+    def __init__(self):
+        super().__init__(False)
+        self.places_by_request_and_server = {}
+        self.released = []
+
+    async def request_place(self, _request, _timeout_s):
+        """Return the answer to a request to send to a plain service."""
+        return _admission()
+
+    def release_place(self, end):
+        """Record the end of a place."""
+        self.places_by_request_and_server.pop((end.request_id, end.server), None)
+        self.released.append((end.server, end.outcome))
+
+
+class NewServiceTest(unittest.IsolatedAsyncioTestCase):
+    """An instance knows a new engine service before the leader does."""
+
+    async def test_place_without_an_engine_is_not_used(self):
+        """Requests were sent to an empty address until the retries were used up."""
+        fleet = AdmittingFleet()
+        source = PlaceSource(fleet, None, random.Random(1))
+        now = boot_time()
+        request = SimpleNamespace(
+            request_id="r1", adapter="a1", suspects=(), prompt_tokens=10
+        )
+        pending = PendingPlacement(request, "assist", None, 0, 1, now + 0.8, now + 4.0)
+        reply = await source.take(pending, frozenset())
+        self.assertIsInstance(reply, Refusal)
+        self.assertIs(reply.reason, Reason.NO_BACKEND_SERVER)
+        self.assertGreater(reply.retry_after_s, 0.0)
+        self.assertEqual(fleet.places_by_request_and_server, {})
+        self.assertEqual(fleet.released, [("", "withheld")])
+
+
 class NoLeaderTest(unittest.IsolatedAsyncioTestCase):
     """All instances restart while the store is unavailable, so none can be elected."""
 
