Keep a stored verdict whose crashes are forgotten

After a restart of all instances a request that had crashed three servers and failed its three trials was sent again like any other, if another verdict had been stored more than an hour after its crashes.

Cause: a stored verdict names the crashes of the last hour only. Without a crash and without a begun response, both times are taken as far in the past, and the comparison of the two lifted the verdict ("a response began") as it was read.

The new test fails before: "AssertionError: unexpectedly None" for the suspect after the restart.

A verdict is now lifted for a begun response only if one is known.

--- a/sequoiafall/crash_evidence.py
+++ b/sequoiafall/crash_evidence.py
@@ -55,6 +55,8 @@
 MAX_BEGUN = 32_768
 # Evidence that is too old is looked for at most this often.
 FORGET_INTERVAL_S = 1.0
+# Time of an event that is not known to have happened.
+NEVER = float("-inf")
 
 
 @dataclass(slots=True, frozen=True)
@@ -112,7 +114,7 @@
 
     key: str
     crashes_by_start: dict[ServerStart, Crash] = field(default_factory=dict)
-    begun_at: float = float("-inf")
+    begun_at: float = NEVER
     trial_at: float = 0.0
     failed_trials: int = 0
     revision: int = 0
@@ -131,7 +133,15 @@
     def last_crash_at(self) -> float:
         """Time of the latest crash in seconds; minus infinity if there is none."""
         times = (row.at for row in self.crashes_by_start.values() if not row.is_refuted)
-        return max(times, default=float("-inf"))
+        return max(times, default=NEVER)
+
+    @property
+    def has_begun_since_crashes(self) -> bool:
+        """Whether a response has begun since the latest crash that is known."""
+        # The crashes of an old verdict are forgotten before it is.
+        return self.begun_at > NEVER and (
+            self.begun_at >= self.last_crash_at - BEGUN_GRACE_S
+        )
 
     def crashed_starts(self, now: float) -> set[ServerStart]:
         """Return the starts of servers that count as crashed by the suspect."""
@@ -162,7 +172,7 @@
         at_by_server: dict[str, float] = {}
         times = []
         for time_s, server in crashes:
-            if time_s - at_by_server.get(server, float("-inf")) > EVENT_WINDOW_S:
+            if time_s - at_by_server.get(server, NEVER) > EVENT_WINDOW_S:
                 at_by_server[server] = time_s
                 times.append(time_s)
         return times
@@ -206,7 +216,7 @@
         self.on_change = on_change
         self.revision = 0
         self._is_changed = False
-        self._forgotten_at = float("-inf")
+        self._forgotten_at = NEVER
         # Suspects that were dropped since the last log line about it.
         self._dropped = 0
         # In the order of their last change.
@@ -235,7 +245,7 @@
         suspects = []
         tried = self._tried_keys(keys, now)
         for key in keys:
-            if now - self._begun_at_by_key.get(key, float("-inf")) <= BEGUN_GRACE_S:
+            if now - self._begun_at_by_key.get(key, NEVER) <= BEGUN_GRACE_S:
                 continue
             row = self._row(key, now)
             crashed = _crashed_start(row, start, now)
@@ -289,7 +299,7 @@
             row.begun_at = max(
                 row.begun_at,
                 other.begun_at,
-                self._begun_at_by_key.get(row.key, float("-inf")),
+                self._begun_at_by_key.get(row.key, NEVER),
             )
             for start, crash in other.crashes_by_start.items():
                 known = row.crashes_by_start.get(start)
@@ -415,7 +425,7 @@
             dropped = self._least_suspected(now)
             del self._rows_by_key[dropped.key]
             self._dropped += 1
-        row = SuspectEvidence(key, begun_at=self._begun_at_by_key.get(key, -1e9))
+        row = SuspectEvidence(key, begun_at=self._begun_at_by_key.get(key, NEVER))
         self._rows_by_key[key] = row
         # It has not changed yet.
         self._rows_by_key.move_to_end(key, last=False)
@@ -466,7 +476,7 @@
                 quarantine_s=int(row.trial_at - now),
                 servers=",".join(start.server for start in row.crashed_starts(now)),
             )
-        elif row.is_harmful and row.begun_at >= row.last_crash_at - BEGUN_GRACE_S:
+        elif row.is_harmful and row.has_begun_since_crashes:
             self._lift(row, "a response began")
         elif row.is_harmful and events < HARMFUL_EVENTS and self._is_refuted(row):
             self._lift(row, "the server has responded since")
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -24,7 +24,12 @@
     ServerStart,
     quarantine_s,
 )
-from sequoiafall.evidence_exchange import _from_wire, _to_wire
+from sequoiafall.evidence_exchange import (
+    _from_stored,
+    _from_wire,
+    _to_stored,
+    _to_wire,
+)
 from sequoiafall.prompt_quarantine import (
     HOLD_S,
     TRIAL_TTL_S,
@@ -673,3 +678,22 @@
         second.record_response("e0", NOW + 0.1, NOW + 0.2)
         crash(second, ["p"], 1.0, first=5)
         self.assertEqual(rows, before)
+
+
+class StoredVerdictTest(unittest.TestCase):
+    """A verdict outlasts a restart of all instances, however old it is."""
+
+    def setUp(self):
+        self.evidence = CrashEvidence()
+        crash(self.evidence, [REQUEST], 0.0, 0.5, 1.0)
+        for number in range(MAX_FAILED_TRIALS):
+            self.evidence.record_failed_trial(REQUEST, NOW + 2.0 + number)
+
+    def test_verdict_whose_crashes_are_forgotten(self):
+        """The row is written again when another verdict falls later."""
+        now = NOW + CRASH_TTL_S + 60.0
+        stored = _to_stored(self.evidence.suspect(REQUEST, now), now)
+        restarted = CrashEvidence()
+        restarted.merge([_from_stored(stored, now)], now)
+        self.assertIsNotNone(restarted.suspect(REQUEST, now))
+        self.assertEqual(restarted.suspect(REQUEST, now).failed_trials, 3)
