Accept verdicts whose times lie before the boot of the machine

Cause: times are seconds since the boot, and a verdict counted only if the time of its trial was above zero.

The new test fails before for both ways: "AssertionError: unexpectedly None" 20 s after the boot.

An unknown time is now minus infinity for verdicts as for crashes and begun responses. test_prompt_quarantine, test_trial_queue and test_engine_planner pass (154 tests).

--- a/sequoiafall/crash_evidence.py
+++ b/sequoiafall/crash_evidence.py
@@ -104,8 +104,8 @@
     begun_at : float
         Latest time at which a response began or a conviction was lifted, in seconds.
     trial_at : float
-        Time in seconds from which a single request may be tried; 0 if the suspect does
-        not count as harmful.
+        Time in seconds from which a single request may be tried; `NEVER` if it does
+        not count as harmful. It may be negative shortly after the boot.
     failed_trials : int
         Sends after the third crash that reached a server, and no response began.
     revision : int
@@ -115,14 +115,14 @@
     key: str
     crashes_by_start: dict[ServerStart, Crash] = field(default_factory=dict)
     begun_at: float = NEVER
-    trial_at: float = 0.0
+    trial_at: float = NEVER
     failed_trials: int = 0
     revision: int = 0
 
     @property
     def is_harmful(self) -> bool:
         """Whether the suspect crashes servers, as far as is known."""
-        return self.trial_at > 0.0
+        return self.trial_at > NEVER
 
     @property
     def is_single(self) -> bool:
@@ -493,7 +493,7 @@
         self._change(row)
 
     def _lift(self, row: SuspectEvidence, reason: str) -> None:
-        row.trial_at, row.failed_trials = 0.0, 0
+        row.trial_at, row.failed_trials = NEVER, 0
         log_event("suspect_cleared", suspect=row.key, reason=reason)
 
     def _change(self, row: SuspectEvidence) -> None:
--- a/sequoiafall/evidence_exchange.py
+++ b/sequoiafall/evidence_exchange.py
@@ -16,6 +16,7 @@
 
 from .boot_clock import boot_time
 from .crash_evidence import (
+    NEVER,
     RESPONSE_WINDOW_S,
     Crash,
     CrashEvidence,
@@ -237,7 +238,7 @@
 
 
 def _to_wire(row: SuspectEvidence, now: float) -> Any:
-    has_begun = row.begun_at > 0.0
+    has_begun = row.begun_at > NEVER
     return ttypes.PartEvidence(
         part=row.key,
         crashes=[
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -697,3 +697,18 @@
         restarted.merge([_from_stored(stored, now)], now)
         self.assertIsNotNone(restarted.suspect(REQUEST, now))
         self.assertEqual(restarted.suspect(REQUEST, now).failed_trials, 3)
+
+    @parameterized.expand([("stored", True), ("sent by another instance", False)])
+    def test_machine_that_has_just_booted(self, _name, is_stored):
+        """The clock counts from the boot, so past times may be negative."""
+        now = NOW + 1.5 * MAX_QUARANTINE_S
+        row = self.evidence.suspect(REQUEST, now)
+        booted = 20.0
+        if is_stored:
+            received = _from_stored(_to_stored(row, now), booted)
+        else:
+            received = _from_wire(_to_wire(row, now), booted)
+        newcomer = CrashEvidence()
+        newcomer.merge([received], booted)
+        self.assertIsNotNone(newcomer.suspect(REQUEST, booted))
+        self.assertTrue(newcomer.suspect(REQUEST, booted).is_harmful)
