Keep the verdicts that another leader stored meanwhile

A leader whose write of the verdicts was refused, because another leader had written the row since it was read, wrote its own verdicts over it. The others were lost if the two could not reach each other, and after a restart of all instances these requests crashed servers again.

Cause: after the refusal only the row's version was adopted, not its content.

The new test fails before: "AssertionError: b'p1' not found in" the stored row.

The row is now read and merged before the next write. SeveralLeadersTest and StoredVerdictTest of test_harmful_prompts pass; its other tests were not run.

--- a/sequoiafall/evidence_exchange.py
+++ b/sequoiafall/evidence_exchange.py
@@ -224,11 +224,9 @@
             return
         failure = result.failure()
         log_warning("harmful_suspects_not_stored", detail=str(failure))
-        if isinstance(failure, Rejected):
-            # Another leader wrote the row, or an earlier write took effect late.
-            self._version = failure.row.version if failure.row is not None else 0
-        else:
-            self._is_loaded = False
+        # Another leader may have written the row, or an earlier write took effect late.
+        self._is_loaded = False
+        if not isinstance(failure, Rejected):
             await asyncio.sleep(STORE_RETRY_S)
         self._wake.set()
 
--- a/tests/test_harmful_prompts.py
+++ b/tests/test_harmful_prompts.py
@@ -1,14 +1,17 @@
 """Tests of fleets whose engines crash on a part of some requests' prompts."""
 
 import asyncio
+import unittest
 
 from parameterized import parameterized
+from returns.result import Failure, Success
 
 from sequoiafall.boot_clock import boot_time
-from sequoiafall.crash_evidence import ServerStart
-from sequoiafall.evidence_exchange import HARMFUL_PARTS_KEY
+from sequoiafall.crash_evidence import CrashEvidence, ServerStart
+from sequoiafall.evidence_exchange import HARMFUL_PARTS_KEY, EvidenceExchange
 from sequoiafall.lease import LEASE_TABLE
 from sequoiafall.platform import names
+from sequoiafall.row_store import Rejected, RowStore, StoreRow
 
 from .events import until
 from .harmful_case import SOUND_AFTER_S, HarmfulCase
@@ -115,3 +118,55 @@
         self.store.restore(saved)
         self.assertEqual(self.stored(), b"")
         await until(lambda: HARMFUL_PART.encode() in self.stored())
+
+
+class MemoryStore(RowStore):
+    """A store with a single row."""
+
+    def __init__(self):
+        self.row = None
+
+    async def read(self, table, key):
+        return Success(self.row)
+
+    async def replace(self, table, key, value, version):
+        current = self.row.version if self.row is not None else 0
+        if version != current:
+            return Failure(Rejected(self.row))
+        self.row = StoreRow(table, key, value, current + 1)
+        return Success(self.row.version)
+
+    async def scan(self, table):
+        raise NotImplementedError
+
+    async def changes(self, table, after, wait_s):
+        raise NotImplementedError
+
+    async def close(self):
+        pass
+
+
+class SeveralLeadersTest(unittest.IsolatedAsyncioTestCase):
+    """Leaders one after the other, which do not reach each other."""
+
+    async def test_row_of_another_leader(self):
+        """A leader adds its verdicts to those that another one stored meanwhile."""
+        store = MemoryStore()
+        exchanges = []
+        for _ in range(2):
+            evidence = CrashEvidence()
+            exchange = EvidenceExchange(
+                evidence, store, b"", lambda: True, lambda: True, list
+            )
+            await exchange.load()
+            exchanges.append(exchange)
+        for exchange, part in zip(exchanges, ("p1", "p2"), strict=True):
+            for number in range(3):
+                start = ServerStart(f"{part}-{number}", 1)
+                exchange.evidence.record_crash(start, [part], boot_time() + number)
+            # The second write succeeds if the first is refused.
+            await exchange._save()
+            await exchange._save()
+        self.assertIn(b"p2", store.row.value)
+        self.assertIn(b"p1", store.row.value)
+        self.assertIsNotNone(exchanges[1].evidence.suspect("p1", boot_time()))
