Ignore the port of the Host header in the identity of a request

A request that came to instances at different ports, or with and without a port in its Host header, was a different suspect each time, so its crashes did not add up. Routes don't depend on the port.

The new test fails before: the identities of shop.example and shop.example:8080 differ. test_request_identity and NoEvidenceTest of test_harmful_requests pass (13 tests).

--- a/sequoiafall/catalog.py
+++ b/sequoiafall/catalog.py
@@ -209,8 +209,7 @@
 
     def find_route(self, host: str, path: str) -> ServiceRoute | None:
         """Return the route with the longest matching path prefix."""
-        name = host.partition(":")[0].lower()
-        for route in self._routes_by_host.get(name, ()):
+        for route in self._routes_by_host.get(host_name(host), ()):
             if path.startswith(route.path_prefix):
                 return route
         return None
@@ -220,5 +219,10 @@
         return self._organisations_by_key.get(key)
 
 
+def host_name(host: str) -> str:
+    """Return the name in a Host header, without a port and in lower case."""
+    return host.partition(":")[0].lower()
+
+
 def _usable_weight(weight: float) -> float:
     return weight if 0.0 < weight < math.inf else 0.0
--- a/sequoiafall/request_identity.py
+++ b/sequoiafall/request_identity.py
@@ -5,6 +5,8 @@
 import hashlib
 from collections.abc import Iterable
 
+from .catalog import host_name
+
 # A colon does not occur in the identifiers of prompt parts, so no caller can name a
 # part that equals an identity.
 IDENTITY_PREFIX = "request:"
@@ -21,14 +23,14 @@
     organisation : str or None
         Name of the caller's organisation, None on open routes.
     method, host, target : str
-        HTTP method, host, and path with query.
+        HTTP method, host with or without a port, and path with query.
     body : bytes
         Request body.
     """
     # A key makes open routes differ from an organisation with an empty name.
     key = b"open" if organisation is None else b"organisation"
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES, key=key)
-    fields = (organisation or "", method, host.lower(), target)
+    fields = (organisation or "", method, host_name(host), target)
     for part in _encoded(fields):
         digest.update(len(part).to_bytes(8, "big"))
         digest.update(part)
--- a/tests/test_request_identity.py
+++ b/tests/test_request_identity.py
@@ -40,6 +40,12 @@
         again = request_identity(*VALUES[:2], host, *VALUES[3:])
         self.assertEqual(again, request_identity(*VALUES))
 
+    def test_host_with_port(self):
+        """Instances have ports of their own, which routes do not depend on."""
+        for host in ("shop.example:8080", "shop.example:8081", "SHOP.example:"):
+            again = request_identity(*VALUES[:2], host, *VALUES[3:])
+            self.assertEqual(again, request_identity(*VALUES), host)
+
     def test_no_part_equals_an_identity(self):
         """A caller must not name a prompt part that equals another's identity."""
         identity = request_identity(*VALUES)
