Suspect no request of an engine that began to leave during the send

A request whose engine was announced to leave after the send, and then ended its connections, became a suspect, so three such departures could convict it.

Cause: the engine's entry was read before the send. Plain services read it afterwards.

The new test fails before: "AssertionError: 1 != 0" suspects. It passes in three runs, and so do the other tests of NoEvidenceTest.

--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -447,6 +447,10 @@
                 try:
                     outcome = await self._send(exchange, place)
                 finally:
+                    current = self._fleet.registry.find(place.server)
+                    if current is not None and current.is_leaving:
+                        # It may have begun to leave since the send.
+                        entry = current
                     self._places.end(pending, place, _run_end(exchange, outcome, entry))
                 if outcome.is_cut:
                     # Lets the leader hear from all gateways which requests a crash cut.
--- a/tests/test_harmful_requests.py
+++ b/tests/test_harmful_requests.py
@@ -209,6 +209,22 @@
         self.assertEqual((await call)[0], 502)
         self.assertEqual(self.suspected(), 0)
 
+    async def test_engine_that_is_leaving(self):
+        """An engine that is announced to leave while it runs the request."""
+        self.configure()
+        server = await self.start_backend("e1")
+        await self.start_node(1)
+        node = self.nodes[0]
+        self.evidence = node.fleet.crash_evidence
+        await until(lambda: node.fleet.has_leader and len(node.fleet.registry) == 1)
+        server.event_interval_s = 5.0
+        call = await self.call_in_progress(node, "/draft/x")
+        self.announce(server, state="draining")
+        await until(lambda: node.fleet.registry.find("e1").is_leaving)
+        await server.crash()
+        self.assertEqual((await call)[0], 502)
+        self.assertEqual(self.suspected(), 0)
+
     async def test_refused_connection(self):
         node = await self.start_desk()
         await self.engines["d1"].crash()
