Leave the trials of harmful requests to the leader

Instances that could not reach the leader made three trials of a harmful request of their own, beside the three of the leader: six sends in all.

Cause: the instance that makes the trials without a leader counts its own, and the leader counts its own, until they reach each other.

The new test fails before: "Admission(is_trial=False) is not an instance of" Refusal. Without a leader, a harmful request is now refused for the leader's retry time; requests whose suspects something else explains still run. A wrong verdict therefore ends only once there is a leader.

test_trial_queue and test_place_source pass, and the cases without a leader of test_harmful_requests (4) and test_harmful_prompts (2).

--- a/sequoiafall/prompt_quarantine.py
+++ b/sequoiafall/prompt_quarantine.py
@@ -81,6 +81,13 @@
         is_held = self.hold_left_s(keys, now) > 0.0
         return Verdict.WAIT if is_tried or is_held else Verdict.TRIAL
 
+    def is_harmful(self, keys: Sequence[str], now: float) -> bool:
+        """Whether a request has a harmful suspect whose crashes it explains."""
+        return any(
+            row.is_harmful and not self._is_explained(row, keys, now)
+            for row in self._suspects(keys, now)
+        )
+
     def hold_left_s(self, keys: Sequence[str], now: float) -> float:
         """Return the seconds until a suspected request may be tried."""
         # A part of prompts is not held back: other requests that have it may be sound.
--- a/sequoiafall/trial_admission.py
+++ b/sequoiafall/trial_admission.py
@@ -87,6 +87,9 @@
         verdict = self._quarantine.decide(request_id, keys, now)
         if verdict is not Verdict.TRIAL:
             return verdict
+        if self._quarantine.is_harmful(keys, now):
+            # A leader that this instance cannot reach may make the trials as well.
+            return Verdict.REFUSE
         evidence = self._fleet.crash_evidence
         suspects = [key for key in keys if evidence.suspect(key, now) is not None]
         # Requests that share a part are tried by the same instance. If their identities
--- a/tests/test_trial_queue.py
+++ b/tests/test_trial_queue.py
@@ -7,7 +7,7 @@
 from multidict import CIMultiDict
 
 from sequoiafall.boot_clock import boot_time
-from sequoiafall.crash_evidence import CrashEvidence, ServerStart
+from sequoiafall.crash_evidence import QUARANTINE_S, CrashEvidence, ServerStart
 from sequoiafall.fleet_leader import _refusal
 from sequoiafall.prompt_quarantine import PromptQuarantine, Verdict
 from sequoiafall.refusal import Reason, Refusal
@@ -187,3 +187,17 @@
         self.assertIsInstance(refusal, Refusal)
         self.assertIs(refusal.reason, Reason.OVERLOADED)
         self.assertEqual(self.fleet.asks, [])
+
+    async def test_no_trials_of_a_harmful_request_apart_from_the_leader(self):
+        """A leader that this instance cannot reach may make all three meanwhile."""
+        self.fleet.has_leader = False
+        for number in range(3):
+            self.fleet.crash_evidence.record_crash(
+                ServerStart(f"d{number}", 1),
+                [REQUEST],
+                boot_time() - 2.0 * QUARANTINE_S + number,
+            )
+        refusal = await self.admit()
+        self.assertIsInstance(refusal, Refusal)
+        self.assertIs(refusal.reason, Reason.HARMFUL_REQUEST)
+        self.assertGreater(refusal.retry_after_s, 0.0)
