Keep the identity of a harmful request among many suspected parts

A request that crashed engine after engine was never suspected if each crash also cut many requests with several parts of their own: a script with 64 requests of 20 such parts at each of six engines left no evidence on it.

Cause: beyond the limit of suspects the oldest with a single crash is dropped, and one full engine adds more than that limit.

The new test (63 such requests at three engines) fails before: "AssertionError: unexpectedly None". While more than half of the suspects are parts, the oldest of these are now dropped first.

--- a/sequoiafall/crash_evidence.py
+++ b/sequoiafall/crash_evidence.py
@@ -206,6 +206,7 @@
         "_dropped",
         "_forgotten_at",
         "_is_changed",
+        "_new_part_keys",
         "_rows_by_key",
         "_unconfirmed_at_by_server",
         "on_change",
@@ -221,6 +222,8 @@
         self._dropped = 0
         # In the order of their last change.
         self._rows_by_key: OrderedDict[str, SuspectEvidence] = OrderedDict()
+        # Parts of prompts that have not been looked at as rows to drop, oldest first.
+        self._new_part_keys: OrderedDict[str, None] = OrderedDict()
         self._begun_at_by_key: OrderedDict[str, float] = OrderedDict()
         # Latest crash of each server that a response to a later call would refute.
         self._unconfirmed_at_by_server: dict[str, float] = {}
@@ -402,6 +405,7 @@
         for key, row in list(self._rows_by_key.items()):
             if now > row.expires_at(now):
                 del self._rows_by_key[key]
+                self._new_part_keys.pop(key, None)
                 if row.is_harmful:
                     log_event("suspect_forgotten", suspect=key)
         for server, crashed_at in list(self._unconfirmed_at_by_server.items()):
@@ -427,12 +431,22 @@
             self._dropped += 1
         row = SuspectEvidence(key, begun_at=self._begun_at_by_key.get(key, NEVER))
         self._rows_by_key[key] = row
+        if not is_identity(key):
+            self._new_part_keys[key] = None
         # It has not changed yet.
         self._rows_by_key.move_to_end(key, last=False)
         return row
 
     def _least_suspected(self, now: float) -> SuspectEvidence:
-        """Return the evidence to drop: the oldest with a single crash, if any."""
+        """Return the evidence to drop: the oldest with a single crash, if any.
+
+        Parts of prompts go first if they are in the majority: a request has many of
+        them, but one identity, which suffices to convict it.
+        """
+        while len(self._new_part_keys) > MAX_SUSPECTS // 2:
+            row = self._rows_by_key.get(self._new_part_keys.popitem(last=False)[0])
+            if row is not None and row.is_single:
+                return row
         # Usually the first row, so that a flood of suspects costs little.
         for row in self._rows_by_key.values():
             if row.is_single:
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -180,6 +180,19 @@
         self.assertTrue(evidence.suspect("harmful", now).is_harmful)
         self.assertEqual(evidence.suspect("repeated", now).events(now), 2)
 
+    def test_flood_of_distinct_parts(self):
+        """Parts of the requests that a crash cuts do not displace the harmful one."""
+        evidence = CrashEvidence()
+        for server in range(3):
+            crash(evidence, [REQUEST, "p"], 10.0 * server, first=server)
+            for number in range(63):
+                name = f"{server}.{number}"
+                keys = [f"request:{name}", *(f"{name}.{part}" for part in range(20))]
+                crash(evidence, keys, 10.0 * server, first=server)
+        row = evidence.suspect(REQUEST, NOW + 20.0)
+        self.assertIsNotNone(row)
+        self.assertTrue(row.is_harmful)
+
     def test_messages_are_bounded(self):
         """A verdict does not wait behind a flood of single crashes."""
         evidence = CrashEvidence()
