--- a/sequoiafall/crash_evidence.py
+++ b/sequoiafall/crash_evidence.py
@@ -55,6 +55,8 @@
 MAX_BEGUN = 32_768
 # Evidence that is too old is looked for at most this often.
 FORGET_INTERVAL_S = 1.0
+# Time of an event that is not known to have happened.
+NEVER = float("-inf")
 
 
 @dataclass(slots=True, frozen=True)
@@ -102,8 +104,8 @@
     begun_at : float
         Latest time at which a response began or a conviction was lifted, in seconds.
     trial_at : float
-        Time in seconds from which a single request may be tried; 0 if the suspect does
-        not count as harmful.
+        Time in seconds from which a single request may be tried; `NEVER` if it does
+        not count as harmful. It may be negative shortly after the boot.
     failed_trials : int
         Sends after the third crash that reached a server, and no response began.
     revision : int
@@ -112,15 +114,15 @@
 
     key: str
     crashes_by_start: dict[ServerStart, Crash] = field(default_factory=dict)
-    begun_at: float = float("-inf")
-    trial_at: float = 0.0
+    begun_at: float = NEVER
+    trial_at: float = NEVER
     failed_trials: int = 0
     revision: int = 0
 
     @property
     def is_harmful(self) -> bool:
         """Whether the suspect crashes servers, as far as is known."""
-        return self.trial_at > 0.0
+        return self.trial_at > NEVER
 
     @property
     def is_single(self) -> bool:
@@ -131,7 +133,15 @@
     def last_crash_at(self) -> float:
         """Time of the latest crash in seconds; minus infinity if there is none."""
         times = (row.at for row in self.crashes_by_start.values() if not row.is_refuted)
-        return max(times, default=float("-inf"))
+        return max(times, default=NEVER)
+
+    @property
+    def has_begun_since_crashes(self) -> bool:
+        """Whether a response has begun since the latest crash that is known."""
+        # The crashes of an old verdict are forgotten before it is.
+        return self.begun_at > NEVER and (
+            self.begun_at >= self.last_crash_at - BEGUN_GRACE_S
+        )
 
     def crashed_starts(self, now: float) -> set[ServerStart]:
         """Return the starts of servers that count as crashed by the suspect."""
@@ -162,7 +172,7 @@
         at_by_server: dict[str, float] = {}
         times = []
         for time_s, server in crashes:
-            if time_s - at_by_server.get(server, float("-inf")) > EVENT_WINDOW_S:
+            if time_s - at_by_server.get(server, NEVER) > EVENT_WINDOW_S:
                 at_by_server[server] = time_s
                 times.append(time_s)
         return times
@@ -196,6 +206,7 @@
         "_dropped",
         "_forgotten_at",
         "_is_changed",
+        "_new_part_keys",
         "_rows_by_key",
         "_unconfirmed_at_by_server",
         "on_change",
@@ -206,11 +217,13 @@
         self.on_change = on_change
         self.revision = 0
         self._is_changed = False
-        self._forgotten_at = float("-inf")
+        self._forgotten_at = NEVER
         # Suspects that were dropped since the last log line about it.
         self._dropped = 0
         # In the order of their last change.
         self._rows_by_key: OrderedDict[str, SuspectEvidence] = OrderedDict()
+        # Parts of prompts that have not been looked at as rows to drop, oldest first.
+        self._new_part_keys: OrderedDict[str, None] = OrderedDict()
         self._begun_at_by_key: OrderedDict[str, float] = OrderedDict()
         # Latest crash of each server that a response to a later call would refute.
         self._unconfirmed_at_by_server: dict[str, float] = {}
@@ -235,7 +248,7 @@
         suspects = []
         tried = self._tried_keys(keys, now)
         for key in keys:
-            if now - self._begun_at_by_key.get(key, float("-inf")) <= BEGUN_GRACE_S:
+            if now - self._begun_at_by_key.get(key, NEVER) <= BEGUN_GRACE_S:
                 continue
             row = self._row(key, now)
             crashed = _crashed_start(row, start, now)
@@ -289,7 +302,7 @@
             row.begun_at = max(
                 row.begun_at,
                 other.begun_at,
-                self._begun_at_by_key.get(row.key, float("-inf")),
+                self._begun_at_by_key.get(row.key, NEVER),
             )
             for start, crash in other.crashes_by_start.items():
                 known = row.crashes_by_start.get(start)
@@ -392,6 +405,7 @@
         for key, row in list(self._rows_by_key.items()):
             if now > row.expires_at(now):
                 del self._rows_by_key[key]
+                self._new_part_keys.pop(key, None)
                 if row.is_harmful:
                     log_event("suspect_forgotten", suspect=key)
         for server, crashed_at in list(self._unconfirmed_at_by_server.items()):
@@ -415,14 +429,24 @@
             dropped = self._least_suspected(now)
             del self._rows_by_key[dropped.key]
             self._dropped += 1
-        row = SuspectEvidence(key, begun_at=self._begun_at_by_key.get(key, -1e9))
+        row = SuspectEvidence(key, begun_at=self._begun_at_by_key.get(key, NEVER))
         self._rows_by_key[key] = row
+        if not is_identity(key):
+            self._new_part_keys[key] = None
         # It has not changed yet.
         self._rows_by_key.move_to_end(key, last=False)
         return row
 
     def _least_suspected(self, now: float) -> SuspectEvidence:
-        """Return the evidence to drop: the oldest with a single crash, if any."""
+        """Return the evidence to drop: the oldest with a single crash, if any.
+
+        Parts of prompts go first if they are in the majority: a request has many of
+        them, but one identity, which suffices to convict it.
+        """
+        while len(self._new_part_keys) > MAX_SUSPECTS // 2:
+            row = self._rows_by_key.get(self._new_part_keys.popitem(last=False)[0])
+            if row is not None and row.is_single:
+                return row
         # Usually the first row, so that a flood of suspects costs little.
         for row in self._rows_by_key.values():
             if row.is_single:
@@ -466,7 +490,7 @@
                 quarantine_s=int(row.trial_at - now),
                 servers=",".join(start.server for start in row.crashed_starts(now)),
             )
-        elif row.is_harmful and row.begun_at >= row.last_crash_at - BEGUN_GRACE_S:
+        elif row.is_harmful and row.has_begun_since_crashes:
             self._lift(row, "a response began")
         elif row.is_harmful and events < HARMFUL_EVENTS and self._is_refuted(row):
             self._lift(row, "the server has responded since")
@@ -483,7 +507,7 @@
         self._change(row)
 
     def _lift(self, row: SuspectEvidence, reason: str) -> None:
-        row.trial_at, row.failed_trials = 0.0, 0
+        row.trial_at, row.failed_trials = NEVER, 0
         log_event("suspect_cleared", suspect=row.key, reason=reason)
 
     def _change(self, row: SuspectEvidence) -> None:
--- a/sequoiafall/evidence_exchange.py
+++ b/sequoiafall/evidence_exchange.py
@@ -16,6 +16,7 @@
 
 from .boot_clock import boot_time
 from .crash_evidence import (
+    NEVER,
     RESPONSE_WINDOW_S,
     Crash,
     CrashEvidence,
@@ -223,11 +224,9 @@
             return
         failure = result.failure()
         log_warning("harmful_suspects_not_stored", detail=str(failure))
-        if isinstance(failure, Rejected):
-            # Another leader wrote the row, or an earlier write took effect late.
-            self._version = failure.row.version if failure.row is not None else 0
-        else:
-            self._is_loaded = False
+        # Another leader may have written the row, or an earlier write took effect late.
+        self._is_loaded = False
+        if not isinstance(failure, Rejected):
             await asyncio.sleep(STORE_RETRY_S)
         self._wake.set()
 
@@ -237,7 +236,7 @@
 
 
 def _to_wire(row: SuspectEvidence, now: float) -> Any:
-    has_begun = row.begun_at > 0.0
+    has_begun = row.begun_at > NEVER
     return ttypes.PartEvidence(
         part=row.key,
         crashes=[
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -24,7 +24,12 @@
     ServerStart,
     quarantine_s,
 )
-from sequoiafall.evidence_exchange import _from_wire, _to_wire
+from sequoiafall.evidence_exchange import (
+    _from_stored,
+    _from_wire,
+    _to_stored,
+    _to_wire,
+)
 from sequoiafall.prompt_quarantine import (
     HOLD_S,
     TRIAL_TTL_S,
@@ -175,6 +180,19 @@
         self.assertTrue(evidence.suspect("harmful", now).is_harmful)
         self.assertEqual(evidence.suspect("repeated", now).events(now), 2)
 
+    def test_flood_of_distinct_parts(self):
+        """Parts of the requests that a crash cuts do not displace the harmful one."""
+        evidence = CrashEvidence()
+        for server in range(3):
+            crash(evidence, [REQUEST, "p"], 10.0 * server, first=server)
+            for number in range(63):
+                name = f"{server}.{number}"
+                keys = [f"request:{name}", *(f"{name}.{part}" for part in range(20))]
+                crash(evidence, keys, 10.0 * server, first=server)
+        row = evidence.suspect(REQUEST, NOW + 20.0)
+        self.assertIsNotNone(row)
+        self.assertTrue(row.is_harmful)
+
     def test_messages_are_bounded(self):
         """A verdict does not wait behind a flood of single crashes."""
         evidence = CrashEvidence()
@@ -673,3 +691,37 @@
         second.record_response("e0", NOW + 0.1, NOW + 0.2)
         crash(second, ["p"], 1.0, first=5)
         self.assertEqual(rows, before)
+
+
+class StoredVerdictTest(unittest.TestCase):
+    """A verdict outlasts a restart of all instances, however old it is."""
+
+    def setUp(self):
+        self.evidence = CrashEvidence()
+        crash(self.evidence, [REQUEST], 0.0, 0.5, 1.0)
+        for number in range(MAX_FAILED_TRIALS):
+            self.evidence.record_failed_trial(REQUEST, NOW + 2.0 + number)
+
+    def test_verdict_whose_crashes_are_forgotten(self):
+        """The row is written again when another verdict falls later."""
+        now = NOW + CRASH_TTL_S + 60.0
+        stored = _to_stored(self.evidence.suspect(REQUEST, now), now)
+        restarted = CrashEvidence()
+        restarted.merge([_from_stored(stored, now)], now)
+        self.assertIsNotNone(restarted.suspect(REQUEST, now))
+        self.assertEqual(restarted.suspect(REQUEST, now).failed_trials, 3)
+
+    @parameterized.expand([("stored", True), ("sent by another instance", False)])
+    def test_machine_that_has_just_booted(self, _name, is_stored):
+        """The clock counts from the boot, so past times may be negative."""
+        now = NOW + 1.5 * MAX_QUARANTINE_S
+        row = self.evidence.suspect(REQUEST, now)
+        booted = 20.0
+        if is_stored:
+            received = _from_stored(_to_stored(row, now), booted)
+        else:
+            received = _from_wire(_to_wire(row, now), booted)
+        newcomer = CrashEvidence()
+        newcomer.merge([received], booted)
+        self.assertIsNotNone(newcomer.suspect(REQUEST, booted))
+        self.assertTrue(newcomer.suspect(REQUEST, booted).is_harmful)
