Evict no adapter before its engine has shown that it is loaded

An engine could be ordered to hold seven adapters in six slots, which crashes engines: the planner takes a load for finished at its expected end, and may evict the adapter at once if its request has been cancelled meanwhile. The load may take longer, and an adapter on its way takes a slot whatever is ordered.

Only adapters that a report or a complete response has shown are evicted. The three tests of slots that are freed deliver a report now, as engines send one every 0.25 s; one of them also checks that nothing is evicted before it: Lists differ: ['a1', 'b1'] != ['a1'] on the code before.

--- a/sequoiafall/engine_choice.py
+++ b/sequoiafall/engine_choice.py
@@ -388,7 +388,7 @@
         idle = [
             slot
             for slot in engine.slots_by_adapter.values()
-            if slot.state is SlotState.RESIDENT and slot.uses == 0
+            if slot.state is SlotState.RESIDENT and slot.is_confirmed and slot.uses == 0
         ]
         if len(idle) < 2:
             return idle[0] if idle else None
--- a/sequoiafall/engine_planner.py
+++ b/sequoiafall/engine_planner.py
@@ -784,6 +784,9 @@
     ) -> None:
         if outcome == "ok":
             engine.record_success()
+            slot = engine.slots_by_adapter.get(placed.request.adapter)
+            if slot is not None and slot.state is SlotState.RESIDENT:
+                engine.confirm_slot(slot)
         elif outcome in ("failed", "broken", "unreachable", "busy"):
             engine.record_failure(now, is_unreachable=outcome == "unreachable")
         elif outcome == "moved":
--- a/sequoiafall/engine_pool.py
+++ b/sequoiafall/engine_pool.py
@@ -82,6 +82,9 @@
     sequence : int
         For a slot in state `UNKNOWN`, the sequence number that its order was sent
         with. The order can take effect until the engine accepts another one.
+    is_confirmed : bool
+        Whether the engine has shown that the adapter is loaded. One that is still on
+        its way takes a slot even after an order to unload it.
     """
 
     adapter: str
@@ -94,6 +97,7 @@
     from_store: bool = False
     is_ordered: bool = False
     sequence: int = -1
+    is_confirmed: bool = False
 
 
 class EngineCondition(enum.Enum):
@@ -270,10 +274,17 @@
     def set_state(self, slot: EngineSlot, state: SlotState) -> None:
         """Set the state of one of the slots."""
         slot.state = state
+        slot.is_confirmed &= state is SlotState.RESIDENT
         self.index.changed.add(self.name)
         if state is not SlotState.RESIDENT:
             self.index.transferring.add(self.name)
 
+    def confirm_slot(self, slot: EngineSlot) -> None:
+        """Record that the engine has shown that an adapter is loaded."""
+        if not slot.is_confirmed:
+            slot.is_confirmed = True
+            self.index.changed.add(self.name)
+
     def use_slot(self, slot: EngineSlot) -> None:
         """Assign one more request to a slot."""
         slot.uses += 1
@@ -500,6 +511,7 @@
                     self.set_state(slot, SlotState.RESIDENT)
                     slot.changed_at = now
                     self.add_warm(name, held)
+                self.confirm_slot(slot)
             elif name in report.incoming:
                 if slot.state is SlotState.UNKNOWN:
                     self.set_state(slot, SlotState.LOADING)
@@ -532,7 +544,9 @@
     def _add_reported_slots(self, report: EngineReport, now: float) -> None:
         for name, version in report.resident.items():
             if name not in self.slots_by_adapter:
-                self.put_slot(EngineSlot(name, version, SlotState.RESIDENT, now, now))
+                slot = EngineSlot(name, version, SlotState.RESIDENT, now, now)
+                slot.is_confirmed = True
+                self.put_slot(slot)
                 self.add_warm(name, version)
         for name, version in report.incoming.items():
             if name not in self.slots_by_adapter:
--- a/tests/test_engine_planner.py
+++ b/tests/test_engine_planner.py
@@ -643,6 +643,10 @@
         driver.apply(driver.planner.cancel("r1", driver.now))
         driver.run(COLD_LOAD_S + LOAD_MARGIN_S + 0.01)
         driver.ask("r2", "b1", on_time_s=3.0)
+        # The load may take longer than expected, and the slot is taken until it ends.
+        self.assertEqual([order.adapter for order in driver.orders], ["a1"])
+        driver.run(0.2)
+        driver.report_all()
         driver.run(COLD_LOAD_S + LOAD_MARGIN_S + 0.01)
         self.assertIn("r2", driver.granted)
 
@@ -833,6 +837,7 @@
     def test_cancelled_request_frees_its_slot(self):
         """A caller may disconnect before its deadline."""
         driver = self._with_full_slots()
+        driver.report_all()
         driver.ask("r1", "b1", on_time_s=3.0)
         driver.apply(driver.planner.cancel("holder0", driver.now))
         driver.run(0.4)
@@ -842,6 +847,7 @@
         driver = self._with_full_slots()
         driver.ask("r1", "b1", on_time_s=3.0, gateway="g2")
         driver.now += 1.0
+        driver.report_all()
         driver.apply(driver.planner.release_gateway("g1", frozenset(), driver.now))
         driver.run(0.4)
         self.assertIn("r1", driver.granted)
