Keep a stream that all servers reject to the retry budget

A stream that has begun, or has left a sound server, cannot be refused. If the servers that got a place for it rejected its sends, it was sent up to four times a second until its deadline, with no retry taken: the fleet's budget of retries could be exceeded. Two sends are free, so that it can return to its own server; each further one waits for a retry, ever longer.

Test on the code before: 5 not less than or equal to 4 sends (found by review).

--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -37,14 +37,20 @@
 from .request_ends import EndCause, OpenRequest, RequestEnds, StreamedResponse
 from .request_identity import request_identity
 from .response_timings import ResponseTimings
-from .retry import RetryBudget
+from .retry import RetryBudget, back_off_s
 from .secret_scan import contains_secret
 from .send_outcome import Outcome
 from .server_limits import REQUEST_SOURCE
 from .server_notices import ServerNotice, spread_retry_s
 from .serving_ports import Attempt, CallerRequest, Dialect, ResponseKind
 from .stall_timeout import EVENT_GAP_TIMEOUT_S, LOOK_AGAIN_S
-from .stream_move import MovedError, StreamMove, hold, watch_send
+from .stream_move import (
+    MAX_LOOK_AGAIN_S,
+    MovedError,
+    StreamMove,
+    hold,
+    watch_send,
+)
 from .trial_admission import RunEnd
 
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
@@ -53,6 +59,9 @@
 DEADLINE_MARGIN_S = 0.02
 # A request is refused when servers have rejected more of its sends than this.
 MAX_REJECTED_SENDS = 4
+# A stream that cannot be refused is sent again this often without a retry of the
+# budget: its own server may be the only one that takes it.
+MAX_UNBUDGETED_SENDS = 2
 # Delay before the next send after a rejected one.
 NOT_RUN_PAUSE_S = 0.02
 # Network round trip between a gateway and a caller.
@@ -640,15 +649,19 @@
             exchange.rejected_sends += 1
             if outcome.name == "unreachable" or outcome.detail == "wrong server":
                 exchange.excluded.add(server)
-            has_budget = self._retry_budget(exchange.service).try_retry()
-            if exchange.rejected_sends <= MAX_REJECTED_SENDS and has_budget:
+            budget = self._retry_budget(exchange.service)
+            is_tried = exchange.rejected_sends <= MAX_REJECTED_SENDS
+            if is_tried and budget.try_retry():
                 await asyncio.sleep(NOT_RUN_PAUSE_S)
                 return None
             if not exchange.may_be_refused:
                 # The server that was left before may be the only one that is sound.
                 exchange.excluded.clear()
                 exchange.excluded.add(server)
-                await asyncio.sleep(LOOK_AGAIN_S)
+                if exchange.rejected_sends > MAX_UNBUDGETED_SENDS:
+                    await _wait_for_retry(budget, exchange.rejected_sends)
+                else:
+                    await asyncio.sleep(LOOK_AGAIN_S)
                 return None
             refusal = Refusal(Reason.OVERLOADED, retry_after_s=DEFAULT_RETRY_AFTER_S)
             return self._finish_refusal(exchange, refusal)
@@ -1026,6 +1039,15 @@
     return RunEnd(outcome.name, has_begun, crashed)
 
 
+async def _wait_for_retry(budget: RetryBudget, rejected_sends: int) -> None:
+    """Wait for a retry of the budget for a rejected request, and take it."""
+    delay_s = back_off_s(LOOK_AGAIN_S, rejected_sends, MAX_LOOK_AGAIN_S)
+    while True:
+        await asyncio.sleep(delay_s)
+        if budget.try_retry():
+            return
+
+
 def _drop_headers_with_secret(headers: CIMultiDict[str], secret: str) -> list[str]:
     """Remove headers that contain the caller's key and return their names."""
     if not contains_secret(secret, headers.values()):
--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -12,6 +12,7 @@
 from sequoiafall.engine_client import _broken_response
 from sequoiafall.engine_pool import EngineCondition
 from sequoiafall.fleet_leader import LeaderDuties
+from sequoiafall.forwarding import MAX_UNBUDGETED_SENDS
 from sequoiafall.platform import names
 from sequoiafall.refusal import Reason
 from sequoiafall.wire.gen import ttypes
@@ -247,6 +248,20 @@
         status, *_ = await self.call(node, path, request_id="r")
         self.assertEqual((status, self.runs("r")), (200, 1))
 
+    async def test_stream_that_all_servers_reject_keeps_to_the_retry_budget(self):
+        """It was sent four times a second until its deadline, whatever the budget."""
+        node = await self.start()
+        call, _, present, _ = await self.begin(node)
+        node.forwarder._retry_budget("assist")._saved = 1.0
+        for engine in self.assist:
+            engine.shed_next = 1000
+        self.silence(present, LONG_SILENCE_S)
+        response = await call
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            await response.read()
+        sends = sum(row.received_request_ids.count("r") for row in self.assist)
+        self.assertLessEqual(sends, 2 + MAX_UNBUDGETED_SENDS)
+
     async def test_caller_that_stops_reading_for_a_while(self):
         """The time in which a caller does not read is not silence of its server."""
         self.enterContext(patch.object(forwarding, "EVENT_GAP_TIMEOUT_S", GAP_S))
