Let the deadline of a test pass before its place is granted

The planner grants the place at the expected end of the load, 0.3 s, so the request could be at an engine when its deadline of 0.4 s passed. The deadline is shorter than the expected load now, so the request waits for a place at its deadline, as the test means; its checks stay.

--- a/tests/test_final_responses.py
+++ b/tests/test_final_responses.py
@@ -595,12 +595,14 @@
 
     @parameterized.expand(
         [
-            ("place", 503, EndCause.REFUSED, ResponseState.COMPLETE),
-            ("head", 504, EndCause.TIMEOUT, ResponseState.COMPLETE),
-            ("stream", None, EndCause.TIMEOUT, ResponseState.CUT),
+            # Shorter than the load that the planner expects: it grants the place after
+            # that, although the load takes longer here.
+            ("place", 200, 503, EndCause.REFUSED, ResponseState.COMPLETE),
+            ("head", 400, 504, EndCause.TIMEOUT, ResponseState.COMPLETE),
+            ("stream", 400, None, EndCause.TIMEOUT, ResponseState.CUT),
         ]
     )
-    async def test_end(self, wait, status, cause, state):
+    async def test_end(self, wait, deadline_ms, status, cause, state):
         self.enterContext(capture_log())
         node, *_ = await self.start_fleet(1)
         await self.call(node, "/check/x", adapter="a1")
@@ -611,7 +613,7 @@
             elif wait == "stream":
                 self.engines[name].pause_after_events = 2
         adapter = "a9" if wait == "place" else "a1"
-        fields = {names.DEADLINE_MS: "400"}
+        fields = {names.DEADLINE_MS: str(deadline_ms)}
         call = self.call(node, "/check/x", adapter=adapter, **fields)
         if status is None:
             with self.assertRaises(aiohttp.ClientPayloadError):
