--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -10,7 +10,6 @@
 import functools
 import math
 import random
-from dataclasses import dataclass, field
 
 from aiohttp import web
 from multidict import CIMultiDict
@@ -18,7 +17,7 @@
 
 from .backend_registry import BackendEntry
 from .boot_clock import boot_time
-from .catalog import Organisation, RepeatPolicy, ServiceRoute
+from .catalog import RepeatPolicy
 from .crash_evidence import ServerStart
 from .engine_client import (
     BackendResponse,
@@ -27,6 +26,7 @@
     SingleSendClient,
 )
 from .event_stream import EventSplitter, OversizedEventError
+from .exchange import Exchange
 from .fleet import Fleet
 from .log import log_event, log_warning
 from .node_metrics import NodeMetrics
@@ -36,13 +36,12 @@
 from .refusal import Reason, Refusal, RunStatus, secret_refusal
 from .request_ends import EndCause, OpenRequest, RequestEnds, StreamedResponse
 from .request_identity import request_identity
-from .response_timings import ResponseTimings
 from .retry import RetryBudget, back_off_s
 from .secret_scan import contains_secret
 from .send_outcome import Outcome
 from .server_limits import REQUEST_SOURCE
 from .server_notices import ServerNotice, spread_retry_s
-from .serving_ports import Attempt, CallerRequest, Dialect, ResponseKind
+from .serving_ports import Attempt, Dialect, ResponseKind
 from .stall_timeout import EVENT_GAP_TIMEOUT_S, LOOK_AGAIN_S
 from .stream_move import (
     MAX_LOOK_AGAIN_S,
@@ -102,99 +101,6 @@
 DRAINING_RETRY_AFTER_S = 0.05
 
 
-@dataclass(slots=True)
-class Exchange:
-    """State of one caller's request across all its sends.
-
-    Parameters
-    ----------
-    web_request : web.Request
-        The request as received by the HTTP server.
-    request : CallerRequest
-        The decoded request.
-    route : ServiceRoute
-        Route that the request matches.
-    service : str
-        Service that the route's weighted choice selected.
-    organisation : Organisation or None
-        The authenticated organisation, None on open routes.
-    started_at, deadline, first_event_due_at : float
-        Arrival, the time at which the request times out, and the latest time at
-        which the response or its first event counts as on time; in seconds of
-        `boot_time`.
-    sends, runs, rejected_sends : int
-        Sends so far, those that may have run, and those that no server ran because
-        it refused the request or could not be reached.
-    excluded : set of str
-        Servers that are not tried again.
-    move : StreamMove or None
-        Looks for places of a request to an engine.
-    stream : web.StreamResponse or None
-        Streamed response, once it has begun.
-    splitter : EventSplitter
-        Event parser, which drops events that the caller already has.
-    place : GatewayPlace or None
-        Place of the current or last run at an engine.
-    run_events : int
-        How often new events arrived in the current or last run.
-    last_failure : web.Response or None
-        Error response of a backend server, sent if no further attempt succeeds.
-    plain_choice : PlainChoice or None
-        How the last server of a plain service was chosen.
-    times : ResponseTimings
-        Timing of the response, for the log.
-    open_request : OpenRequest or None
-        The request among those that are open.
-    """
-
-    web_request: web.Request
-    request: CallerRequest
-    route: ServiceRoute
-    service: str
-    organisation: Organisation | None
-    started_at: float
-    deadline: float
-    first_event_due_at: float
-    sends: int = 0
-    runs: int = 0
-    rejected_sends: int = 0
-    excluded: set[str] = field(default_factory=set)
-    move: StreamMove | None = None
-    stream: web.StreamResponse | None = None
-    splitter: EventSplitter = field(default_factory=EventSplitter)
-    place: GatewayPlace | None = None
-    run_events: int = 0
-    last_failure: web.Response | None = None
-    plain_choice: PlainChoice | None = None
-    times: ResponseTimings = field(default_factory=ResponseTimings)
-    open_request: OpenRequest | None = None
-
-    def set_cause(self, cause: EndCause) -> None:
-        """Record why the request ends."""
-        if self.open_request is not None:
-            self.open_request.cause = cause
-
-    @property
-    def may_repeat(self) -> bool:
-        """Whether the route and the number of runs allow another run."""
-        if self.route.repeat is RepeatPolicy.NEVER:
-            return self.runs == 0
-        return self.runs < self.route.max_attempts
-
-    @property
-    def may_be_refused(self) -> bool:
-        """Whether a refusal is better than a search for a server until the deadline.
-
-        The caller cannot be told of a refusal once its stream has begun.
-        """
-        has_moved = self.move is not None and self.move.has_moved
-        return self.stream is None and not has_moved
-
-    def describe_choice(self) -> dict[str, object]:
-        """Return log fields on the choice of a plain server; empty for engines."""
-        return self.plain_choice.describe() if self.plain_choice is not None else {}
-
-
 class WithheldError(NotSentError):
     """The server is leaving or asked for a pause, so the request was not sent."""
 
