Count each crash of a server that restarts within two seconds

Cause: without the registry the start of a server is not known. A second crash was then counted only from two seconds after the first one, so those of a server that is back sooner did not count.

Change: a request that was sent after a known crash of its server has reached a later start of it. The gateway that saw the cut names this start to the others.

--- a/sequoiafall/crash_evidence.py
+++ b/sequoiafall/crash_evidence.py
@@ -230,6 +230,39 @@
 
     # Observations
 
+    def current_start(
+        self, start: ServerStart, keys: Iterable[str], sent_at: float
+    ) -> ServerStart:
+        """Return the start of a server that a request reached.
+
+        A server that took a request after its crash has started again, even if its new
+        start is not known, as when the registry cannot be read.
+
+        Parameters
+        ----------
+        start : ServerStart
+            Latest start that is known.
+        keys : iterable of str
+            Suspects of the request.
+        sent_at : float
+            Time in seconds at which the request was sent.
+        """
+        rows = (self._rows_by_key.get(key) for key in keys)
+        crashes_by_start = {
+            other: crash
+            for row in rows
+            if row is not None
+            for other, crash in row.crashes_by_start.items()
+            if other.server == start.server and not crash.is_refuted
+        }
+        crash = crashes_by_start.get(start)
+        if crash is None:
+            return start
+        last_at = max(other.at for other in crashes_by_start.values())
+        if sent_at - last_at <= EVENT_WINDOW_S:
+            return start
+        return _presumed_start(start, sent_at - crash.at)
+
     def record_begun(self, keys: Iterable[str], now: float) -> None:
         """Record that a response to a request with these suspects has begun."""
         begun = self._begun_at_by_key
@@ -562,7 +595,12 @@
     )
     if known.is_refuted or now - last_at <= RESTART_S:
         return None
-    return ServerStart(start.server, start.born + int((now - known.at) * 1e3))
+    return _presumed_start(start, now - known.at)
+
+
+def _presumed_start(start: ServerStart, after_s: float) -> ServerStart:
+    """Return a later start of a server, seconds after the crash of a known one."""
+    return ServerStart(start.server, start.born + int(after_s * 1e3))
 
 
 def _is_later(at: float, crash: Crash) -> bool:
--- a/sequoiafall/exchange.py
+++ b/sequoiafall/exchange.py
@@ -51,6 +51,8 @@
         Place of the current or last run at an engine.
     run_events : int
         How often new events arrived in the current or last run.
+    sent_at : float
+        Time of the last send in seconds of `boot_time`.
     last_failure : web.Response or None
         Error response of a backend server, sent if no further attempt succeeds.
     plain_choice : PlainChoice or None
@@ -78,6 +80,7 @@
     splitter: EventSplitter = field(default_factory=EventSplitter)
     place: GatewayPlace | None = None
     run_events: int = 0
+    sent_at: float = 0.0
     last_failure: web.Response | None = None
     plain_choice: PlainChoice | None = None
     times: ResponseTimings = field(default_factory=ResponseTimings)
--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -612,7 +612,7 @@
         exchange.runs += 1
         exchange.run_events = 0
         client = SingleSendClient()
-        sent_at = boot_time()
+        sent_at = exchange.sent_at = boot_time()
         entry = self._fleet.registry.find(place.server)
         can_move = exchange.route.repeat is RepeatPolicy.RESUMABLE and (
             exchange.runs < exchange.route.max_attempts
@@ -942,7 +942,7 @@
     crashed = None
     if outcome.is_cut and not has_begun and entry is not None and not entry.is_leaving:
         crashed = ServerStart(entry.name, entry.born)
-    return RunEnd(outcome.name, has_begun, crashed)
+    return RunEnd(outcome.name, has_begun, crashed, exchange.sent_at)
 
 
 async def _wait_for_retry(budget: RetryBudget, rejected_sends: int) -> None:
--- a/sequoiafall/place_source.py
+++ b/sequoiafall/place_source.py
@@ -191,7 +191,7 @@
     def end(self, pending: PendingPlacement, place: GatewayPlace, run: RunEnd) -> None:
         """Report how a run at an engine ended, and release its place."""
         keys = pending.request.suspects
-        self.trials.record_end(pending.request.request_id, keys, run)
+        crashed = self.trials.record_end(pending.request.request_id, keys, run)
         running = self._leaderless_running.get(place.server, 0)
         if running > 1:
             self._leaderless_running[place.server] = running - 1
@@ -204,9 +204,9 @@
                 server=place.server,
                 outcome=run.outcome,
                 has_begun=run.has_begun,
-                has_crashed=run.crashed is not None,
-                born=run.crashed.born if run.crashed is not None else 0,
-                shared_parts=list(keys) if run.crashed is not None else [],
+                has_crashed=crashed is not None,
+                born=crashed.born if crashed is not None else 0,
+                shared_parts=list(keys) if crashed is not None else [],
             )
         )
 
--- a/sequoiafall/trial_admission.py
+++ b/sequoiafall/trial_admission.py
@@ -8,7 +8,7 @@
 
 import asyncio
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from .boot_clock import boot_time
@@ -44,11 +44,14 @@
         Whether the response had begun.
     crashed : ServerStart or None
         The server, if it crashed before the response had begun.
+    sent_at : float
+        Time in seconds of `boot_time` at which the request was sent.
     """
 
     outcome: str
     has_begun: bool = False
     crashed: ServerStart | None = None
+    sent_at: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -114,16 +117,24 @@
         self._fleet.crash_evidence.record_begun(request.suspects, boot_time())
         self._quarantine.end_trial(request.request_id)
 
-    def record_end(self, request_id: str, keys: Sequence[str], run: RunEnd) -> None:
-        """Record what the end of a run shows about the suspects of its request."""
+    def record_end(
+        self, request_id: str, keys: Sequence[str], run: RunEnd
+    ) -> ServerStart | None:
+        """Record what the end of a run shows about the suspects of its request.
+
+        Returns the start of the server that crashed, if it did.
+        """
         now = boot_time()
+        evidence = self._fleet.crash_evidence
+        crashed = run.crashed
         if run.has_begun:
-            self._fleet.crash_evidence.record_begun(keys, now)
-        if run.crashed is not None:
-            self._fleet.crash_evidence.record_crash(run.crashed, keys, now)
-        if run.outcome in CONTINUED_OUTCOMES:
-            return
-        self._quarantine.end_run(request_id, run.outcome, now)
+            evidence.record_begun(keys, now)
+        if crashed is not None:
+            crashed = evidence.current_start(crashed, keys, run.sent_at)
+            evidence.record_crash(crashed, keys, now)
+        if run.outcome not in CONTINUED_OUTCOMES:
+            self._quarantine.end_run(request_id, run.outcome, now)
+        return crashed
 
     # Plain services
 
@@ -177,10 +188,10 @@
     ) -> None:
         """Record how an admitted send to a plain service ended."""
         keys = _plain_keys(request)
-        self.record_end(request.request_id, keys, run)
-        if not admission.is_trial and run.crashed is None:
-            return
-        self._report_end(request, service, server, run)
+        crashed = self.record_end(request.request_id, keys, run)
+        if admission.is_trial or crashed is not None:
+            run = replace(run, crashed=crashed)
+            self._report_end(request, service, server, run)
 
     def _report_end(
         self, request: CallerRequest, service: str, server: str, run: RunEnd
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -96,6 +96,31 @@
         self.assertTrue(evidence.suspect("p", NOW + 6.0).is_harmful)
         self.assertEqual(evidence.suspect("p", NOW + 6.0).failed_trials, 0)
 
+    @parameterized.expand(
+        [
+            ("in progress at the crash", 0.9, -0.1, 1),
+            ("sent while connections close one by one", 0.9, 0.05, 1),
+            ("sent to the server after a quick restart", 0.9, 0.8, 2),
+        ]
+    )
+    def test_crash_of_a_server_that_restarts_quickly(
+        self, _name, crash_after_s, sent_after_s, expected
+    ):
+        """Crashes within two seconds of each other were taken for one."""
+        evidence = CrashEvidence()
+        start = ServerStart("d1", 7)
+        evidence.record_crash(start, ["p"], NOW)
+        reached = evidence.current_start(start, ["p", "q"], NOW + sent_after_s)
+        evidence.record_crash(reached, ["p", "q"], NOW + crash_after_s)
+        events = evidence.suspect("p", NOW + 1.0).events(NOW + 1.0)
+        self.assertEqual(events, expected)
+
+    def test_crash_after_a_start_that_is_known(self):
+        evidence = CrashEvidence()
+        evidence.record_crash(ServerStart("d1", 7), ["p"], NOW)
+        start = ServerStart("d1", 8)
+        self.assertEqual(evidence.current_start(start, ["p"], NOW + 0.8), start)
+
     @parameterized.expand(
         [
             ("at once", 0.3, False),
