Convict a request after two sends beyond the third crash

Cause: crashes at the same time count as one event, so that a loss of power convicts nobody. Copies of one request that instances send at the same time crash several servers in one event as well, and each such group counted as one send after the third crash.

Change: sends are counted by crash from the third crash on, and two of them in later events suffice for the verdict. Refuted crashes do not count.

--- a/sequoiafall/crash_evidence.py
+++ b/sequoiafall/crash_evidence.py
@@ -24,6 +24,9 @@
 BEGUN_GRACE_S = 1.0
 # Events after which a suspect counts as harmful.
 HARMFUL_EVENTS = 3
+# A suspect that has crashed three servers, also at once, counts as harmful after this
+# many further crashes: copies of a request may crash several servers in one event.
+MAX_LATE_CRASHES = 2
 # A crash is forgotten after this time.
 CRASH_TTL_S = 3600.0
 # A server that responds to a call sent within this time after its presumed crash has
@@ -157,11 +160,13 @@
         """Return the number of crashes; those at the same time count as one."""
         return len(_event_times(self._crash_times(now)))
 
-    def late_events(self, now: float) -> int:
-        """Return the number of events that came after the third server's crash."""
+    def late_crashes(self, now: float) -> int:
+        """Return the number of crashes in events after the third server's crash."""
         times = self._crash_times(now)
-        known_at = times[HARMFUL_EVENTS - 1] if len(times) >= HARMFUL_EVENTS else now
-        return sum(time_s > known_at for time_s in _event_times(times))
+        if len(times) < HARMFUL_EVENTS:
+            return 0
+        known_at = times[HARMFUL_EVENTS - 1]
+        return sum(time_s - known_at > EVENT_WINDOW_S for time_s in times)
 
     def _crash_times(self, now: float) -> list[float]:
         """Return the sorted times of crashes; instances may differ on a start."""
@@ -319,9 +324,8 @@
                 and 0.0 < sent_at - crash.at <= RESPONSE_WINDOW_S
                 and not crash.is_refuted
             ]
-            for crash in recent:
-                crash.is_refuted = True
             if recent:
+                _refute(row, recent, now)
                 self._reconsider(row, now)
                 self._change(row)
         log_event("server_crash_refuted", server=server)
@@ -332,6 +336,7 @@
         for other in rows:
             row = self._row(other.key, now)
             before = _shared_state(row, now)
+            refuted: list[Crash] = []
             row.begun_at = max(
                 row.begun_at,
                 other.begun_at,
@@ -342,8 +347,9 @@
                 if known is None or _is_later(crash.at, known):
                     row.crashes_by_start[start] = Crash(crash.at, crash.is_refuted)
                     self._expect_response(start.server, crash.at, now)
-                elif not _is_later(known.at, crash):
-                    known.is_refuted |= crash.is_refuted
+                elif crash.is_refuted and not _is_later(known.at, crash):
+                    refuted.append(known)
+            _refute(row, refuted, now)
             _trim(row)
             is_renewed = (
                 row.failed_trials == other.failed_trials >= MAX_FAILED_TRIALS
@@ -510,11 +516,13 @@
 
     def _reconsider(self, row: SuspectEvidence, now: float) -> None:
         """Apply what the crashes and begun responses of a suspect imply."""
-        events = row.events(now)
-        if not row.is_harmful and events >= HARMFUL_EVENTS:
+        events, late = row.events(now), row.late_crashes(now)
+        if not row.is_harmful and (
+            events >= HARMFUL_EVENTS or late >= MAX_LATE_CRASHES
+        ):
             # Several servers that crash at once are one event, so that more sends than
             # usual may have come before this verdict.
-            row.failed_trials = max(row.failed_trials, row.late_events(now))
+            row.failed_trials = max(row.failed_trials, late)
             row.trial_at = now + quarantine_s(row.failed_trials)
             log_warning(
                 "suspect_harmful",
@@ -608,6 +616,14 @@
     return crash.is_refuted and at - crash.at > RESPONSE_WINDOW_S
 
 
+def _refute(row: SuspectEvidence, crashes: Sequence[Crash], now: float) -> None:
+    """Mark crashes that did not happen; they count as failed sends no longer."""
+    late = row.late_crashes(now)
+    for crash in crashes:
+        crash.is_refuted = True
+    row.failed_trials = max(0, row.failed_trials - late + row.late_crashes(now))
+
+
 def _trim(row: SuspectEvidence) -> None:
     """Drop the oldest crashes beyond the limit."""
     crashes = row.crashes_by_start
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -60,6 +60,10 @@
             # A loss of power is one event, whatever the servers ran.
             ("all servers at once", [0.0, 0.01, 0.02, 0.03, 0.05], [], "suspected"),
             ("two events", [0.0, 0.02, 0.5, 0.52, 0.55], [], "suspected"),
+            ("three at once, then one", [0.0, 0.01, 0.02, 4.0], [], "suspected"),
+            # Copies of one request, which instances send at the same time.
+            ("three at once, then two", [0.0, 0.01, 0.02, 4.0, 4.01], [], "harmful"),
+            ("two losses of power", [0.0, 0.0, 0.0, 9.0, 9.0], [5.0], "suspected"),
             ("popular part, before", [0.0, 0.5, 1.0], [-0.5, 0.2, 0.7], "clear"),
             ("popular part, after", [0.0, 0.5, 1.0], [1.2], "clear"),
             ("sound long before", [0.0, 0.5, 1.0], [-9.0], "harmful"),
@@ -155,6 +159,20 @@
         crash(evidence, ["p"], 20.0)
         self.assertEqual(evidence.suspect("p", NOW + 20.0).events(NOW + 20.0), 1)
 
+    def test_refuted_crashes_after_a_loss_of_power(self):
+        """Resets by servers that respond are no evidence, however many there are."""
+        evidence, other = CrashEvidence(), CrashEvidence()
+        crash(evidence, ["p"], 0.0, 0.01, 0.02)
+        crash(evidence, ["p"], 4.0, 4.01, first=3)
+        other.merge(copy.deepcopy(evidence.since_revision(0, NOW + 4.1)), NOW + 4.1)
+        self.assertTrue(other.suspect("p", NOW + 4.2).is_harmful)
+        evidence.record_response("e3", NOW + 4.2, NOW + 4.21)
+        evidence.record_response("e4", NOW + 4.2, NOW + 4.21)
+        other.merge(evidence.since_revision(0, NOW + 4.3), NOW + 4.3)
+        for row in (evidence.suspect("p", NOW + 4.4), other.suspect("p", NOW + 4.4)):
+            self.assertFalse(row.is_harmful)
+            self.assertEqual(row.failed_trials, 0)
+
     def test_refuted_crash_lifts_a_conviction(self):
         evidence = CrashEvidence()
         crash(evidence, ["p"], 0.0, 0.5, 1.0)
