Let instances without a leader take turns to try a suspect

What callers saw: without a leader, copies of one harmful request reached several servers at the same time, and sound requests that had shared a crash with it were refused for as long as there was no leader.

Cause: one instance was chosen for each suspect from the members that an instance knew. If the chosen instance was the lost leader, nobody tried.

Change: instances take turns, counted from the suspect's last crash, which they exchange. Instances that meet in search of a leader learn of each other (member_learned), so that their views agree and all of them get the evidence.

Evidence: TurnTest; test_instances_know_each_other_without_a_leader failed before.

--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -283,17 +283,6 @@
         if self.duties is not None:
             self.duties.on_evidence_changed()
 
-    def may_try_alone(self, key: str) -> bool:
-        """Whether this instance may try a suspect without a leader.
-
-        All instances that know the same members choose the same one of them.
-        """
-        own = self.settings.instance
-        names = {own, *(row.instance for row in self.members)}
-        digest = xxhash.xxh64_intdigest
-        first = max(names, key=lambda name: digest(f"{key} {name}".encode()))
-        return first == own
-
     def record_token_use(self, organisation: str, tokens: int) -> None:
         """Record tokens that this gateway admitted without asking the leader."""
         now = boot_time()
@@ -363,6 +352,7 @@
             self._lose_lease(f"{peer} follows term {poll.term}")
             duties = None
         if duties is None or not self.lease.leads:
+            self._learn_member(poll.member)
             if poll.announces and poll.term > self._link.term:
                 self._run_in_background(
                     self._follow_announced(poll.member.peer_address)
@@ -404,6 +394,20 @@
             evidence_revision=evidence_revision,
         )
 
+    def _learn_member(self, member: Any) -> None:
+        """Record an instance that was met in search of a leader.
+
+        Nobody else tells of instances while there is no leader.
+        """
+        if self.has_leader:
+            return
+        known = self.members_by_instance.get(member.instance)
+        self.members_by_instance[member.instance] = member
+        if known is None or known.leaving != member.leaving:
+            log_event(
+                "member_learned", instance=member.instance, leaving=member.leaving
+            )
+
     async def _follow_announced(self, address: str) -> None:
         await self._link.set_address(address, "announced")
         await self._poll_leader()
@@ -415,7 +419,7 @@
             term=0,
             revision=0,
             rows=[],
-            members=[],
+            members=[self._member()],
             over_limit=[],
             reaches_store=self.reaches_store,
             newest_by_table={},
@@ -574,6 +578,8 @@
         self.evidence_exchange.apply(reply.evidence)
         if not reply.leads:
             self._restore_tokens(tokens)
+            for member in reply.members:
+                self._learn_member(member)
             if reply.leader_address:
                 await link.set_address(reply.leader_address, "redirected")
                 return
--- a/sequoiafall/trial_admission.py
+++ b/sequoiafall/trial_admission.py
@@ -1,13 +1,13 @@
 """Admits requests that may crash servers, on the gateway's side.
 
 A request without a known suspect is sent at once. The leader decides about others;
-without a leader, one instance makes the trials of a suspect.
+without a leader, the instances take turns to try a suspect.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -28,6 +28,10 @@
 LEADER_RETRY_S = 0.8
 # Interval at which a waiting request is considered again without a leader.
 RETRY_INTERVAL_S = 0.05
+# Length of an instance's turn to try a suspect without a leader, and the first part of
+# it in which a trial may begin. The rest is for its end and for the news of a crash.
+TURN_S = 1.0
+TURN_BEGIN_S = 0.4
 # Time for a reply of the leader beyond the wait for a trial.
 REPLY_MARGIN_S = 0.1
 
@@ -85,7 +89,7 @@
     # Without a leader
 
     def decide_alone(self, request_id: str, keys: Sequence[str]) -> Verdict:
-        """Return whether a request may run; only one instance makes a trial."""
+        """Return whether a request may run; one instance at a time makes a trial."""
         now = boot_time()
         verdict = self._quarantine.decide(request_id, keys, now)
         if verdict is not Verdict.TRIAL:
@@ -94,11 +98,16 @@
             # A leader that this instance cannot reach may make the trials as well.
             return Verdict.REFUSE
         evidence = self._fleet.crash_evidence
-        suspects = [key for key in keys if evidence.suspect(key, now) is not None]
-        # Requests that share a part are tried by the same instance. If their identities
-        # counted as well, often no instance could try them.
-        parts = [key for key in suspects if not is_identity(key)]
-        if all(self._fleet.may_try_alone(key) for key in parts or suspects):
+        rows = (evidence.suspect(key, now) for key in keys)
+        suspects = [row for row in rows if row is not None]
+        # Requests that share a part are tried in the same turn. With their identities,
+        # which may have crashed servers at other times, the turns rarely coincide.
+        parts = [row for row in suspects if not is_identity(row.key)]
+        own = self._fleet.settings.instance
+        members = [member.instance for member in self._fleet.members]
+        if all(
+            has_turn(own, members, now - row.last_crash_at) for row in parts or suspects
+        ):
             return verdict
         return Verdict.WAIT
 
@@ -256,6 +265,29 @@
         )
 
 
+def has_turn(own: str, members: Iterable[str], since_crash_s: float) -> bool:
+    """Whether an instance may try a suspect now, without a leader.
+
+    Instances that know the same members never have a turn at the same time, and the
+    turn of an instance that is gone passes.
+
+    Parameters
+    ----------
+    own : str
+        The instance.
+    members : iterable of str
+        Instances that it knows, with or without itself.
+    since_crash_s : float
+        Seconds since the latest crash of the suspect, which the instances have in
+        common.
+    """
+    names = sorted({own, *members})
+    if len(names) == 1:
+        return True
+    turn, elapsed_s = divmod(since_crash_s, TURN_S)
+    return elapsed_s < TURN_BEGIN_S and names[int(turn) % len(names)] == own
+
+
 def _plain_keys(request: CallerRequest) -> tuple[str, ...]:
     """Return the suspects of a request to a plain service, which has no prompt."""
     return (request.identity,) if request.identity else ()
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -714,6 +714,33 @@
             status, _, _ = await self.call(node, "/draft/x", adapter="a1")
             self.assertEqual(status, 200)
 
+    async def test_instances_know_each_other_without_a_leader(self):
+        """Instances that did not know a newcomer sent it no evidence on crashes."""
+        nodes = await self.start_fleet(4)
+        self.store.rejected_peers.add("*")
+        leader = self.leader
+        await leader.stop()
+        self.nodes = [node for node in nodes if node is not leader]
+        await until(lambda: not any(node.fleet.has_leader for node in self.nodes))
+        first, second = self.nodes[0].fleet, self.nodes[1].fleet
+        for one, other in ((first, second), (second, first)):
+            # As if it had joined after the last reply of the leader.
+            one.members_by_instance.pop(other.settings.instance, None)
+
+        def know_each_other():
+            return all(
+                other.settings.instance in {member.instance for member in one.members}
+                for one, other in ((first, second), (second, first))
+            )
+
+        for _ in range(20):
+            # The election may switch to another instance meanwhile.
+            await first._link.set_address(second.settings.peer_address, "peer hint")
+            await first._poll_leader()
+            if know_each_other():
+                break
+        self.assertTrue(know_each_other())
+
     async def test_leader_that_stops_hands_over(self):
         nodes = await self.start_fleet(3)
         leader = self.leader
--- a/tests/test_trial_queue.py
+++ b/tests/test_trial_queue.py
@@ -3,8 +3,10 @@
 import asyncio
 import unittest
 from types import SimpleNamespace
+from unittest.mock import patch
 
 from multidict import CIMultiDict
+from parameterized import parameterized
 
 from sequoiafall.boot_clock import boot_time
 from sequoiafall.crash_evidence import QUARANTINE_S, CrashEvidence, ServerStart
@@ -12,7 +14,7 @@
 from sequoiafall.prompt_quarantine import PromptQuarantine, Verdict
 from sequoiafall.refusal import Reason, Refusal
 from sequoiafall.serving_ports import CallerRequest
-from sequoiafall.trial_admission import Admission, TrialAdmission
+from sequoiafall.trial_admission import Admission, TrialAdmission, has_turn
 from sequoiafall.trial_queue import MAX_WAITING, UNKNOWN_SERVICE, TrialQueue
 from sequoiafall.wire.gen import ttypes
 
@@ -94,6 +96,34 @@
             self.assertIs(refusal.reason, Reason.OWNER_UNAVAILABLE)
 
 
+class TurnTest(unittest.TestCase):
+    """Which instance may try a suspect without a leader."""
+
+    @parameterized.expand(
+        [
+            ("at the crash", 0.0, ["a"]),
+            ("the turn is nearly over", 0.9, []),
+            ("the next one", 1.1, ["b"]),
+            ("the last one", 2.2, ["c"]),
+            ("the first one again", 3.0, ["a"]),
+            ("an hour later", 3601.2, ["b"]),
+        ]
+    )
+    def test_instances_that_know_each_other(self, _name, since_crash_s, expected):
+        """Two instances that tried a request at once crashed two servers."""
+        names = ("a", "b", "c")
+        turns = [name for name in names if has_turn(name, names, since_crash_s)]
+        self.assertEqual(turns, expected)
+
+    def test_instance_that_is_gone(self):
+        """A request that only a lost instance could try was refused for an hour."""
+        ages = [number / 10 for number in range(40)]
+        self.assertTrue(any(has_turn("b", ["a", "b", "c"], age_s) for age_s in ages))
+
+    def test_single_instance(self):
+        self.assertTrue(has_turn("a", [], 0.7))
+
+
 class FakeFleet:
     """A fleet whose leader gives prepared answers."""
 
@@ -104,7 +134,7 @@
         self.answers = []
         self.asks = []
         self.ends = []
-        self.may_try = True
+        self.members = []
 
     async def request_place(self, request, _timeout_s):
         self.asks.append(request)
@@ -113,8 +143,8 @@
     def release_place(self, row):
         self.ends.append(row)
 
-    def may_try_alone(self, _key):
-        return self.may_try
+    def know_members(self, *names):
+        self.members = [SimpleNamespace(instance=name) for name in names]
 
 
 class TrialAdmissionTest(unittest.IsolatedAsyncioTestCase):
@@ -165,23 +195,28 @@
         """A trial that the leader may have granted is given back."""
         self.suspect()
         self.fleet.answers = [None]
-        self.fleet.may_try = False
+        self.fleet.know_members("node-1", "node-2")
         self.assertIs((await self.admit()).reason, Reason.OVERLOADED)
         self.assertEqual(self.fleet.ends[0].outcome, "withheld")
 
-    async def test_trial_of_a_request_with_a_suspected_part(self):
-        """Its part and its identity may belong to different instances."""
-        keys = [REQUEST, "p"]
-        start = ServerStart("d1", 1)
-        self.fleet.crash_evidence.record_crash(start, keys, boot_time() - 9.0)
-        self.fleet.may_try_alone = lambda key: key == "p"
-        self.assertIs(self.trials.decide_alone("r1", keys), Verdict.TRIAL)
-        self.fleet.may_try_alone = lambda key: key == REQUEST
-        self.assertIs(self.trials.decide_alone("r1", keys), Verdict.WAIT)
+    @parameterized.expand(
+        [("turn of the part", 1.0, Verdict.TRIAL), ("its own turn", 0.0, Verdict.WAIT)]
+    )
+    async def test_trial_of_a_request_with_a_suspected_part(
+        self, _name, part_age_s, expected
+    ):
+        """Its part and its identity may have crashed servers at different times."""
+        self.fleet.know_members("node-0", "node-1")
+        now = boot_time()
+        evidence = self.fleet.crash_evidence
+        evidence.record_crash(ServerStart("d1", 1), ["p"], now - part_age_s - 2.0)
+        evidence.record_crash(ServerStart("d2", 1), [REQUEST], now - 3.0 + part_age_s)
+        with patch("sequoiafall.trial_admission.boot_time", return_value=now):
+            self.assertIs(self.trials.decide_alone("r1", [REQUEST, "p"]), expected)
 
     async def test_another_instance_makes_the_trials(self):
         self.fleet.has_leader = False
-        self.fleet.may_try = False
+        self.fleet.know_members("node-1", "node-2")
         self.suspect()
         refusal = await self.admit()
         self.assertIsInstance(refusal, Refusal)
