End the calls of a connection that closes before its first read

Cause: the calls were ended in a finally block of the reading task, which does not run if the task is cancelled before its first step.

Change: a callback of the task ends them, however it ends.

Evidence: test_connection_closed_before_its_replies_are_read timed out before.

--- a/sequoiafall/transport.py
+++ b/sequoiafall/transport.py
@@ -321,25 +321,34 @@
         ] = {}
         self._next_correlation = 1
         self.lost = False
+        self._end_detail = "connection closed"
         self._task = asyncio.create_task(self._receive())
+        # A task that is cancelled before its first step runs no `finally` block.
+        self._task.add_done_callback(self._on_receive_ended)
 
     async def _receive(self) -> None:
-        detail = "connection closed"
         try:
             while True:
                 self._dispatch(*await self._channel.receive())
         except MalformedInputError as error:
-            detail = f"malformed input: {error}"
+            self._end_detail = f"malformed input: {error}"
             log_warning("malformed_input", peer=self._channel.peer, detail=error)
         except (asyncio.IncompleteReadError, ConnectionError, OSError):
             pass
-        finally:
-            self.lost = True
-            self._channel.close()
-            for _, reply in self._replies_by_correlation.values():
-                if not reply.done():
-                    reply.set_exception(_ConnectionLostError(detail))
-            self._replies_by_correlation.clear()
+
+    def _on_receive_ended(self, task: asyncio.Task[None]) -> None:
+        self.lost = True
+        self._channel.close()
+        if not task.cancelled() and task.exception() is not None:
+            log_warning(
+                "receive_failed",
+                peer=self._channel.peer,
+                error=repr(task.exception()),
+            )
+        for _, reply in self._replies_by_correlation.values():
+            if not reply.done():
+                reply.set_exception(_ConnectionLostError(self._end_detail))
+        self._replies_by_correlation.clear()
 
     def _dispatch(self, kind: int, correlation_id: int, payload: bytes) -> None:
         pending = self._replies_by_correlation.pop(correlation_id, None)
@@ -418,6 +427,7 @@
 
     async def close(self) -> None:
         """Close the connection; calls in progress fail."""
+        self.lost = True
         self._task.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await self._task
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -99,6 +99,20 @@
         await self.server.stop()
         self.assertEqual((await held).failure().delivery, Delivery.UNKNOWN)
 
+    async def test_connection_closed_before_its_replies_are_read(self):
+        """The caller of such a call waited until its timeout."""
+        connection = (await self.client._connect()).unwrap()
+        payload = transport.encode_struct(FetchState())
+        call = asyncio.create_task(connection.call(MessageKind.FETCH_STATE, payload))
+        closing = asyncio.create_task(connection.close())
+        # The first step of the call sends it, and comes before that of the reader.
+        connection._task.cancel()
+        async with asyncio.timeout(CALL_TIMEOUT_S):
+            await closing
+            failure = (await call).failure()
+        self.assertIn(failure.delivery, (Delivery.UNKNOWN, Delivery.NOT_SENT))
+        self.assertTrue(connection.lost)
+
     async def test_refused_connection_is_not_sent(self):
         await self.server.stop()
         result = await self.client.call(Heartbeat("a", 3), CALL_TIMEOUT_S)
