Tell copies of a request apart between instances

Two requests with the same identifier of the caller at the same time were one request to the leader's quarantine: all of them were admitted to a trial, also at a plain service's instance without a leader, and the end of one was taken for that of the others. A stream without events also asked for a second place with the identifier of its own trial, which was one more send.

Each request has an identifier of its own in messages between instances now (run_id): the caller's, the instance and a number. Log lines name the caller's identifier as before, at the leader too. A trial of a harmful request does not move.

Evidence: test_harmful_requests.CopiesTest sends four copies to each of two nodes (to one without a leader) while one send is due.

Tests: the requests and settings of three fakes got the attributes run_id and instance; test_moved_stream compares the caller's identifier of the held place.

--- a/sequoiafall/fleet_leader.py
+++ b/sequoiafall/fleet_leader.py
@@ -32,6 +32,7 @@
 from .prompt_quarantine import PromptQuarantine
 from .refusal import Reason
 from .request_allowance import Permit, RequestAllowance, update_allowances
+from .run_id import caller_request_id
 from .server_limits import ServerLimits
 from .server_notices import Pause
 from .serving_ports import EngineControl
@@ -370,7 +371,7 @@
             if wait_s > 0.0:
                 log_event(
                     "place_refused",
-                    request_id=request.request_id,
+                    request_id=caller_request_id(request.request_id),
                     reason=Reason.RATE_EXCEEDED.value,
                     organisation=request.organisation,
                     cost_tokens=request.cost_tokens,
@@ -394,7 +395,7 @@
             return _admission()
         log_event(
             "trial_refused",
-            request_id=request.request_id,
+            request_id=caller_request_id(request.request_id),
             reason=refused.reason.value,
             detail=refused.detail,
             retry_after_ms=int(refused.retry_after_s * 1e3),
@@ -550,7 +551,7 @@
         now = boot_time()
         log_event(
             "place_granted",
-            request_id=grant.request_id,
+            request_id=caller_request_id(grant.request_id),
             server=grant.server,
             version=grant.version,
             waited_ms=int(grant.waited_s * 1e3),
@@ -587,7 +588,7 @@
         reply = self._replies_by_request.get(refusal.request_id)
         log_event(
             "place_refused",
-            request_id=refusal.request_id,
+            request_id=caller_request_id(refusal.request_id),
             reason=refusal.reason.value,
             detail=refusal.detail,
             retry_after_ms=int(refusal.retry_after_s * 1e3),
--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -37,6 +37,7 @@
 from .request_ends import EndCause, OpenRequest, RequestEnds, StreamedResponse
 from .request_identity import request_identity
 from .retry import RetryBudget, back_off_s
+from .run_id import RunIds
 from .secret_scan import contains_secret
 from .send_outcome import Outcome
 from .server_limits import REQUEST_SOURCE
@@ -150,6 +151,7 @@
         self._budgets_by_service: dict[str, RetryBudget] = {}
         self._max_saved_retries = 0.0
         self._ends = RequestEnds(metrics)
+        self._run_ids = RunIds(settings.instance)
         self.stop_deadline = math.inf
 
     async def handle(self, web_request: web.Request) -> web.StreamResponse:
@@ -235,6 +237,7 @@
                 headers=",".join(dropped),
                 reason="they contain the caller's key",
             )
+        request.run_id = self._run_ids.next_id(request.request_id)
         request.identity = request_identity(
             organisation.name if organisation is not None else None,
             request.method,
--- a/sequoiafall/leader_link.py
+++ b/sequoiafall/leader_link.py
@@ -11,6 +11,7 @@
 from .boot_clock import boot_time
 from .log import log_event, log_warning
 from .node_metrics import NodeMetrics
+from .run_id import caller_request_id
 from .transport import WireClient, WireError
 from .wire.gen import ttypes
 
@@ -244,7 +245,7 @@
         if len(self._pending) >= MAX_PENDING_RELEASES:
             log_warning(
                 "end_dropped",
-                request_id=end.request_id,
+                request_id=caller_request_id(end.request_id),
                 server=end.server,
                 reason="too many releases wait for a leader",
             )
--- a/sequoiafall/place_source.py
+++ b/sequoiafall/place_source.py
@@ -180,7 +180,7 @@
         if place.is_trial:
             self._fleet.report_begun(
                 ttypes.EngineEnd(
-                    request_id=request.request_id,
+                    request_id=request.run_id,
                     pool=service,
                     server=place.server,
                     outcome=BEGUN_OUTCOME,
@@ -191,7 +191,7 @@
     def end(self, pending: PendingPlacement, place: GatewayPlace, run: RunEnd) -> None:
         """Report how a run at an engine ended, and release its place."""
         keys = pending.request.suspects
-        self.trials.record_end(pending.request.request_id, keys, run)
+        self.trials.record_end(pending.request.run_id, keys, run)
         running = self._leaderless_running.get(place.server, 0)
         if running > 1:
             self._leaderless_running[place.server] = running - 1
@@ -199,7 +199,7 @@
             self._leaderless_running.pop(place.server, None)
         self._fleet.release_place(
             ttypes.EngineEnd(
-                request_id=pending.request.request_id,
+                request_id=pending.request.run_id,
                 pool=pending.service,
                 server=place.server,
                 outcome=run.outcome,
@@ -217,7 +217,7 @@
         """
         self._fleet.release_place(
             ttypes.EngineEnd(
-                request_id=pending.request.request_id,
+                request_id=pending.request.run_id,
                 pool=pending.service,
                 server="",
                 outcome="cancelled",
@@ -283,7 +283,7 @@
         request = pending.request
         organisation = pending.organisation.name if pending.organisation else ""
         place_request = ttypes.EngineAsk(
-            request_id=request.request_id,
+            request_id=request.run_id,
             organisation=organisation,
             pool=pending.service,
             adapter=request.adapter,
@@ -331,9 +331,9 @@
         self, pending: PendingPlacement, server: str, version: int
     ) -> None:
         request = pending.request
-        key = request.request_id, server
+        key = request.run_id, server
         self._fleet.places_by_request_and_server[key] = ttypes.HeldPlace(
-            request_id=request.request_id,
+            request_id=request.run_id,
             pool=pending.service,
             server=server,
             adapter=request.adapter,
@@ -347,7 +347,7 @@
     ) -> GatewayPlace | Refusal | None:
         await self._read_reports(pending.service)
         request = pending.request
-        verdict = self.trials.decide_alone(request.request_id, request.suspects)
+        verdict = self.trials.decide_alone(request.run_id, request.suspects)
         if verdict is Verdict.REFUSE:
             return self.trials.refusal(request.suspects)
         if verdict is Verdict.WAIT:
@@ -363,7 +363,7 @@
         self._leaderless_running[entry.name] = (
             self._leaderless_running.get(entry.name, 0) + 1
         )
-        self.trials.begin_alone(request.request_id, request.suspects)
+        self.trials.begin_alone(request.run_id, request.suspects)
         adapter = request.adapter
         version = self._reports_by_server[entry.name].resident.get(adapter, 0)
         self._record_held(pending, entry.name, version)
--- a/sequoiafall/prompt_quarantine.py
+++ b/sequoiafall/prompt_quarantine.py
@@ -187,7 +187,9 @@
         if now >= trial.expires_at:
             self.fail_trial(trial.request_id, now)
             return False
-        return trial.request_id != request_id
+        # A trial of a harmful suspect is a single send: its stream does not move.
+        is_single_send = trial.failed_trials is not None
+        return is_single_send or trial.request_id != request_id
 
     def _is_due(self, row: SuspectEvidence, keys: Sequence[str], now: float) -> bool:
         """Whether a harmful suspect may be tried now."""
--- a/sequoiafall/serving_ports.py
+++ b/sequoiafall/serving_ports.py
@@ -50,6 +50,8 @@
     identity : str
         What the attempts of the same request have in common, see
         `request_identity`; empty until the caller is authenticated.
+    run_id : str
+        Identifier in messages between instances, see `run_id`; `request_id` if empty.
     """
 
     request_id: str
@@ -68,6 +70,10 @@
     resume_after: int = -1
     shared_parts: tuple[str, ...] = ()
     identity: str = ""
+    run_id: str = ""
+
+    def __post_init__(self) -> None:
+        self.run_id = self.run_id or self.request_id
 
     @property
     def suspects(self) -> tuple[str, ...]:
--- a/sequoiafall/trial_admission.py
+++ b/sequoiafall/trial_admission.py
@@ -112,7 +112,7 @@
     def record_begun(self, request: CallerRequest) -> None:
         """Record that the response to a request has begun."""
         self._fleet.crash_evidence.record_begun(request.suspects, boot_time())
-        self._quarantine.end_trial(request.request_id)
+        self._quarantine.end_trial(request.run_id)
 
     def record_end(self, request_id: str, keys: Sequence[str], run: RunEnd) -> None:
         """Record what the end of a run shows about the suspects of its request."""
@@ -151,11 +151,11 @@
                 decision = await self._ask_leader(request, service, until)
                 if decision is not None:
                     return decision
-            verdict = self.decide_alone(request.request_id, keys)
+            verdict = self.decide_alone(request.run_id, keys)
             if verdict is Verdict.REFUSE:
                 return self.refusal(keys)
             if verdict is not Verdict.WAIT:
-                self.begin_alone(request.request_id, keys)
+                self.begin_alone(request.run_id, keys)
                 return Admission(is_trial=False)
             now = boot_time()
             hold_s = self._quarantine.hold_left_s(keys, now)
@@ -177,7 +177,7 @@
     ) -> None:
         """Record how an admitted send to a plain service ended."""
         keys = _plain_keys(request)
-        self.record_end(request.request_id, keys, run)
+        self.record_end(request.run_id, keys, run)
         if not admission.is_trial and run.crashed is None:
             return
         self._report_end(request, service, server, run)
@@ -187,7 +187,7 @@
     ) -> None:
         self._fleet.release_place(
             ttypes.EngineEnd(
-                request_id=request.request_id,
+                request_id=request.run_id,
                 pool=service,
                 server=server,
                 outcome=run.outcome,
@@ -227,7 +227,7 @@
 
     def _plain_ask(self, request: CallerRequest, service: str, wait_s: float) -> Any:
         return ttypes.EngineAsk(
-            request_id=request.request_id,
+            request_id=request.run_id,
             organisation="",
             pool=service,
             adapter="",
--- a/tests/test_fleet_shares.py
+++ b/tests/test_fleet_shares.py
@@ -42,7 +42,9 @@
     """
 
     def forwarder(self, fleet):
-        settings = SimpleNamespace(zone="a", retry_extra=EXTRA_RETRIES, retry_share=0.2)
+        settings = SimpleNamespace(
+            zone="a", instance="a1", retry_extra=EXTRA_RETRIES, retry_share=0.2
+        )
         places = SimpleNamespace(permits=None)
         return Forwarder(settings, fleet, places, None, None, random.Random(1))
 
--- a/tests/test_harmful_requests.py
+++ b/tests/test_harmful_requests.py
@@ -301,6 +301,55 @@
         self.assertEqual(self.evidence.harmful_suspects(), [])
 
 
+class CopiesTest(PlatformCase):
+    """Requests with the same identifier at the same time are one trial only."""
+
+    async def press_copies(self, path, crashes, with_leader):
+        """Send copies of a suspected request; return how many reached servers."""
+        await self.start_fleet(2)
+        for server in self.engines.values():
+            server.crashing_requests = {(path, b"body")}
+            server.keeps_models = True
+        identity = request_identity("org-1", "POST", "shop.example", path, b"body")
+        if not with_leader:
+            self.store.rejected_peers.add("*")
+            leader = self.leader
+            self.nodes.remove(leader)
+            await leader.stop()
+            await until(lambda: not self.nodes[0].fleet.has_leader)
+            self.nodes[0].fleet.may_try_alone = lambda _key: True
+        now = boot_time()
+        for node in self.nodes:
+            for number in range(crashes):
+                # A trial of it is due.
+                at = now - QUARANTINE_S - 5.0 + number
+                start = ServerStart(f"gone-{number}", 1)
+                node.fleet.crash_evidence.record_crash(start, [identity], at)
+        await asyncio.gather(
+            *(
+                self.call(node, path, request_id="copy", **{names.DEADLINE_MS: "2000"})
+                for node in 4 * self.nodes
+            ),
+            return_exceptions=True,
+        )
+        return sum(len(row.harmful_arrivals) for row in self.engines.values())
+
+    @parameterized.expand(
+        [
+            (f"{name}, {kind}", path, crashes)
+            for name, path in ENGINE_PATHS + PLAIN_PATHS
+            for kind, crashes in (("suspected", 1), ("harmful", 3))
+        ]
+    )
+    async def test_with_a_leader(self, _name, path, crashes):
+        self.assertEqual(await self.press_copies(path, crashes, True), 1)
+
+    @parameterized.expand(ENGINE_PATHS + PLAIN_PATHS)
+    async def test_without_a_leader(self, _name, path):
+        """The instance that makes the trials of a suspect makes one at a time."""
+        self.assertEqual(await self.press_copies(path, 1, False), 1)
+
+
 class RefusalTest(PlatformCase):
     """What the caller of a harmful request gets."""
 
--- a/tests/test_place_source.py
+++ b/tests/test_place_source.py
@@ -94,7 +94,7 @@
         source = PlaceSource(fleet, None, random.Random(1))
         now = boot_time()
         request = SimpleNamespace(
-            request_id="r1", adapter="a1", suspects=(), prompt_tokens=10
+            request_id="r1", run_id="r1", adapter="a1", suspects=(), prompt_tokens=10
         )
         pending = PendingPlacement(request, "assist", None, 0, 1, now + 0.8, now + 4.0)
         reply = await source.take(pending, frozenset())
@@ -112,7 +112,9 @@
         fleet = FakeFleet(is_blocked)
         source = PlaceSource(fleet, None, random.Random(seed))
         now = boot_time()
-        request = SimpleNamespace(request_id="r1", adapter="a1", suspects=())
+        request = SimpleNamespace(
+            request_id="r1", run_id="r1", adapter="a1", suspects=()
+        )
         pending = PendingPlacement(
             request, "assist", None, 0, 1, now + 0.8, now + left_s
         )
@@ -147,7 +149,9 @@
         control = CountingControl()
         source = PlaceSource(fleet, control, random.Random(1))
         now = boot_time()
-        request = SimpleNamespace(request_id="r1", adapter="a1", suspects=())
+        request = SimpleNamespace(
+            request_id="r1", run_id="r1", adapter="a1", suspects=()
+        )
         pending = PendingPlacement(request, "assist", None, 0, 1, now + 0.8, now + 4.0)
         await source.take(pending, frozenset())
         self.assertGreaterEqual(control.reports, least)
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -348,6 +348,14 @@
         self.evidence.record_begun(["p"], NOW + 1.6)
         self.assertIs(self.decide("r2", ["p"], 1.7), Verdict.PASS)
 
+    def test_trial_of_a_harmful_request_does_not_move(self):
+        """A stream without events asks for a second place, which would be a send."""
+        crash(self.evidence, [REQUEST], 0.0, 0.5, 1.0)
+        time_s = 1.0 + QUARANTINE_S
+        self.assertIs(self.decide("r1", [REQUEST], time_s), Verdict.TRIAL)
+        self.quarantine.begin_trial("r1", [REQUEST], NOW + time_s)
+        self.assertIs(self.decide("r1", [REQUEST], time_s + 1.6), Verdict.REFUSE)
+
     def test_trial_whose_end_is_lost(self):
         crash(self.evidence, ["p"], 0.0)
         self.quarantine.begin_trial("r1", ["p"], NOW)
--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -15,6 +15,7 @@
 from sequoiafall.forwarding import MAX_UNBUDGETED_SENDS
 from sequoiafall.platform import names
 from sequoiafall.refusal import Reason
+from sequoiafall.run_id import caller_request_id
 from sequoiafall.wire.gen import ttypes
 
 from .events import until
@@ -332,7 +333,8 @@
         await until(lambda: not engines[present.name].running)
         self.assertEqual(engines[other.name].running, 1)
         held = member.fleet.places_by_request_and_server
-        self.assertEqual(list(held), [("r", other.name)])
+        places = [(caller_request_id(run_id), server) for run_id, server in held]
+        self.assertEqual(places, [("r", other.name)])
         other.resume_event.set()
         result = await self.finish(call, received)
         self.assertEqual(result, (200, [1, 2, 3, 4, 5]))
