Count the requests of an adapter also while its slot is not known

What callers saw: after a change of leader, refusals with "no free slot" and "N requests are ahead" while healthy engines had idle slots.

Cause: members' places were adopted before the first report of their engine, when the slot of their adapter was not known yet, and were not counted when the report showed it. The end of such a place also counted as the end of another one. The leader then ordered an adapter that was in use to be unloaded. The engine accepts that, waits for the end of the requests and refuses all other orders meanwhile ("conflict"). A place that was granted before its engine restarted or was announced again had the same effect when it ended.

Change: running and waiting requests are counted by engine and adapter, whether a slot is known or not, and slots take their count from there.

--- a/sequoiafall/engine_planner.py
+++ b/sequoiafall/engine_planner.py
@@ -206,9 +206,6 @@
             return
         self._add_place(_Placed(request, server, version, now))
         engine.running += 1
-        slot = engine.slots_by_adapter.get(request.adapter)
-        if slot is not None:
-            engine.use_slot(slot)
 
     def release_gateway(
         self, gateway: str, kept: frozenset[str], now: float
@@ -630,21 +627,18 @@
     def _drop(self, waiting: _Waiting) -> None:
         """Remove a request from the queue, with its claim to an adapter slot."""
         del self._waiting_by_id[waiting.request.request_id]
-        slot = self._slot_of(waiting) if waiting.bound_to else None
-        if slot is not None:
-            self.pool.engines_by_name[waiting.bound_to].release_slot(slot)
+        self._release_binding(waiting)
 
     def _advance_bound(self, waiting: _Waiting, now: float) -> list[Action]:
         slot = self._slot_of(waiting)
         if slot is None:
-            waiting.bound_to = ""
+            self._release_binding(waiting)
             return []
         if slot.state is SlotState.RESIDENT:
             engine = self.pool.engines_by_name[waiting.bound_to]
-            engine.release_slot(slot)
+            self._release_binding(waiting)
             if not engine.has_allowance(now):
                 # Another engine may take the request sooner.
-                waiting.bound_to = ""
                 return self._advance(waiting, now)
             return [self._grant(waiting, engine, slot.version, now)]
         return []
@@ -680,9 +674,13 @@
 
     def _bind(self, waiting: _Waiting, engine: Engine, now: float) -> None:
         waiting.bound_to = engine.name
-        slot = engine.slots_by_adapter[waiting.request.adapter]
-        engine.use_slot(slot)
-        slot.used_at = now
+        self.pool.use_adapter(engine.name, waiting.request.adapter)
+        engine.slots_by_adapter[waiting.request.adapter].used_at = now
+
+    def _release_binding(self, waiting: _Waiting) -> None:
+        if waiting.bound_to:
+            self.pool.release_adapter(waiting.bound_to, waiting.request.adapter)
+            waiting.bound_to = ""
 
     def _unbind(self, server: str, adapter: str = "") -> None:
         for waiting in self._waiting_by_id.values():
@@ -690,10 +688,7 @@
                 continue
             if adapter and waiting.request.adapter != adapter:
                 continue
-            slot = self._slot_of(waiting)
-            if slot is not None:
-                self.pool.engines_by_name[server].release_slot(slot)
-            waiting.bound_to = ""
+            self._release_binding(waiting)
 
     def _drop_lost_bindings(self, engine: Engine) -> None:
         for waiting in self._waiting_by_id.values():
@@ -701,7 +696,7 @@
                 waiting.bound_to == engine.name
                 and waiting.request.adapter not in engine.slots_by_adapter
             ):
-                waiting.bound_to = ""
+                self._release_binding(waiting)
 
     def _grant(
         self, waiting: _Waiting, engine: Engine, version: int, now: float
@@ -710,7 +705,6 @@
         del self._waiting_by_id[request.request_id]
         slot = engine.slots_by_adapter.get(request.adapter)
         if slot is not None:
-            engine.use_slot(slot)
             slot.used_at = now
         if engine.allowance is not None:
             engine.allowance.count(now)
@@ -737,6 +731,7 @@
     def _add_place(self, placed: _Placed) -> None:
         places = self._places_by_id.setdefault(placed.request.request_id, {})
         places[placed.server] = placed
+        self.pool.use_adapter(placed.server, placed.request.adapter)
 
     def _release(self, request_id: str, server: str, now: float) -> _Placed | None:
         places = self._places_by_id.get(request_id, {})
@@ -747,15 +742,12 @@
             del self._places_by_id[request_id]
             # Without a known end, a server may have run it.
             self._quarantine.fail_trial(request_id, now)
-        engine = self.pool.engines_by_name.get(placed.server)
-        if engine is None:
-            return placed
-        engine.remove_request()
-        slot = engine.slots_by_adapter.get(placed.request.adapter)
-        if slot is not None:
-            engine.release_slot(slot)
-            if slot.uses == 0:
-                self._record_release(now)
+        slot = self.pool.release_adapter(server, placed.request.adapter)
+        if slot is not None and slot.uses == 0:
+            self._record_release(now)
+        engine = self.pool.engines_by_name.get(server)
+        if engine is not None:
+            engine.remove_request()
         return placed
 
     def _expire_places(self, now: float) -> None:
--- a/sequoiafall/engine_pool.py
+++ b/sequoiafall/engine_pool.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from statistics import median_low
@@ -163,6 +163,10 @@
         Median share of failures; engines are penalised only for the excess.
     allowances_by_server : mapping of str to RequestAllowance
         Allowances of the engines that have a limit.
+    uses_by_key : Counter of (str, str)
+        Running and waiting requests by engine and adapter. They count also while no
+        slot holds the adapter: a new leader learns of places before it has read the
+        engine's report.
     """
 
     __slots__ = (
@@ -172,6 +176,7 @@
         "is_in_panic_mode",
         "median_failure_share",
         "transferring",
+        "uses_by_key",
     )
 
     def __init__(
@@ -183,6 +188,7 @@
         self._holders_by_adapter: dict[str, dict[str, Engine]] = {}
         self.changed: set[str] = set()
         self.transferring: set[str] = set()
+        self.uses_by_key: Counter[tuple[str, str]] = Counter()
         self.is_in_panic_mode = False
         self.median_failure_share = 0.0
 
@@ -263,6 +269,7 @@
 
     def put_slot(self, slot: EngineSlot) -> None:
         """Add a slot, replacing the adapter's current one."""
+        slot.uses = self.index.uses_by_key[self.name, slot.adapter]
         self.slots_by_adapter[slot.adapter] = slot
         self.index.add(slot.adapter, self)
 
@@ -285,16 +292,6 @@
             slot.is_confirmed = True
             self.index.changed.add(self.name)
 
-    def use_slot(self, slot: EngineSlot) -> None:
-        """Assign one more request to a slot."""
-        slot.uses += 1
-        self.index.changed.add(self.name)
-
-    def release_slot(self, slot: EngineSlot) -> None:
-        """Release a slot for one request."""
-        slot.uses = max(0, slot.uses - 1)
-        self.index.changed.add(self.name)
-
     @property
     def allowance(self) -> RequestAllowance | None:
         """Allowance of an engine that has a limit, else None."""
@@ -592,6 +589,27 @@
             engine.entry = entry
         return removed
 
+    def use_adapter(self, server: str, adapter: str) -> None:
+        """Assign one more request to an adapter at an engine."""
+        self.index.uses_by_key[server, adapter] += 1
+        self._update_uses(server, adapter)
+
+    def release_adapter(self, server: str, adapter: str) -> EngineSlot | None:
+        """Remove a request from an adapter at an engine; return its slot, if any."""
+        uses_by_key = self.index.uses_by_key
+        uses_by_key[server, adapter] -= 1
+        if not uses_by_key[server, adapter]:
+            del uses_by_key[server, adapter]
+        return self._update_uses(server, adapter)
+
+    def _update_uses(self, server: str, adapter: str) -> EngineSlot | None:
+        engine = self.engines_by_name.get(server)
+        slot = engine.slots_by_adapter.get(adapter) if engine is not None else None
+        if slot is not None:
+            slot.uses = self.index.uses_by_key[server, adapter]
+            self.index.changed.add(server)
+        return slot
+
     def update_failure_stats(self, now: float) -> None:
         """Update the median share of failures and the panic mode.
 
--- a/tests/test_engine_planner.py
+++ b/tests/test_engine_planner.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from collections import Counter
 
 from parameterized import parameterized
 
@@ -134,6 +135,21 @@
         }
         return PlacementRequest(**{**values, **changes})
 
+    def place_and_restart(self, request_id, is_removed):
+        """Place a request at the first engine, which then restarts."""
+        entry = self.entries[0]
+        self.apply(
+            self.planner.on_report("e0", self.report("e0", born=7), self.now),
+        )
+        self.ask(request_id)
+        self.run(0.4)
+        if is_removed:
+            self.apply(self.planner.set_entries([], SLOTS, self.now))
+            self.apply(self.planner.set_entries([entry], 1, self.now))
+        self.held["e0"].clear()
+        report = self.report("e0", born=8)
+        self.apply(self.planner.on_report("e0", report, self.now))
+
     def run(self, seconds):
         until = self.now + seconds
         while self.now < until:
@@ -611,6 +627,62 @@
         driver.apply(driver.planner.end("r1", "moved", driver.now, "e0"))
         self.assertEqual([engines[name].running for name in ("e0", "e1")], [0, 1])
 
+    def test_adapter_of_an_adopted_place_is_not_evicted(self):
+        """A new leader hears of a place before it reads the engine's report.
+
+        An engine that is told to unload an adapter in use waits for its requests, and
+        accepts no other order meanwhile.
+        """
+        driver = Driver(engines=1, slots=1)
+        driver.planner = EnginePlanner("assist", seed=2)
+        driver.held["e0"] = {"a1": 1}
+        driver.apply(driver.planner.set_entries(driver.entries, 1, driver.now))
+        driver.planner.adopt(driver.make_ask("r1"), "e0", 1, driver.now)
+        driver.report_all()
+        driver.ask("r2", "a2", on_time_s=2.0)
+        driver.run(0.1)
+        self.assertEqual(driver.orders, [])
+        driver.end("r1")
+        driver.run(0.5)
+        self.assertEqual(driver.granted["r2"].server, "e0")
+
+    @parameterized.expand(
+        [
+            (
+                "adopted before the report",
+                lambda driver: driver.planner.adopt(
+                    driver.make_ask("r1"), "e0", 1, driver.now
+                ),
+            ),
+            (
+                "engine restarted",
+                lambda driver: driver.place_and_restart("r1", is_removed=False),
+            ),
+            (
+                "engine announced again",
+                lambda driver: driver.place_and_restart("r1", is_removed=True),
+            ),
+        ]
+    )
+    def test_end_of_an_older_place_leaves_a_newer_one(self, _name, place):
+        """The adapter of a running request must not be evicted.
+
+        The end of a place that was granted before its adapter's slot was known, or
+        before the engine's restart, must not count as the end of a newer place.
+        """
+        driver = Driver(engines=1, slots=1)
+        place(driver)
+        driver.held["e0"] = {"a1": 1}
+        driver.now += 1.0
+        driver.report_all()
+        driver.ask("r2", "a1")
+        self.assertEqual(driver.granted["r2"].server, "e0")
+        driver.end("r1", "broken")
+        driver.orders.clear()
+        driver.ask("r3", "a2")
+        driver.run(0.1)
+        self.assertEqual(driver.orders, [])
+
     def test_withdrawn_request_keeps_its_place(self):
         """A stream that goes on at its engine withdraws its request for another."""
         driver = Driver(engines=2, slots=1)
@@ -748,6 +820,21 @@
                     driver.ask(f"r{step}", f"a{rng.randrange(12)}")
             driver.run(rng.random() * 0.1)
             self._check(pool)
+            self._check_uses(driver.planner)
+
+    def _check_uses(self, planner):
+        # A slot that counts too few requests loses its adapter while one runs.
+        keys = [(row.server, row.request.adapter) for row in planner._places()]
+        keys += [
+            (row.bound_to, row.request.adapter)
+            for row in planner._waiting_by_id.values()
+            if row.bound_to
+        ]
+        uses_by_key = Counter(keys)
+        for name, engine in planner.pool.engines_by_name.items():
+            for adapter, slot in engine.slots_by_adapter.items():
+                self.assertEqual(slot.uses, uses_by_key[name, adapter])
+        self.assertEqual(planner.pool.index.uses_by_key, uses_by_key)
 
     def _check(self, pool):
         by_adapter = {}
