Choose no adapter to evict before the members have reported their places

What callers saw: after a change of leader, an engine that took no load for up to 2.7 s and requests that were refused or late meanwhile.

Cause: a new leader sends no orders for 0.25 s, in which the members report the places that they hold, but it had chosen the adapters to evict at once, from the first reports of the engines. An adapter whose place was reported later was unloaded in spite of it, and the engine refused all orders until its request had ended.

Change: a planner has a time from which adapters are loaded; requests whose adapter is resident are placed before it, others wait, and none is refused for want of a slot.

Evidence, on the code before: test_nothing_is_evicted_before_the_members_have_reported "[LoadOrder(server='e0', adapter='a2', version=1, evicted='a1')] != []" and test_nobody_is_refused_before_adapters_are_loaded (orders in the first 0.24 s).

--- a/sequoiafall/engine_choice.py
+++ b/sequoiafall/engine_choice.py
@@ -105,10 +105,13 @@
         The engines of the service.
     policy : PlacementPolicy
         Penalties and weights of the cost estimate.
+    loads_from : float, default=0.0
+        Time from which adapters are loaded, in seconds.
     """
 
     __slots__ = (
         "_demand",
+        "_loads_from",
         "_paused_loads",
         "_policy",
         "_pool",
@@ -119,9 +122,12 @@
         "_victims_by_name",
     )
 
-    def __init__(self, pool: EnginePool, policy: PlacementPolicy) -> None:
+    def __init__(
+        self, pool: EnginePool, policy: PlacementPolicy, loads_from: float = 0.0
+    ) -> None:
         self._pool = pool
         self._policy = policy
+        self._loads_from = loads_from
         self._demand = DecayedCounts(DEMAND_HALF_LIFE_S)
         self._prompts = DecayedCounts(PROMPT_HALF_LIFE_S)
         self._replicated_at: dict[str, float] = {}
@@ -363,6 +369,8 @@
 
     def _loadable(self, now: float) -> list[tuple[Engine, EngineSlot | None]]:
         """Return the engines that can load an adapter, with the slots to evict."""
+        if now < self._loads_from:
+            return []
         engines_by_name = self._pool.engines_by_name
         victims_by_name = self._victims_by_name
         changed = self._pool.index.changed
--- a/sequoiafall/engine_planner.py
+++ b/sequoiafall/engine_planner.py
@@ -130,6 +130,9 @@
         Allowances of the servers that have a limit; the caller updates it.
     quarantine : PromptQuarantine or None, default=None
         Admits requests by the parts of their prompts; None to admit all.
+    loads_from : float, default=0.0
+        Time in seconds from which adapters are loaded. Before it, places that an
+        earlier leader granted may be unknown, and their adapters seem to be idle.
     """
 
     def __init__(
@@ -139,6 +142,7 @@
         policy: PlacementPolicy | None = None,
         allowances_by_server: Mapping[str, RequestAllowance] | None = None,
         quarantine: PromptQuarantine | None = None,
+        loads_from: float = 0.0,
     ) -> None:
         self.service = service
         # Limit of concurrent base model loads from the weight store.
@@ -148,7 +152,8 @@
         self._quarantine = quarantine or PromptQuarantine(CrashEvidence())
         self.counts = PlannerCounts()
         self._random = random.Random(seed)
-        self._chooser = EngineChooser(self.pool, self._policy)
+        self._loads_from = loads_from
+        self._chooser = EngineChooser(self.pool, self._policy, loads_from)
         self._waiting_by_id: dict[str, _Waiting] = {}
         # Places by request and engine: a request has two while its gateway moves it
         # from one engine to another.
@@ -244,6 +249,8 @@
                 self._policy.late_wait_max_s,
                 self._policy.late_wait_share * request.time_left_s,
             )
+        # Before adapters are loaded, a lack of slots is no reason to refuse.
+        wait_s = max(wait_s, min(self._loads_from - now, request.time_left_s))
         known = self._waiting_by_id.get(request.request_id)
         if known is not None:
             self._drop(known)
@@ -428,6 +435,8 @@
             due = self._dispatched_at + DISPATCH_INTERVAL_S
         if self._waiting_by_id:
             due = min(due, now + self._next_allowance_s(now))
+            if now < self._loads_from:
+                due = min(due, self._loads_from)
         for waiting in self._waiting_by_id.values():
             due = min(due, waiting.refuse_at)
             if waiting.bound_to:
@@ -502,7 +511,11 @@
                 wait_s=limit_wait_s,
             )
         expected_s = ahead * self._release_interval_s
-        if ahead > 4 and expected_s > waiting.refuse_at - now:
+        if (
+            now >= self._loads_from
+            and ahead > 4
+            and expected_s > waiting.refuse_at - now
+        ):
             return self._refuse(
                 waiting, Reason.OVERLOADED, now, f"{ahead} requests are ahead"
             )
--- a/sequoiafall/fleet_leader.py
+++ b/sequoiafall/fleet_leader.py
@@ -209,6 +209,7 @@
                 seed=self.term,
                 allowances_by_server=self.allowances_by_server,
                 quarantine=self._quarantine,
+                loads_from=self._started_at + MEMBER_SYNC_S,
             ),
         )
         self._models_by_service[service.name] = service.models[0].name
--- a/tests/test_engine_planner.py
+++ b/tests/test_engine_planner.py
@@ -8,7 +8,11 @@
 
 from sequoiafall.backend_registry import BackendEntry
 from sequoiafall.crash_evidence import CrashEvidence
-from sequoiafall.engine_choice import COLD_LOAD_S, MAX_TRANSFERS
+from sequoiafall.engine_choice import (
+    COLD_LOAD_S,
+    MAX_TRANSFERS,
+    MAX_TRANSFERS_PER_ENGINE,
+)
 from sequoiafall.engine_planner import FAILED_LOAD_PAUSE_S, LOAD_MARGIN_S, EnginePlanner
 from sequoiafall.engine_pool import (
     AVOID_LIMIT_S,
@@ -80,6 +84,19 @@
         self.apply(self.planner.set_entries(self.entries, slots, self.now))
         self.report_all()
 
+    @classmethod
+    def of_new_leader(cls, held, loads_in_s=0.0, is_reported=True):
+        """Return a driver of one engine whose adapters an earlier leader loaded."""
+        driver = cls(engines=1)
+        driver.planner = EnginePlanner(
+            "assist", seed=2, loads_from=driver.now + loads_in_s
+        )
+        driver.held["e0"] = dict(held)
+        driver.planner.set_entries(driver.entries, len(held), driver.now)
+        if is_reported:
+            driver.report_all()
+        return driver
+
     def report(self, name, **changes):
         values = {
             "sequence": self.sequence[name],
@@ -633,10 +650,7 @@
         An engine that is told to unload an adapter in use waits for its requests, and
         accepts no other order meanwhile.
         """
-        driver = Driver(engines=1, slots=1)
-        driver.planner = EnginePlanner("assist", seed=2)
-        driver.held["e0"] = {"a1": 1}
-        driver.apply(driver.planner.set_entries(driver.entries, 1, driver.now))
+        driver = Driver.of_new_leader({"a1": 1}, is_reported=False)
         driver.planner.adopt(driver.make_ask("r1"), "e0", 1, driver.now)
         driver.report_all()
         driver.ask("r2", "a2", on_time_s=2.0)
@@ -646,6 +660,31 @@
         driver.run(0.5)
         self.assertEqual(driver.granted["r2"].server, "e0")
 
+    def test_nothing_is_evicted_before_the_members_have_reported(self):
+        """An adapter seems to be idle until its gateway names the place.
+
+        The leader decided at once and sent the order after the gateways' reports.
+        """
+        driver = Driver.of_new_leader({"a1": 1}, loads_in_s=0.25)
+        driver.ask("r2", "a2", on_time_s=2.0)
+        driver.run(0.02)
+        driver.planner.adopt(driver.make_ask("r1"), "e0", 1, driver.now)
+        driver.run(0.4)
+        self.assertEqual(driver.orders, [])
+        driver.end("r1")
+        driver.run(0.5)
+        self.assertEqual(driver.granted["r2"].server, "e0")
+
+    def test_nobody_is_refused_before_adapters_are_loaded(self):
+        """The first requests of a term may have short waits and no resident adapter."""
+        driver = Driver.of_new_leader({f"b{n}": 1 for n in range(SLOTS)}, 0.25)
+        for number in range(SLOTS):
+            driver.ask(f"r{number}", f"a{number}", on_time_s=0.4)
+        driver.run(0.24)
+        self.assertEqual((driver.orders, driver.refused), ([], {}))
+        driver.run(0.02)
+        self.assertEqual(len(driver.orders), MAX_TRANSFERS_PER_ENGINE)
+
     @parameterized.expand(
         [
             (
