List an instance only once its gateway listens and holds a head

Callers got refused connections (ECONNREFUSED) while an instance was added: its controller joined, reported itself as ready and was put into the directory before the process of its gateway had opened its port. In a run of test_replace_all_instances_under_load beside ten busy loops, the controller had joined 0.67 s before the gateway listened. A gateway also sent its first polls before it listened.

An instance counts as ready from the first poll of a gateway that holds a head and is not leaving, and a gateway listens before it polls. Until its first poll is answered it refuses with stale_configuration.

Tests, on the code before: test_controller.ServingGatewayTest.test_not_listed_before_its_gateway_serves AssertionError: True is not false : no gateway has polled test_gateway.StartTest.test_listens_before_the_first_poll AssertionError: Lists differ: ['127.0.0.1:0'] != ['127.0.0.1:42705'] The controllers of test_controller now get a poll, as they would from a gateway; LeavingGatewayTest is named ServingGatewayTest and its polls name a revision.

--- a/sequoiafall/controller.py
+++ b/sequoiafall/controller.py
@@ -182,8 +182,9 @@
         coordinator = self.coordinator
         coordinator.tick(now)
         is_following = coordinator.lifecycle.state in ("observing", "voting")
-        # Callers must not be sent to an instance whose gateways are stopping.
-        coordinator.ready = is_following and not self.gateways.all_leaving
+        # Callers must not be sent to an instance whose gateways do not listen yet or
+        # are stopping.
+        coordinator.ready = is_following and self.gateways.is_serving
         self.quotas.sync(now)
         for handover in coordinator.handovers(now):
             message = self._release(handover, now)
--- a/sequoiafall/gateway.py
+++ b/sequoiafall/gateway.py
@@ -197,8 +197,11 @@
         """Return the services that run as long as this one."""
         return [self.control, self.quota, self.places]
 
-    async def on_started(self) -> None:
-        """Start listening."""
+    async def on_start(self) -> None:
+        """Start listening, before the first poll makes callers come here.
+
+        Until a poll has brought a fresh head, calls are refused.
+        """
         # Loading the chart during a call would delay other calls.
         load_chart("call")
         callers = self.api.application()
--- a/sequoiafall/gateway_service.py
+++ b/sequoiafall/gateway_service.py
@@ -40,8 +40,9 @@
         self._coordinator = coordinator
         self._changed = asyncio.Event()
         self._records_by_name: dict[str, GatewayRecord] = {}
-        # True from the poll that leaves only leaving gateways until another one polls.
-        self.all_leaving = False
+        # Whether callers can be sent here: at the last poll, a gateway that has a
+        # head was not leaving. A gateway polls only once it listens.
+        self.is_serving = False
 
     def notify(self) -> None:
         """Release the held replies after a change."""
@@ -57,7 +58,9 @@
             request.open_streams or 0,
         )
         records = self.gateways(time.monotonic()).values()
-        self.all_leaving = all(record.leaving for record in records)
+        self.is_serving = any(
+            record.head_revision > 0 and not record.leaving for record in records
+        )
         if request.head_revision == self._coordinator.revision:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), LONG_POLL_S)
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -1,6 +1,7 @@
 """Tests of several controllers in one process, with a simulated platform."""
 
 import asyncio
+import time
 import unittest
 
 from returns.result import Success
@@ -38,7 +39,8 @@
             await self.start_controller(name)
         await self.wait_until(self.all_ready)
 
-    async def start_controller(self, name, seeds=()):
+    async def start_controller(self, name, seeds=(), has_gateway=True):
+        """Start a controller and report one serving gateway to it."""
         config = ControllerConfig(
             name,
             "kuldiga",
@@ -53,6 +55,8 @@
         controller = Controller(config)
         await controller.start()
         self.by_name[name] = controller
+        if has_gateway:
+            await self.call(controller, GatewayPoll("g", 1, False, 0))
         return controller
 
     async def stop_all(self):
@@ -276,8 +280,8 @@
         self.assertLessEqual(owner.quotas.levels(owner.loop.time())[ORGANISATION], 500)
 
 
-class LeavingGatewayTest(ControllerTestCase):
-    """Callers must not be sent to an instance whose only gateway is stopping."""
+class ServingGatewayTest(ControllerTestCase):
+    """Callers must not be sent to an instance none of whose gateways serves them."""
 
     instances = ("a",)
 
@@ -285,12 +289,38 @@
         """Guards against a stopped gateway in the directory of a running controller."""
         controller = self.by_name["a"]
         for leaving in (True, False):
-            await self.call(controller, GatewayPoll("g", 0, leaving, 0))
+            await self.call(controller, GatewayPoll("g", 1, leaving, 0))
             expected = not leaving
             await self.wait_until(
                 lambda expected=expected: controller.coordinator.ready == expected
             )
 
+    async def test_not_listed_before_its_gateway_serves(self):
+        """Guards against refused connections to an instance that is starting."""
+        listing = self.by_name["a"].coordinator
+        seeds = [listing.member.controller_address]
+        joined = await self.start_controller("b", seeds, has_gateway=False)
+        # More than 2 s after it has joined, see `HEAD_MAX_AGE_S`.
+        await self.wait_until(
+            lambda: (
+                len(listing.head.view.members) == 2
+                and listing.in_force_revision(time.monotonic())
+                >= listing.head.view.revision
+            )
+        )
+
+        def listed() -> bool:
+            statuses = listing.statuses(time.monotonic())
+            return any(s.instance == "b" and s.ready for s in statuses)
+
+        self.assertTrue(joined.coordinator.is_fresh(time.monotonic()))
+        self.assertFalse(listed(), "no gateway has polled")
+        await self.call(joined, GatewayPoll("g", 0, False, 0))
+        await joined._tick()
+        self.assertFalse(joined.coordinator.ready, "its gateway holds no head")
+        await self.call(joined, GatewayPoll("g", 1, False, 0))
+        await self.wait_until(listed)
+
 
 class LoanTest(ControllerTestCase):
     """Owners of pools at different instances must lend each other adapter loads."""
@@ -367,6 +397,7 @@
         )
         restarted = Controller(config)
         await restarted.start()
+        await self.call(restarted, GatewayPoll("g", 1, False, 0))
         self.stopped.discard("b")
         self.by_name["b"] = restarted
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -16,6 +16,7 @@
 from .gateway_case import (
     EVENT_TIMEOUT_S,
     SECRETS,
+    FakeControl,
     GatewayTestCase,
     capture_log,
     error_of,
@@ -453,6 +454,26 @@
         self.assertEqual(self.recorded(), [])
 
 
+class StartTest(GatewayTestCase):
+    """A gateway must listen before its controller hears of it."""
+
+    async def asyncSetUp(self):
+        self.addresses_at_first_poll = []
+        poll = FakeControl.poll
+
+        def record_address(control, request):
+            if not self.addresses_at_first_poll:
+                self.addresses_at_first_poll.append(self.gateway.address)
+            return poll(control, request)
+
+        with mock.patch.object(FakeControl, "poll", record_address):
+            await super().asyncSetUp()
+
+    async def test_listens_before_the_first_poll(self):
+        """Guards against callers who are sent to a port that refuses them."""
+        self.assertEqual(self.addresses_at_first_poll, [self.gateway.address])
+
+
 class LogAndDirectoryTest(GatewayTestCase):
     """Tests the log lines of a request, the directory, the model list and metrics."""
 
