Count a crash once whose report waits for a new leader

What callers saw: a request that was in progress at two crashes was refused as harmful after a change of the leader.

Cause: gateways keep the reports of crashes until a leader replies, while the crashes themselves reach it with the evidence. The leader took a report that came more than two seconds after the crash that it knew for a crash of a later start of the server, so each late report added an event.

Evidence: test_report_that_waited_for_a_leader failed before with '3 != 2' events. 174 tests of test_trial_queue, test_prompt_quarantine and test_engine_planner pass.

--- a/sequoiafall/crash_evidence.py
+++ b/sequoiafall/crash_evidence.py
@@ -281,15 +281,34 @@
             begun.popitem(last=False)
         self._notify()
 
-    def record_crash(self, start: ServerStart, keys: Sequence[str], now: float) -> None:
-        """Record that a server crashed before it began to respond to a request."""
+    def record_crash(
+        self,
+        start: ServerStart,
+        keys: Sequence[str],
+        now: float,
+        is_report: bool = False,
+    ) -> None:
+        """Record that a server crashed before it began to respond to a request.
+
+        Parameters
+        ----------
+        start : ServerStart
+            The start that crashed.
+        keys : sequence of str
+            Suspects of the request.
+        now : float
+            Time in seconds.
+        is_report : bool, default=False
+            Whether another instance reports the crash, see `current_start`. A report
+            may wait for a new leader, so a known start has not crashed again.
+        """
         suspects = []
         tried = self._tried_keys(keys, now)
         for key in keys:
             if now - self._begun_at_by_key.get(key, NEVER) <= BEGUN_GRACE_S:
                 continue
             row = self._row(key, now)
-            crashed = _crashed_start(row, start, now)
+            crashed = _crashed_start(row, start, now, is_report)
             if crashed is not None:
                 row.crashes_by_start[crashed] = Crash(now)
                 _trim(row)
@@ -590,12 +609,14 @@
 
 
 def _crashed_start(
-    row: SuspectEvidence, start: ServerStart, now: float
+    row: SuspectEvidence, start: ServerStart, now: float, is_report: bool
 ) -> ServerStart | None:
     """Return the start that a crash belongs to, None if the crash is known."""
     known = row.crashes_by_start.get(start)
     if known is None or _is_later(now, known):
         return start
+    if is_report:
+        return None
     last_at = max(
         crash.at
         for other, crash in row.crashes_by_start.items()
--- a/sequoiafall/fleet_leader.py
+++ b/sequoiafall/fleet_leader.py
@@ -507,7 +507,8 @@
             self._evidence.record_begun(parts, now)
         if end.has_crashed:
             start = ServerStart(end.server, end.born)
-            self._evidence.record_crash(start, end.shared_parts or (), now)
+            parts = end.shared_parts or ()
+            self._evidence.record_crash(start, parts, now, is_report=True)
             self._check_server(end.server, now)
 
     def _check_server(self, name: str, now: float) -> None:
--- a/sequoiafall/trial_queue.py
+++ b/sequoiafall/trial_queue.py
@@ -90,6 +90,7 @@
         if end.has_begun:
             self._evidence.record_begun(keys, now)
         if end.has_crashed:
-            self._evidence.record_crash(ServerStart(end.server, end.born), keys, now)
+            start = ServerStart(end.server, end.born)
+            self._evidence.record_crash(start, keys, now, is_report=True)
         self._quarantine.end_run(end.request_id, end.outcome, now)
         self.wake()
--- a/tests/test_trial_queue.py
+++ b/tests/test_trial_queue.py
@@ -80,6 +80,17 @@
             self.assertIs(refusal.reason, Reason.HARMFUL_REQUEST)
             self.assertGreater(refusal.retry_after_s, 20.0)
 
+    async def test_report_that_waited_for_a_leader(self):
+        """It was counted as a second crash, so two crashes made a verdict."""
+        now = boot_time()
+        self.evidence.record_crash(ServerStart("d1", 1), [REQUEST], now + 1.0)
+        for server in ("d9", "d1"):
+            row = end("r1", server=server, has_crashed=True)
+            self.queue.on_end(row, now + 4.0)
+        row = self.evidence.suspect(REQUEST, now + 4.0)
+        self.assertEqual(row.events(now + 4.0), 2)
+        self.assertFalse(row.is_harmful)
+
     async def test_wait_is_bounded(self):
         self.assertIsNone(await self.queue.admit(ask("r1")))
         refusal = await self.queue.admit(ask("r2", wait_s=0.01))
