Keep instances that were met without a leader apart from its members

What callers saw: after a restart of all instances without a leader, an organisation could get its whole rate limit from each instance that had met another one. An instance that was met while the leader was silent for a moment was offered to callers for the rest of the term, also after it had gone.

Cause: since instances learn of each other without a leader, the members held a part of the fleet. Their number divides rate limits, retry budgets and permits, and is 0 until a leader has told it. A leader that replies again in the same term names changed members only, so nothing took out an instance that it does not know.

Change: learned instances are kept apart until a leader replies, and do not count. They are members for evidence, turns and callers as before.

--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -122,6 +122,8 @@
         self.recent_use = RecentTokenUse()
         self.over_limit: frozenset[str] = frozenset()
         self.members_by_instance: dict[str, Any] = {}
+        # Instances met without a leader, until a leader tells which ones there are.
+        self._learned_by_instance: dict[str, Any] = {}
         self._started_at = boot_time()
         self.places_by_request_and_server: dict[tuple[str, str], Any] = {}
         self.is_leaving = False
@@ -221,13 +223,18 @@
     @property
     def members(self) -> list[Any]:
         """Last known members that are not leaving."""
-        return [row for row in self.members_by_instance.values() if not row.leaving]
+        known = self.members_by_instance | self._learned_by_instance
+        return [row for row in known.values() if not row.leaving]
 
     @property
     def member_count(self) -> int:
-        """Number of known members; 0 if no leader has replied since the start."""
+        """Number of members that a leader knew; 0 if none replied since the start.
+
+        Instances divide rate limits by it, so a part of the members does not count.
+        """
         own_count = len(self.duties.live_members()) if self.duties is not None else 0
-        return max(own_count, len(self.members))
+        known = [row for row in self.members_by_instance.values() if not row.leaving]
+        return max(own_count, len(known))
 
     def _poll_interval_s(self) -> float:
         return poll_interval_s(len(self.members_by_instance))
@@ -401,8 +408,10 @@
         """
         if self.has_leader:
             return
-        known = self.members_by_instance.get(member.instance)
-        self.members_by_instance[member.instance] = member
+        known = self._learned_by_instance.get(
+            member.instance, self.members_by_instance.get(member.instance)
+        )
+        self._learned_by_instance[member.instance] = member
         if known is None or known.leaving != member.leaving:
             log_event(
                 "member_learned", instance=member.instance, leaving=member.leaving
@@ -597,6 +606,7 @@
             self._pending_tokens[name] = self._pending_tokens.get(name, 0) + count
 
     def _on_reply(self, reply: Any) -> None:
+        self._learned_by_instance.clear()
         if self._link.on_reply(reply):
             self.members_by_instance.clear()
         self._releases.resume()
@@ -686,6 +696,7 @@
         for member in self.members:
             if member.instance != self.settings.instance:
                 self._run_in_background(self._announce(member.peer_address, poll))
+        self._learned_by_instance.clear()
 
     async def _announce(self, address: str, poll: Any) -> None:
         client = WireClient(address, self._secret)
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -741,6 +741,38 @@
                 break
         self.assertTrue(know_each_other())
 
+    async def follower_and_newcomer(self):
+        """Return a follower, and an instance that it does not know."""
+        nodes = await self.start_fleet(3)
+        await until(lambda: all(node.fleet.member_count == 3 for node in nodes))
+        follower = next(node.fleet for node in nodes if node is not self.leader)
+        newcomer = copy.copy(follower._member())
+        newcomer.instance = "node-9"
+        return follower, newcomer
+
+    async def test_count_of_members_that_were_met_without_a_leader(self):
+        """After a restart of all, each instance took the whole limit of a caller."""
+        follower, newcomer = await self.follower_and_newcomer()
+        with patch.object(type(follower), "has_leader", False):
+            # As if no leader had replied since the start.
+            follower.members_by_instance.clear()
+            follower._learn_member(newcomer)
+            self.assertIn("node-9", [member.instance for member in follower.members])
+            self.assertEqual(follower.member_count, 0)
+
+    async def test_leader_that_returns_without_an_instance_that_was_met(self):
+        """It is offered to callers no longer: the leader tells of changes only."""
+        follower, newcomer = await self.follower_and_newcomer()
+        with patch.object(type(follower), "has_leader", False):
+            follower._learn_member(newcomer)
+        self.assertIn("node-9", [row.instance for row in follower.ready_members()])
+        await until(
+            lambda: (
+                {row.instance for row in follower.ready_members()}
+                == {"node-1", "node-2", "node-3"}
+            )
+        )
+
     async def test_leader_that_stops_hands_over(self):
         nodes = await self.start_fleet(3)
         leader = self.leader
