--- a/tests/test_harmful_prompts.py
+++ b/tests/test_harmful_prompts.py
@@ -4,11 +4,13 @@
 import base64
 import copy
 import unittest
+from unittest.mock import patch
 
 import msgspec
 from parameterized import parameterized
 from returns.result import Failure, Success
 
+from sequoiafall import stored_evidence
 from sequoiafall.boot_clock import boot_time
 from sequoiafall.crash_evidence import CRASH_TTL_S, CrashEvidence, ServerStart
 from sequoiafall.evidence_exchange import STORE_INTERVAL_S, EvidenceExchange
@@ -326,9 +328,12 @@
         for number in range(1000):
             times = [0.5 * index for index in range(crashes)]
             crash(self.leader, f"request:{number}", *times)
-        with self.assertLogs(level="WARNING") as logs:
+        with patch.object(stored_evidence, "log_warning") as log_warning:
             await self.save()
-        self.assertIn("suspects_not_stored", "".join(logs.output))
+        log_warning.assert_called_once()
+        self.assertEqual(log_warning.call_args.args, ("suspects_not_stored",))
+        self.assertEqual(log_warning.call_args.kwargs["key"], key)
+        self.assertGreater(log_warning.call_args.kwargs["count"], 0)
         value = self.store.rows_by_key[key].value
         self.assertLess(len(base64.b64encode(value)), 65_536)
         self.assertGreater(len(value), 40_000)
