Read the stored evidence before the first configuration

An instance that reached the store but no leader had the configuration and none of the stored evidence, so it sent requests that were known to crash servers.

An instance that reads the configuration itself reads the stored evidence at the same time, and the configuration is not in force before. That is one read for each process; one that gets the configuration from a leader gets the evidence from it as well and reads nothing. A read that fails is repeated with that of the configuration.

Evidence: test_harmful_requests.NewcomerTest. Before, test_without_a_leader failed with "[] is not true" (no harmful suspects) and test_evidence_that_is_not_read_at_first as the evidence was never read; test_with_a_leader is new and asks for no read. All three pass. The 12 cases of CrashingRequestTest for newcomers, restarts of all instances and changes of the leader passed, as did test_store_restored, test_fleet, test_mirror, test_platform_nodes and test_platform_store.

--- a/sequoiafall/evidence_exchange.py
+++ b/sequoiafall/evidence_exchange.py
@@ -57,6 +57,8 @@
 
     Attributes
     ----------
+    is_known : bool
+        Whether this instance has the stored evidence, from the store or a leader.
     stored : StoredEvidence
         The rows of the store.
     """
@@ -71,6 +73,7 @@
         "_timer",
         "_wake",
         "evidence",
+        "is_known",
         "stored",
     )
 
@@ -89,6 +92,7 @@
         self._leads = leads
         self._has_leader = has_leader
         self._addresses = addresses
+        self.is_known = False
         self._pushed_revision = 0
         self._saved_at = NEVER
         self._timer: asyncio.TimerHandle | None = None
@@ -176,6 +180,13 @@
     async def load(self) -> None:
         """Apply the evidence that an earlier leader stored."""
         await self.stored.load()
+        self.is_known |= self.stored.is_loaded
+
+    async def ensure_known(self) -> bool:
+        """Return whether the evidence is known; read what is stored if it is not."""
+        if not self.is_known:
+            await self.load()
+        return self.is_known
 
     async def _save(self) -> None:
         wait_s = self._saved_at + STORE_INTERVAL_S - boot_time()
--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -133,6 +133,7 @@
             self._on_store_contact,
             lambda: self.duties,
             lambda: self.evidence_exchange.on_store_restored(),
+            lambda: self.evidence_exchange.ensure_known(),
         )
         self.registry = self.tables.registry
         self.notices = ServerNotices(self.registry, random.Random())
@@ -606,6 +607,9 @@
         self.notice_exchange.apply_limits(reply.limits, reply.leader_address)
         self.over_limit = frozenset(reply.over_limit)
         self._apply_rows(reply.rows)
+        if self.catalog is not None:
+            # A leader has the stored evidence before it has a configuration.
+            self.evidence_exchange.is_known = True
 
     # The lease
 
--- a/sequoiafall/fleet_tables.py
+++ b/sequoiafall/fleet_tables.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 
 import xxhash
 from returns.result import Success
@@ -56,6 +56,10 @@
         Returns the leader's duties while this instance leads.
     on_restored : callable
         Called when the store has come back from an older copy.
+    load_evidence : callable or None, default=None
+        Returns whether this instance knows what crashes servers, and reads it from the
+        store if it does not. No configuration is in force before, so that a newcomer
+        without a leader sends no request that is known as harmful.
     """
 
     def __init__(
@@ -66,8 +70,10 @@
         on_store_contact: Callable[[bool, str], None],
         duties: Callable[[], LeaderDuties | None],
         on_restored: Callable[[], None] = lambda: None,
+        load_evidence: Callable[[], Awaitable[bool]] | None = None,
     ) -> None:
         self._on_restored = on_restored
+        self._load_evidence = load_evidence
         self._store = store
         self._decoder = decoder
         self._should_read = should_read
@@ -120,12 +126,17 @@
 
     async def _read_table(self, table: str, cursor: int) -> int:
         if cursor < 0:
-            scanned = await self._store.scan(table)
+            scanned, has_evidence = await asyncio.gather(
+                self._store.scan(table), self._has_evidence_for(table)
+            )
             if not isinstance(scanned, Success):
                 self._on_store_contact(False, str(scanned.failure()))
                 await asyncio.sleep(STORE_RETRY_S)
                 return -1
             self._on_store_contact(True, "")
+            if not has_evidence:
+                await asyncio.sleep(STORE_RETRY_S)
+                return -1
             rows = scanned.unwrap()
             self.mirror.apply_scan(table, rows)
             self._notify_duties()
@@ -145,6 +156,11 @@
         await asyncio.sleep(STORE_RETRY_S)
         return cursor
 
+    async def _has_evidence_for(self, table: str) -> bool:
+        if self._load_evidence is None or table != self._decoder.configuration_table:
+            return True
+        return await self._load_evidence()
+
     def _is_newer(self, before: StoreRow, row: StoreRow) -> bool:
         """Whether a row of a greater version replaces the known content.
 
--- a/tests/test_harmful_requests.py
+++ b/tests/test_harmful_requests.py
@@ -4,9 +4,11 @@
 import contextlib
 import itertools
 import json
+from unittest.mock import AsyncMock, patch
 
 import aiohttp
 from parameterized import parameterized
+from returns.result import Failure
 
 from sequoiafall.boot_clock import boot_time
 from sequoiafall.crash_evidence import (
@@ -15,9 +17,14 @@
     QUARANTINE_S,
     ServerStart,
 )
+from sequoiafall.fleet import Fleet
+from sequoiafall.instrumented_store import InstrumentedRowStore
+from sequoiafall.lease import LEASE_TABLE
 from sequoiafall.platform import names
 from sequoiafall.prompt_quarantine import HOLD_S
 from sequoiafall.request_identity import request_identity
+from sequoiafall.store_results import Unavailable
+from sequoiafall.stored_evidence import StoredEvidence
 
 from .events import until
 from .harmful_case import CALL_PAUSE_S, SOUND_AFTER_S, HarmfulCase
@@ -301,6 +308,84 @@
         self.assertEqual(self.evidence.harmful_suspects(), [])
 
 
+class NewcomerTest(PlatformCase):
+    """A new instance has the evidence before it admits requests."""
+
+    async def start_with_verdict(self):
+        """Let a first instance store a verdict; return its identity."""
+        await self.start_fleet(1)
+        path = "/order/x"
+        for server in self.engines.values():
+            server.crashing_requests = {(path, b"body")}
+        identity = request_identity("org-1", "POST", "shop.example", path, b"body")
+        for number in range(3):
+            self.nodes[0].fleet.crash_evidence.record_crash(
+                ServerStart(f"gone-{number}", 1),
+                [identity],
+                boot_time() - 5.0 + number,
+            )
+        stored = self.nodes[0].fleet.evidence_exchange.stored
+        await until(lambda: not stored.has_changes())
+        return identity
+
+    def loads(self):
+        """Count the reads of the stored evidence."""
+        counted = AsyncMock(side_effect=StoredEvidence.load)
+
+        async def load(stored):
+            await counted(stored)
+
+        self.enterContext(patch.object(StoredEvidence, "load", load))
+        return counted
+
+    async def test_without_a_leader(self):
+        """It reads what is stored once, and has no configuration before."""
+        await self.start_with_verdict()
+        first = self.nodes.pop()
+        await first.stop()
+        loads = self.loads()
+        self.enterContext(patch.object(Fleet, "_run_election_step", AsyncMock()))
+        newcomer = await self.start_node(2)
+        await until(lambda: newcomer.is_ready)
+        self.assertTrue(newcomer.fleet.crash_evidence.harmful_suspects())
+        self.assertEqual((await self.call(newcomer, "/order/x"))[0], 503)
+        arrivals = [row.harmful_arrivals for row in self.engines.values()]
+        self.assertFalse(any(arrivals))
+        self.assertFalse(newcomer.fleet.has_leader)
+        self.assertEqual(loads.await_count, 1)
+
+    async def test_evidence_that_is_not_read_at_first(self):
+        """The configuration is not in force until the evidence has been read."""
+        await self.start_with_verdict()
+        first = self.nodes.pop()
+        await first.stop()
+        fails = [True, True]
+
+        async def scan(store, table):
+            if table == LEASE_TABLE and fails:
+                fails.pop()
+                return Failure(Unavailable("no answer"))
+            return await unchanged(store, table)
+
+        unchanged = InstrumentedRowStore.scan
+        self.enterContext(patch.object(InstrumentedRowStore, "scan", scan))
+        self.enterContext(patch.object(Fleet, "_run_election_step", AsyncMock()))
+        newcomer = await self.start_node(2)
+        await until(lambda: newcomer.is_ready)
+        self.assertEqual(fails, [])
+        self.assertTrue(newcomer.fleet.crash_evidence.harmful_suspects())
+
+    async def test_with_a_leader(self):
+        """The leader sends the evidence, and the store is not read."""
+        await self.start_with_verdict()
+        loads = self.loads()
+        newcomer = await self.start_node(2)
+        await until(lambda: newcomer.is_ready)
+        self.assertTrue(newcomer.fleet.crash_evidence.harmful_suspects())
+        self.assertTrue(newcomer.fleet.evidence_exchange.is_known)
+        self.assertEqual(loads.await_count, 0)
+
+
 class CopiesTest(PlatformCase):
     """Requests with the same identifier at the same time are one trial only."""
 
