Record a crash in the moment of a stream's move

A server that ended its connection in the same step of the event loop in which another server had a place for its stream gave no evidence: the move cancels the task that waits for the response, and the error of the connection, which had arrived, was lost.

The connection of a single send notes that the server ended it before the response was complete (SingleSendClient.is_cut), and a move takes that into account. A connection that the gateway closes itself is no cut.

Evidence: test_silent_servers.CrashWithMoveTest. test_crash_is_recorded lets the grant and the end of the connection come together; before, it failed with "0 != 1" suspects. test_move_without_a_crash guards against blaming a server that is left. test_silent_servers, test_engine_client, test_stream_move and test_unframed_answers: 121 passed.

--- a/sequoiafall/engine_client.py
+++ b/sequoiafall/engine_client.py
@@ -80,11 +80,19 @@
     without a length seems complete. It also takes bytes that arrive on an idle
     connection, such as a duplicate of the last response, for the response to the next
     request; such a connection is closed here.
+
+    Attributes
+    ----------
+    is_idle : bool
+        Whether the connection is kept for a later request.
+    is_cut : bool
+        Whether the server ended the connection before its response was complete.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self.is_idle = False
+        self.is_cut = False
         self._received_bytes = 0
 
     def set_response_params(self, **options: Any) -> None:
@@ -118,8 +126,19 @@
         if transport is not None:
             transport.abort()
 
+    def eof_received(self) -> None:
+        """Record that the server ended the connection."""
+        self._record_end()
+        super().eof_received()
+
+    def _record_end(self) -> None:
+        payload = self._payload
+        self.is_cut |= payload is None or not payload.is_eof()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         payload = self._payload
+        if exc is not None:
+            self._record_end()
         if exc is not None and payload is not None and not payload.is_eof():
             payload.set_exception(aiohttp.ClientPayloadError("connection reset"))
         super().connection_lost(exc)
@@ -185,6 +204,7 @@
     def __init__(self) -> None:
         super().__init__(force_close=True, limit=1, socket_factory=_open_socket)
         self.sent = False
+        self.protocol: ResponseHandler | None = None
 
     async def connect(
         self, req: ClientRequest, traces: list[Any], timeout: aiohttp.ClientTimeout
@@ -196,6 +216,7 @@
             raise error
         connection = await super().connect(req, traces, timeout)
         self.sent = True
+        self.protocol = connection.protocol
         return connection
 
 
@@ -442,6 +463,12 @@
         """Whether any byte may have been sent."""
         return self._connector.sent
 
+    @property
+    def is_cut(self) -> bool:
+        """Whether the server ended the connection before its response was complete."""
+        protocol = self._connector.protocol
+        return isinstance(protocol, _StrictProtocol) and protocol.is_cut
+
     @contextlib.asynccontextmanager
     async def request(
         self,
--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -652,7 +652,9 @@
         except BrokenResponseError as error:
             return Outcome("broken", detail=str(error), is_cut=error.is_cut)
         except MovedError:
-            return Outcome("moved", detail="the stream stalled")
+            # The server may have crashed in the moment of the move, which then comes
+            # before the error of the connection.
+            return Outcome("moved", detail="the stream stalled", is_cut=client.is_cut)
 
     def _apply_notice(
         self,
--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -9,13 +9,14 @@
 
 from sequoiafall import forwarding
 from sequoiafall.boot_clock import boot_time
-from sequoiafall.engine_client import _broken_response
+from sequoiafall.engine_client import _broken_response, _StrictProtocol
 from sequoiafall.engine_pool import EngineCondition
 from sequoiafall.fleet_leader import LeaderDuties
 from sequoiafall.forwarding import MAX_UNBUDGETED_SENDS
 from sequoiafall.platform import names
 from sequoiafall.refusal import Reason
 from sequoiafall.run_id import caller_request_id
+from sequoiafall.stream_move import StreamMove
 from sequoiafall.wire.gen import ttypes
 
 from .events import until
@@ -312,6 +313,54 @@
         self.assertEqual(node.forwarder._places._leaderless_running, {})
 
 
+class CrashWithMoveTest(SilentServerCase):
+    """The server crashes in the moment in which another one has a place."""
+
+    async def test_crash_is_recorded(self):
+        """The move ended the send, and its broken connection went unnoticed."""
+        node = await self.start()
+        call, received, present, other = await self.begin(node, events=0)
+        on_search_done, lose = (
+            StreamMove._on_search_done,
+            _StrictProtocol.connection_lost,
+        )
+        granted, crashes = [], []
+
+        def crash_first(move, search):
+            granted.append((move, search))
+            crashes.append(asyncio.create_task(present.crash()))
+
+        def lose_and_move(protocol, error):
+            if granted and not protocol.is_idle:
+                on_search_done(*granted.pop())
+            lose(protocol, error)
+
+        with (
+            patch.object(StreamMove, "_on_search_done", crash_first),
+            patch.object(_StrictProtocol, "connection_lost", lose_and_move),
+        ):
+            present.fall_silent(30.0)
+            present.resume_event.set()
+            await until(lambda: crashes and not granted)
+        await asyncio.gather(*crashes)
+        await until(lambda: other.runs["r"])
+        self.assertEqual(node.fleet.crash_evidence.suspected_count(boot_time()), 1)
+        other.resume_event.set()
+        result = await self.finish(call, received)
+        self.assertEqual(result, (200, [1, 2, 3, 4, 5]))
+
+    async def test_move_without_a_crash(self):
+        """The gateway closes the connection of a server that it leaves itself."""
+        node = await self.start()
+        call, received, present, other = await self.begin(node, events=0)
+        present.fall_silent(30.0)
+        present.resume_event.set()
+        await until(lambda: other.runs["r"])
+        self.assertTrue(node.fleet.crash_evidence.is_empty())
+        other.resume_event.set()
+        await self.finish(call, received)
+
+
 class LeaderPlacesTest(SilentServerCase):
     """The leader's places during and after a move at an instance that follows it."""
 
