Keep a request with two crashes in a flood of parts with two

If more suspects than are kept had two crash events each, the one that changed longest ago was dropped, also a whole request, whose next crash then counted as the first. Among suspects with equally many events, parts of prompts are dropped first: one request has many of them, but one identity, which suffices to convict it.

Evidence: test_prompt_quarantine, test_flood_of_parts_with_two_crashes, failed before with "unexpectedly None"; test_prompt_quarantine passes (68 tests).

--- a/sequoiafall/crash_evidence.py
+++ b/sequoiafall/crash_evidence.py
@@ -542,7 +542,12 @@
                 return row
         return min(
             self._rows_by_key.values(),
-            key=lambda item: (item.is_harmful, item.events(now), item.revision),
+            key=lambda item: (
+                item.is_harmful,
+                item.events(now),
+                is_identity(item.key),
+                item.revision,
+            ),
         )
 
     def _tried_keys(self, keys: Sequence[str], now: float) -> frozenset[str]:
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -232,6 +232,16 @@
         self.assertIsNotNone(row)
         self.assertTrue(row.is_harmful)
 
+    def test_flood_of_parts_with_two_crashes(self):
+        """A request with two crashes was dropped for the parts of others."""
+        evidence = CrashEvidence()
+        crash(evidence, [REQUEST], 0.0, 0.5)
+        for number in range(MAX_SUSPECTS + 10):
+            crash(evidence, [f"p{number}"], 1.0, 1.5, first=2 * number)
+        row = evidence.suspect(REQUEST, NOW + 2.0)
+        self.assertIsNotNone(row)
+        self.assertEqual(row.events(NOW + 2.0), 2)
+
     def test_messages_are_bounded(self):
         """A verdict does not wait behind a flood of single crashes."""
         evidence = CrashEvidence()
