Lift a verdict on late crashes that are refuted

What callers saw: sound requests could stay refused after a loss of power in which connections were reset by servers that go on.

Cause: late crashes of a verdict count as failed trials, and a verdict with failed trials is not lifted. If one of two late crashes was refuted, the other one kept the verdict, though it suffices for none. A verdict that was on its way while its crashes were refuted was adopted again with its failed trials, and two instances then gave it back to each other.

Change: a verdict is lifted if its failed trials are all crashes that still count, and these do not suffice. Failed trials of another instance are taken without crashes that are refuted here.

Evidence: test_one_of_two_late_crashes_is_refuted ('True is not false') and test_verdict_on_its_way_while_its_crashes_are_refuted ('(True, 2) != (False, 0)') failed before. test_failed_trial_of_another_instance_remains guards the other way and passed before. 96 tests of test_prompt_quarantine and test_trial_queue pass.

--- a/sequoiafall/crash_evidence.py
+++ b/sequoiafall/crash_evidence.py
@@ -370,12 +370,13 @@
                     refuted.append(known)
             _refute(row, refuted, now)
             _trim(row)
+            failed_trials = _unrefuted_trials(other, row, now)
             is_renewed = (
-                row.failed_trials == other.failed_trials >= MAX_FAILED_TRIALS
+                row.failed_trials == failed_trials >= MAX_FAILED_TRIALS
                 and other.trial_at - row.trial_at > RENEWAL_STEP_S / 2.0
             )
-            if other.failed_trials > row.failed_trials:
-                row.failed_trials = other.failed_trials
+            if failed_trials > row.failed_trials:
+                row.failed_trials = failed_trials
                 row.trial_at = other.trial_at
             elif is_renewed or not row.is_harmful:
                 row.trial_at = other.trial_at
@@ -552,14 +553,9 @@
             )
         elif row.is_harmful and row.has_begun_since_crashes:
             self._lift(row, "a response began")
-        elif row.is_harmful and events < HARMFUL_EVENTS and self._is_refuted(row):
+        elif row.is_harmful and _is_refuted(row, events, late):
             self._lift(row, "the server has responded since")
 
-    def _is_refuted(self, row: SuspectEvidence) -> bool:
-        """Whether a verdict rests on a crash that was refuted, and on no trial."""
-        crashes = row.crashes_by_start.values()
-        return not row.failed_trials and any(crash.is_refuted for crash in crashes)
-
     def _clear(self, row: SuspectEvidence, now: float) -> None:
         row.begun_at = now
         if row.is_harmful:
@@ -637,6 +633,16 @@
     return crash.is_refuted and at - crash.at > RESPONSE_WINDOW_S
 
 
+def _is_refuted(row: SuspectEvidence, events: int, late: int) -> bool:
+    """Whether a verdict rests on a crash that was refuted, and on no other trial."""
+    return (
+        events < HARMFUL_EVENTS
+        and late < MAX_LATE_CRASHES
+        and row.failed_trials <= late
+        and any(crash.is_refuted for crash in row.crashes_by_start.values())
+    )
+
+
 def _refute(row: SuspectEvidence, crashes: Sequence[Crash], now: float) -> None:
     """Mark crashes that did not happen; they count as failed sends no longer."""
     late = row.late_crashes(now)
@@ -645,6 +651,25 @@
     row.failed_trials = max(0, row.failed_trials - late + row.late_crashes(now))
 
 
+def _unrefuted_trials(other: SuspectEvidence, row: SuspectEvidence, now: float) -> int:
+    """Return another instance's failed trials without crashes that are refuted here."""
+    if not other.failed_trials:
+        return 0
+    seen = SuspectEvidence(
+        other.key, begun_at=other.begun_at, failed_trials=other.failed_trials
+    )
+    refuted = []
+    for start, crash in other.crashes_by_start.items():
+        copy = Crash(crash.at, crash.is_refuted)
+        seen.crashes_by_start[start] = copy
+        known = row.crashes_by_start.get(start)
+        is_refuted = known is not None and known.is_refuted
+        if is_refuted and not crash.is_refuted:
+            refuted.append(copy)
+    _refute(seen, refuted, now)
+    return seen.failed_trials
+
+
 def _trim(row: SuspectEvidence) -> None:
     """Drop the oldest crashes beyond the limit."""
     crashes = row.crashes_by_start
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -306,6 +306,40 @@
         for evidence in (first, second):
             self.assertFalse(evidence.suspect("p", NOW + 1.2).is_harmful)
 
+    def test_one_of_two_late_crashes_is_refuted(self):
+        """What remains, three servers at once and one more, makes no verdict."""
+        evidence = CrashEvidence()
+        crash(evidence, ["p"], 0.0, 0.01, 0.02)
+        crash(evidence, ["p"], 4.0, 4.01, first=3)
+        evidence.record_response("e3", NOW + 4.2, NOW + 4.21)
+        self.assertFalse(evidence.suspect("p", NOW + 4.3).is_harmful)
+
+    def test_verdict_on_its_way_while_its_crashes_are_refuted(self):
+        """Two instances gave a verdict without evidence back to each other."""
+        first, second = CrashEvidence(), CrashEvidence()
+        for evidence in (first, second):
+            crash(evidence, ["p"], 0.0, 0.01, 0.02)
+            crash(evidence, ["p"], 4.0, 4.01, first=3)
+        for server in ("e3", "e4"):
+            first.record_response(server, NOW + 4.2, NOW + 4.21)
+        # The second one has not heard of it.
+        for sender, receiver in 2 * ((second, first), (first, second)):
+            self.exchange(sender, receiver, NOW + 4.3)
+        for evidence in (first, second):
+            row = evidence.suspect("p", NOW + 4.4)
+            self.assertEqual((row.is_harmful, row.failed_trials), (False, 0))
+
+    def test_failed_trial_of_another_instance_remains(self):
+        """A refuted crash is no reason to forget a trial in which none responded."""
+        first, second = CrashEvidence(), CrashEvidence()
+        crash(first, ["p"], 0.0, 0.5, 1.0)
+        self.exchange(first, second, NOW + 1.1)
+        second.record_failed_trial("p", NOW + 31.0)
+        first.record_response("e2", NOW + 1.2, NOW + 1.3)
+        self.exchange(second, first, NOW + 31.1)
+        row = first.suspect("p", NOW + 31.2)
+        self.assertEqual((row.is_harmful, row.failed_trials), (True, 1))
+
     def test_later_crash_of_a_refuted_one(self):
         first, second = CrashEvidence(), CrashEvidence()
         crash(first, ["p"], 0.0)
