Let a request with two suspected parts have a turn

What callers saw: nothing yet; found by review. Without a leader, a sound request with two parts that had shared crashes at different times would wait at each instance until it is refused, for as long as there is no leader.

Cause: an instance tried a request only while it had the turn of each of its suspected parts. Turns are counted from the last crash, so those of crashes half a second apart never coincide.

Change: the latest crash among the suspected parts counts. Copies of one request still have one turn at a time; requests that share one part and differ in another one may now be tried at two instances at once.

--- a/sequoiafall/trial_admission.py
+++ b/sequoiafall/trial_admission.py
@@ -100,16 +100,14 @@
         evidence = self._fleet.crash_evidence
         rows = (evidence.suspect(key, now) for key in keys)
         suspects = [row for row in rows if row is not None]
-        # Requests that share a part are tried in the same turn. With their identities,
-        # which may have crashed servers at other times, the turns rarely coincide.
+        # Requests with the same parts are tried in the same turn, whatever servers
+        # their identities may have crashed at other times.
         parts = [row for row in suspects if not is_identity(row.key)]
         own = self._fleet.settings.instance
         members = [member.instance for member in self._fleet.members]
-        if all(
-            has_turn(own, members, now - row.last_crash_at) for row in parts or suspects
-        ):
-            return verdict
-        return Verdict.WAIT
+        # Parts that crashed servers at different times need not have a common turn.
+        last_crash_at = max(row.last_crash_at for row in parts or suspects)
+        return verdict if has_turn(own, members, now - last_crash_at) else Verdict.WAIT
 
     def begin_alone(self, request_id: str, keys: Sequence[str]) -> None:
         """Record that a request runs that this instance admitted."""
--- a/tests/test_trial_queue.py
+++ b/tests/test_trial_queue.py
@@ -225,6 +225,23 @@
         with patch("sequoiafall.trial_admission.boot_time", return_value=now):
             self.assertIs(self.trials.decide_alone("r1", [REQUEST, "p"]), expected)
 
+    @parameterized.expand([(0.5,), (1.7,), (2.5,)])
+    async def test_turn_of_a_request_with_two_suspected_parts(self, apart_s):
+        """It had no turn at any instance if they crashed at different times."""
+        self.fleet.know_members("node-0", "node-1", "node-2")
+        now = boot_time()
+        evidence = self.fleet.crash_evidence
+        evidence.record_crash(ServerStart("d1", 1), ["p"], now - 9.0)
+        evidence.record_crash(ServerStart("d2", 1), ["q"], now - 9.0 + apart_s)
+        verdicts = set()
+        for number in range(60):
+            with patch(
+                "sequoiafall.trial_admission.boot_time",
+                return_value=now + number / 10,
+            ):
+                verdicts.add(self.trials.decide_alone("r1", ["p", "q"]))
+        self.assertIn(Verdict.TRIAL, verdicts)
+
     async def test_another_instance_makes_the_trials(self):
         self.fleet.has_leader = False
         self.fleet.know_members("node-1", "node-2")
