Run nodes in tests without asyncio's debug mode

Beside other processes, requests of tests that run whole nodes reached their deadlines: the debug mode, which unittest turns on, records a stack for every handle, and the nodes, servers and callers of a test share one event loop.

The base class turns it off for all of them. Checks, deadlines and counts are unchanged.

--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -103,6 +103,10 @@
     """Starts the platform's stand-ins, and nodes on their own loopback addresses."""
 
     async def asyncSetUp(self):
+        # unittest turns on the debug mode of asyncio, which saturates the event loop
+        # that the nodes, the servers and the callers share: beside other processes,
+        # requests then reached their deadlines.
+        asyncio.get_running_loop().set_debug(False)
         number = next(_fleet_numbers)
         self._network = self._reserve_network(number)
         self._runners = []
