Try parts of a prompt whose late crashes a harmful request explains

What callers saw: nothing yet; found by review.

Cause: the verdict counts the two late crashes as failed trials, of the part as well. A suspect with failed trials is refused whatever else explains its crashes.

Change: failed trials of a part speak against it only if they are more than its late crashes, which are among the crashes that the other suspect has to explain. Whole requests are refused as before.

Evidence: test_part_of_a_request_that_crashes_many_servers_at_once and test_parts_that_crash_many_servers_at_once_together failed before with 'REFUSE is not TRIAL'; 184 tests of test_prompt_quarantine, test_trial_queue and test_engine_planner pass.

--- a/sequoiafall/prompt_quarantine.py
+++ b/sequoiafall/prompt_quarantine.py
@@ -193,7 +193,7 @@
         """Whether a harmful suspect may be tried now."""
         if now >= row.trial_at:
             return True
-        return not row.failed_trials and self._is_ambiguous(row, keys, now)
+        return not _has_failed_trials(row, now) and self._is_ambiguous(row, keys, now)
 
     def _is_ambiguous(
         self, row: SuspectEvidence, keys: Sequence[str], now: float
@@ -214,7 +214,7 @@
         sound, and have shared a part or a server with the harmful request. Of two parts
         that crash together, neither explains the other.
         """
-        if row.failed_trials:
+        if _has_failed_trials(row, now):
             return False
         starts = row.crashed_starts(now)
         return bool(starts) and any(
@@ -236,3 +236,14 @@
             other.key not in keys and other.crashed_starts(now) >= starts
             for other in self._evidence.suspected_parts()
         )
+
+
+def _has_failed_trials(row: SuspectEvidence, now: float) -> bool:
+    """Whether trials speak against a suspect, whatever else explains its crashes.
+
+    A verdict after several crashes at once counts later crashes as failed trials. Those
+    with a part of prompts may be due to the rest of the request.
+    """
+    if is_identity(row.key):
+        return row.failed_trials > 0
+    return row.failed_trials > row.late_crashes(now)
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -417,6 +417,20 @@
     def decide(self, request_id, parts, time_s):
         return self.quarantine.decide(request_id, parts, NOW + time_s)
 
+    def test_part_of_a_request_that_crashes_many_servers_at_once(self):
+        """Sound requests with the part were refused as after two failed trials."""
+        crash(self.evidence, [REQUEST, "p"], 0.0, 0.01, 0.02, 0.3, 0.35)
+        self.assertIs(self.decide("r1", [REQUEST, "p"], 5.0), Verdict.REFUSE)
+        self.assertIs(self.decide("r2", ["request:b", "p"], 5.0), Verdict.TRIAL)
+        self.evidence.record_failed_trial("p", NOW + 6.0)
+        self.assertIs(self.decide("r3", ["request:b", "p"], 7.0), Verdict.REFUSE)
+
+    def test_parts_that_crash_many_servers_at_once_together(self):
+        """Which of them is harmful was not tried before the quarantine was over."""
+        crash(self.evidence, ["p", "q"], 0.0, 0.01, 0.02, 0.3, 0.35)
+        self.assertIs(self.decide("r1", ["p", "q"], 5.0), Verdict.REFUSE)
+        self.assertIs(self.decide("r2", ["p"], 5.0), Verdict.TRIAL)
+
     def test_suspected_part_runs_once_at_a_time(self):
         crash(self.evidence, ["p"], 0.0)
         self.assertIs(self.decide("r1", ["p"], 1.0), Verdict.TRIAL)
