Refuse no request behind a queue for slots that it does not need

What callers saw: while more than four requests waited for adapter slots, refusals with "N requests are ahead" of requests that could have begun at once.

Cause: the length of the queue was looked at before the engines were. A request of the base model, or of an adapter that is loaded at an engine with room, does not wait for a slot.

Change: a new request is refused for those ahead of it only if it got neither a place nor a load.

Evidence: test_request_that_needs_no_slot_does_not_queue_for_one (loaded adapter, base model) "KeyError: 'hot'" on the code before (refused, not granted).

--- a/sequoiafall/engine_planner.py
+++ b/sequoiafall/engine_planner.py
@@ -65,6 +65,9 @@
 EXPIRY_INTERVAL_S = 1.0
 # Maximum length of a pool's queue; further requests are refused at once.
 MAX_WAITING = 400
+# A request waits behind this many others however slowly slots become free: the
+# interval between releases is a rough estimate.
+MIN_AHEAD = 4
 # Minimum time between two passes over the waiting requests.
 DISPATCH_INTERVAL_S = 0.003
 # Concurrent base model loads at full speed, for each load per second that the weight
@@ -260,9 +263,12 @@
             return [refused]
         self._waiting_by_id[request.request_id] = waiting
         if self._has_changed:
-            return self._dispatch(now) + self._load_replica(request.adapter, now)
-        self._chooser.refresh(now)
-        return self._advance(waiting, now) + self._load_replica(request.adapter, now)
+            actions = self._dispatch(now)
+        else:
+            self._chooser.refresh(now)
+            actions = self._advance(waiting, now)
+        actions += self._refuse_hopeless(waiting, now)
+        return actions + self._load_replica(request.adapter, now)
 
     def cancel(self, request_id: str, now: float) -> list[Action]:
         """Remove a request whose gateway no longer waits, or end its places."""
@@ -495,13 +501,7 @@
             return self._refuse(waiting, Reason.OVERLOADED, now, "no time left")
         if self._verdict(waiting, now) is Verdict.REFUSE:
             return self._refuse_harmful(waiting, now)
-        own_key = self._sort_key(waiting, now)
-        ahead = sum(
-            1
-            for other in self._waiting_by_id.values()
-            if not other.bound_to and self._sort_key(other, now) < own_key
-        )
-        limit_wait_s = self._limit_wait_s(own_key, now)
+        limit_wait_s = self._limit_wait_s(self._sort_key(waiting, now), now)
         if limit_wait_s > waiting.refuse_at - now:
             return self._refuse(
                 waiting,
@@ -510,16 +510,34 @@
                 "the limits of the engines are reached",
                 wait_s=limit_wait_s,
             )
+        return None
+
+    def _refuse_hopeless(self, waiting: _Waiting, now: float) -> list[Action]:
+        """Refuse a new request that would wait longer for a slot than it can.
+
+        Only a request that has no place and no load yet has to wait for a slot: an
+        adapter that is loaded serves more requests, however many wait for others.
+        """
+        request_id = waiting.request.request_id
+        if self._waiting_by_id.get(request_id) is not waiting or waiting.bound_to:
+            return []
+        own_key = self._sort_key(waiting, now)
+        ahead = sum(
+            1
+            for other in self._waiting_by_id.values()
+            if not other.bound_to and self._sort_key(other, now) < own_key
+        )
         expected_s = ahead * self._release_interval_s
         if (
-            now >= self._loads_from
-            and ahead > 4
-            and expected_s > waiting.refuse_at - now
+            now < self._loads_from
+            or ahead <= MIN_AHEAD
+            or expected_s <= waiting.refuse_at - now
         ):
-            return self._refuse(
-                waiting, Reason.OVERLOADED, now, f"{ahead} requests are ahead"
-            )
-        return None
+            return []
+        self._drop(waiting)
+        return [
+            self._refuse(waiting, Reason.OVERLOADED, now, f"{ahead} requests are ahead")
+        ]
 
     def _limit_wait_s(self, own_key: tuple[bool, int, float], now: float) -> float:
         """Return the seconds until the engines' limits allow a request.
--- a/tests/test_engine_planner.py
+++ b/tests/test_engine_planner.py
@@ -13,7 +13,12 @@
     MAX_TRANSFERS,
     MAX_TRANSFERS_PER_ENGINE,
 )
-from sequoiafall.engine_planner import FAILED_LOAD_PAUSE_S, LOAD_MARGIN_S, EnginePlanner
+from sequoiafall.engine_planner import (
+    FAILED_LOAD_PAUSE_S,
+    LOAD_MARGIN_S,
+    MIN_AHEAD,
+    EnginePlanner,
+)
 from sequoiafall.engine_pool import (
     AVOID_LIMIT_S,
     AVOID_S,
@@ -912,6 +917,20 @@
             self.assertGreater(refusal.retry_after_s, 0.0)
             self.assertLessEqual(refusal.retry_after_s, 4.0 / 3.0)
 
+    @parameterized.expand([("loaded adapter", "a1"), ("base model", "")])
+    def test_request_that_needs_no_slot_does_not_queue_for_one(self, _name, adapter):
+        """Requests for loaded adapters were refused while others waited for slots."""
+        driver = self._with_full_slots()
+        for number in range(30):
+            driver.ask(f"r{number}", f"b{number}")
+            driver.run(0.002)
+        details = {row.detail for row in driver.refused.values()}
+        self.assertTrue(all("ahead" in detail for detail in details), details)
+        self.assertTrue(details)
+        self.assertGreater(driver.planner.waiting_count, MIN_AHEAD)
+        driver.ask("hot", adapter, on_time_s=0.4)
+        self.assertEqual(driver.granted["hot"].server, "e0")
+
     def test_refused_callers_do_not_come_back_together(self):
         driver = self._with_full_slots()
         for number in range(30):
