Admit a request again that is suspected of more while it waits for a permit

What callers saw: nothing yet; found by review. Copies of a request to a plain service whose servers have a limit pass while nothing is known against it, and wait for their permits for up to the time that the response may take. They were sent after the request had crashed three servers and was harmful, as many as waited.

Cause: nothing was asked after the wait for a permit, or for the number of instances that the rate limit needs.

Change: before the send, a request that has become suspected or harmful since its admission is admitted again. It excludes no server and is charged once.

Evidence: test_verdict_while_the_request_waits_for_a_permit failed before with '502 != 503': the request was sent and its server crashed. test_suspicion_while_the_request_waits_for_a_permit guards the charge and the servers and passed before. The 4 cases of RefusalTest and 149 tests of test_platform_nodes, test_trial_queue, test_fleet_shares and test_send_permits pass.

--- a/sequoiafall/exchange.py
+++ b/sequoiafall/exchange.py
@@ -39,6 +39,8 @@
     sends, runs, rejected_sends : int
         Sends so far, those that may have run, and those that no server ran because
         it refused the request or could not be reached.
+    is_charged : bool
+        Whether a request to a plain service was charged to its organisation.
     excluded : set of str
         Servers that are not tried again.
     move : StreamMove or None
@@ -74,6 +76,7 @@
     sends: int = 0
     runs: int = 0
     rejected_sends: int = 0
+    is_charged: bool = False
     excluded: set[str] = field(default_factory=set)
     move: StreamMove | None = None
     stream: web.StreamResponse | None = None
--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -381,6 +381,8 @@
             if pause_s > 0.0:
                 return self._refuse_paused(exchange, pause_s)
             sent = await self._admit_and_send_plain(exchange)
+            if sent is None:
+                continue
             if isinstance(sent, Refusal):
                 return self._finish_refusal(exchange, sent)
             server, outcome = sent
@@ -393,29 +395,35 @@
 
     async def _admit_and_send_plain(
         self, exchange: Exchange
-    ) -> tuple[str, Outcome] | Refusal:
+    ) -> tuple[str, Outcome] | Refusal | None:
         """Send a request to a server of a plain service, if it may run now.
 
-        Returns the server and the outcome.
+        Returns the server and the outcome; None if the request has to be admitted
+        again, because it is suspected of more since.
         """
         request, trials = exchange.request, self._places.trials
         until = boot_time() + _max_permit_wait_s(exchange)
         admission = await trials.admit(request, exchange.service, until)
         if isinstance(admission, Refusal):
             return admission
+        suspicion = trials.suspicion(request)
         server, run = "", RunEnd("withheld")
         try:
-            if exchange.sends == 0:
+            if not exchange.is_charged:
                 # A request that is refused because it crashes servers costs no tokens.
                 refused = await self._check_rate_limit(exchange)
                 if refused is not None:
                     return refused
+                exchange.is_charged = True
             entries = self._fleet.registry.active_servers(exchange.service)
             choice = await self._choose_plain(
                 exchange, self._fleet.notices.usable(entries)
             )
             if isinstance(choice, Refusal):
                 return choice
+            if trials.suspicion(request) > suspicion:
+                # It may have waited for a permit meanwhile.
+                return None
             server = choice.entry.name
             exchange.plain_choice = choice
             run = RunEnd("cancelled")
--- a/sequoiafall/trial_admission.py
+++ b/sequoiafall/trial_admission.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, replace
 from typing import Any
@@ -75,6 +76,14 @@
     is_trial: bool
 
 
+class Suspicion(enum.IntEnum):
+    """What is known against a request, from the least to the most."""
+
+    NONE = 0
+    SUSPECTED = 1
+    HARMFUL = 2
+
+
 class TrialAdmission:
     """Decides whether requests of this gateway may run.
 
@@ -189,6 +198,21 @@
                 )
             await asyncio.sleep(RETRY_INTERVAL_S)
 
+    def suspicion(self, request: CallerRequest) -> Suspicion:
+        """Return what is known against a request to a plain service."""
+        now = boot_time()
+        rows = (
+            self._fleet.crash_evidence.suspect(key, now) for key in _plain_keys(request)
+        )
+        return max(
+            (
+                Suspicion.HARMFUL if row.is_harmful else Suspicion.SUSPECTED
+                for row in rows
+                if row is not None
+            ),
+            default=Suspicion.NONE,
+        )
+
     def end(
         self,
         request: CallerRequest,
--- a/tests/test_harmful_requests.py
+++ b/tests/test_harmful_requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from unittest.mock import patch
 
 from parameterized import parameterized
 
@@ -291,3 +292,53 @@
         self.assertEqual(sum(node.fleet.recent_use.sums(boot_time()).values()), 0)
         status, _, _ = await self.call(node, path, body=b"another body")
         self.assertEqual(status, 200)
+
+    async def test_verdict_while_the_request_waits_for_a_permit(self):
+        """Copies that waited at a server with a limit were sent after the verdict."""
+        await self.start_fleet(1)
+        node = self.nodes[0]
+        path = "/order/x"
+        identity = request_identity("org-1", "POST", "shop.example", path, b"body")
+        for server in self.engines.values():
+            server.crashing_requests = {(path, b"body")}
+        choose = node.forwarder._choose_plain
+
+        async def convict(exchange, entries):
+            choice = await choose(exchange, entries)
+            now = boot_time()
+            for number in range(3):
+                start = ServerStart(f"gone-{number}", 1)
+                node.fleet.crash_evidence.record_crash(
+                    start, [identity], now - 3.0 + number
+                )
+            return choice
+
+        with patch.object(node.forwarder, "_choose_plain", convict):
+            status, body, _ = await self.call(node, path)
+        self.assertEqual(status, 503)
+        self.assertEqual(json.loads(body)["error"]["reason"], "harmful_request")
+        arrivals = sum(len(row.harmful_arrivals) for row in self.engines.values())
+        self.assertEqual(arrivals, 0)
+
+    async def test_suspicion_while_the_request_waits_for_a_permit(self):
+        """It is admitted again, to the same servers, and charged once."""
+        await self.start_fleet(1)
+        node = self.nodes[0]
+        path = "/order/x"
+        identity = request_identity("org-1", "POST", "shop.example", path, b"body")
+        await self.call(node, path, body=b"another body")
+        tokens = sum(node.fleet.recent_use.sums(boot_time()).values())
+        choose = node.forwarder._choose_plain
+
+        async def suspect(exchange, entries):
+            choice = await choose(exchange, entries)
+            start = ServerStart("gone", 1)
+            node.fleet.crash_evidence.record_crash(start, [identity], boot_time())
+            self.assertEqual(exchange.excluded, set())
+            return choice
+
+        with patch.object(node.forwarder, "_choose_plain", suspect):
+            status, _, _ = await self.call(node, path)
+        self.assertEqual(status, 200)
+        both = sum(node.fleet.recent_use.sums(boot_time()).values())
+        self.assertEqual(both, 2 * tokens)
