--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -711,8 +711,8 @@
             await until(self._engines_are_synced)
         self.assertTrue(any("larger instance" in line for line in lines), lines)
         for node in self.nodes:
-            status, _, _ = await self.call(node, "/draft/x", adapter="a1")
-            self.assertEqual(status, 200)
+            status, body, _ = await self.call(node, "/draft/x", adapter="a1")
+            self.assertEqual(status, 200, body)
 
     async def test_leader_that_stops_hands_over(self):
         nodes = await self.start_fleet(3)
