Give the instance of a test without a leader its turn

CopiesTest.test_without_a_leader failed at random ('0 != 1'; 3 of 5 runs of its four cases): it still replaced Fleet.may_try_alone, which is gone, so it depended on which instance had the turn.

--- a/tests/test_harmful_requests.py
+++ b/tests/test_harmful_requests.py
@@ -402,7 +402,9 @@
             self.nodes.remove(leader)
             await leader.stop()
             await until(lambda: not self.nodes[0].fleet.has_leader)
-            self.nodes[0].fleet.may_try_alone = lambda _key: True
+            self.enterContext(
+                patch("sequoiafall.trial_admission.has_turn", return_value=True)
+            )
         now = boot_time()
         for node in self.nodes:
             for number in range(crashes):
