Run fleets in tests without asyncio's debug mode

The fleets' logs had shown calls to the platform that timed out at two instances in the same second.

Cause: all calls between these processes, and to the platform, pass relays in the test's own event loop, which was in the debug mode that unittest turns on.

The base classes turn the debug mode off. Bounds and checks are unchanged.

--- a/tests/fleet_case.py
+++ b/tests/fleet_case.py
@@ -9,6 +9,8 @@
 from bench.fleet import Fleet
 from sequoiafall.standins.generation import completion_text
 
+from .events import disable_debug_mode
+
 EVENT_TIMEOUT_S = 60.0
 TRAFFIC_INTERVAL_S = 0.05
 ANSWERS_BEFORE_FAULT = 5
@@ -29,6 +31,7 @@
     limits = {"weight": 1, "rate": 50_000, "burst": 100_000}
 
     async def asyncSetUp(self):
+        disable_debug_mode()
         self.fleet = await Fleet.start(
             self.instance_count,
             self.engine_count,
--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -20,7 +20,7 @@
 from sequoiafall.standins.adapter_engine import AdapterEngine
 from sequoiafall.standins.row_server import RowServer
 
-from .events import until
+from .events import disable_debug_mode, until
 
 SECRET = b"secret of the tests"
 KEY = "key-of-org-1"
@@ -103,10 +103,7 @@
     """Starts the platform's stand-ins, and nodes on their own loopback addresses."""
 
     async def asyncSetUp(self):
-        # unittest turns on the debug mode of asyncio, which saturates the event loop
-        # that the nodes, the servers and the callers share: beside other processes,
-        # requests then reached their deadlines.
-        asyncio.get_running_loop().set_debug(False)
+        disable_debug_mode()
         number = next(_fleet_numbers)
         self._network = self._reserve_network(number)
         self._runners = []
--- a/tests/test_fleet_partitions.py
+++ b/tests/test_fleet_partitions.py
@@ -7,6 +7,7 @@
 from bench.fleet import Fleet, Instance, free_address, wait_until
 from sequoiafall.standins.generation import completion_text
 
+from .events import disable_debug_mode
 from .fleet_monitor import MORE_ANSWERS, FleetInvariantsCase
 from .partition_relay import PartitionMode, PartitionRelay, process_of_connection
 
@@ -20,6 +21,7 @@
     """Each controller, and the platform for each instance, is behind a relay."""
 
     async def asyncSetUp(self):
+        disable_debug_mode()
         self.relays_by_name: dict[str, PartitionRelay] = {}
         self.platform_relays_by_name: dict[str, PartitionRelay] = {}
         self.fleet = await Fleet.start(
