--- a/review/lab.py
+++ b/review/lab.py
@@ -48,14 +48,21 @@
         Number of nodes.
     bounds : dict
         Bounds of the site that differ from those of klompie-orders.
+    limits_by_node : dict of int to dict
+        Limits of nodes that differ from those of klompie-orders.
     """
 
     def __init__(
-        self, folder: Path, node_count: int = 3, bounds: dict[str, Any] | None = None
+        self,
+        folder: Path,
+        node_count: int = 3,
+        bounds: dict[str, Any] | None = None,
+        limits_by_node: dict[int, dict[str, Any]] | None = None,
     ) -> None:
         self.folder = folder
         self.node_count = node_count
         self.bounds = bounds or {}
+        self.limits_by_node = limits_by_node or {}
         self.store = RowServer()
         self.engines: list[AdapterEngine] = []
         self.addresses_by_engine: dict[str, str] = {}
@@ -198,7 +205,8 @@
                 "max_fds": 1535,
                 "link_mbps": 350.0,
                 "disk_mb": 0,
-            },
+            }
+            | self.limits_by_node.get(number, {}),
             "heartbeat_ms": 1200,
             "bounds": bounds,
             "platform": {"address": self._store_address, "form": "table"},
@@ -232,14 +240,21 @@
         self.processes[number].send_signal(kind)
         self.note(f"{kind.name} to node {number}")
 
-    async def start(self) -> None:
-        """Start the store and all nodes, and wait until they are ready."""
+    async def start(self, first_count: int = 0) -> None:
+        """Start the store and the first nodes, and wait until these are ready.
+
+        Parameters
+        ----------
+        first_count : int, default=0
+            Number of nodes to start now; 0 for all.
+        """
         self._subnet = _free_subnet(self.node_count)
         self._store_address = await self.listen(self.store.application())
         self._beats = asyncio.create_task(self._send_heartbeats())
-        for number in range(1, self.node_count + 1):
+        numbers = range(1, (first_count or self.node_count) + 1)
+        for number in numbers:
             await self.start_node(number)
-        await self.wait_ready(range(1, self.node_count + 1))
+        await self.wait_ready(numbers)
 
     async def wait_ready(self, numbers: Any) -> None:
         """Wait until nodes say that they are ready."""
