Log how far a planned stop was when a request ended

Cause: the log named a cut request (end=stopped) and its age, but not where its arrival and its end lay in the course of the stop, and the counters of ends are gone with the process. Whether a request was admitted too late, waited for its place or was cut early could only be told by joining lines by hand.

Change: ends and refusals during a stop carry stop_ms and arrived_stop_ms; the line "stopped" carries after_ms and the ends since the signal by cause and state.

StopLogTest passes.

--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -152,6 +152,7 @@
         self._max_saved_retries = 0.0
         self._ends = RequestEnds(metrics)
         self._run_ids = RunIds(settings.instance)
+        self._stopping_since = math.inf
         self.stop_deadline = math.inf
 
     async def handle(self, web_request: web.Request) -> web.StreamResponse:
@@ -188,6 +189,16 @@
         """Wait until no request is in progress, or until the timeout in seconds."""
         await self._ends.wait_idle(timeout_s)
 
+    def begin_stop(self, now: float, deadline: float) -> None:
+        """Refuse from now on what does not end by a deadline, as the process ends."""
+        self._stopping_since = now
+        self.stop_deadline = deadline
+        self._ends.on_stopping()
+
+    def describe_stop(self) -> str:
+        """Return how requests have ended since the stop began, for the log."""
+        return self._ends.describe_stop()
+
     def stop(self) -> None:
         """End the requests in progress and refuse new ones, as the process ends."""
         self.stop_deadline = -math.inf
@@ -882,6 +893,7 @@
             retry_after_ms=int(refusal.retry_after_s * 1e3),
             since_ms=int((boot_time() - started_at) * 1e3),
             configuration=catalog.version if catalog else 0,
+            **self._describe_stop_times(started_at),
         )
         return self._error_response(refusal.status, refusal.detail, refusal)
 
@@ -925,8 +937,19 @@
             **({"cause": cause.value} if cause is not None else {}),
             **exchange.describe_choice(),
             **self._describe_times(exchange),
+            **self._describe_stop_times(exchange.started_at),
         )
 
+    def _describe_stop_times(self, started_at: float) -> dict[str, object]:
+        """Return log fields that show how a request lies to a planned stop."""
+        now = boot_time()
+        if now < self._stopping_since:
+            return {}
+        return {
+            "stop_ms": int((now - self._stopping_since) * 1e3),
+            "arrived_stop_ms": int((started_at - self._stopping_since) * 1e3),
+        }
+
     def _describe_times(self, exchange: Exchange) -> dict[str, object]:
         """Return log fields that show why a stream was late."""
         if not exchange.route.is_stream:
--- a/sequoiafall/node.py
+++ b/sequoiafall/node.py
@@ -136,7 +136,7 @@
         log_event("stopping", open_requests=self.forwarder.open_requests)
         await self.fleet.leave()
         grace_s = max(0.0, self.settings.grace_s - STOP_MARGIN_S)
-        self.forwarder.stop_deadline = started_at + grace_s
+        self.forwarder.begin_stop(started_at, started_at + grace_s)
         accept_until = started_at + grace_s * ACCEPTING_SHARE
         # The grace period goes on during a suspension, but timers stand still.
         while True:
@@ -150,7 +150,12 @@
             await runner.cleanup()
         await self._control.close()
         await self._store.close()
-        log_event("stopped", open_requests=open_requests)
+        log_event(
+            "stopped",
+            open_requests=open_requests,
+            after_ms=int((boot_time() - started_at) * 1e3),
+            ends=self.forwarder.describe_stop(),
+        )
 
     async def _finish_requests(self) -> int:
         """Close the callers' listener; return the number of requests that it ended.
--- a/sequoiafall/request_ends.py
+++ b/sequoiafall/request_ends.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import enum
+from collections import Counter
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
@@ -307,6 +308,7 @@
         self._metrics = metrics
         self._open: set[OpenRequest] = set()
         self._idle = asyncio.Event()
+        self._ends_at_stop: Counter[tuple[str, str]] = Counter()
         self.is_stopped = False
 
     @property
@@ -336,6 +338,19 @@
         if not self._open:
             self._idle.set()
 
+    def on_stopping(self) -> None:
+        """Record that a planned stop begins, from which `describe_stop` counts."""
+        self._ends_at_stop = self._all_ends()
+
+    def describe_stop(self) -> str:
+        """Return how requests have ended since the stop began, for the log."""
+        ends = self._all_ends() - self._ends_at_stop
+        rows = sorted(ends.items())
+        return ",".join(f"{cause}/{state}:{count}" for (cause, state), count in rows)
+
+    def _all_ends(self) -> Counter[tuple[str, str]]:
+        return self._metrics.ends_by_cause + self._metrics.unread_ends_by_cause
+
     def count_unknown(self, end: str) -> None:
         """Count the end of a request whose route is not known."""
         self._metrics.requests_by_end["unknown", end] += 1
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -279,6 +279,30 @@
             self.assertIn("Retry-After", response_headers)
 
 
+class StopLogTest(PlatformCase):
+    """The log of a planned stop shows what it did to callers."""
+
+    async def test_ends_since_the_stop(self):
+        """Guards against cut requests that nobody can place in the course of a stop."""
+        node, *_ = await self.start_fleet(1)
+        await until(lambda: node.fleet.registry.active_servers("desk"))
+        await self.call(node, "/order/x")
+        node.settings.grace_s = 8.0
+        with (
+            capture_log() as lines,
+            patch("sequoiafall.node.ACCEPTING_SHARE", 0.3),
+        ):
+            stopping = asyncio.create_task(node.stop())
+            await until(lambda: any("event=stopping" in line for line in lines))
+            self.assertEqual((await self.call(node, "/order/x"))[0], 200)
+            await stopping
+        self.nodes.remove(node)
+        (ended,) = [line for line in lines if "event=request_ended" in line]
+        self.assertRegex(ended, r"stop_ms=\d+ arrived_stop_ms=\d+")
+        (stopped,) = [line for line in lines if "event=stopped" in line]
+        self.assertRegex(stopped, r"after_ms=\d+ ends=completed/complete:1$")
+
+
 class SuspendedStopTest(PlatformCase):
     """The grace period continues while the instance is suspended."""
 
