Admit during a planned stop only what ends before it

Cause: a request was admitted once, when it arrived, by the time that it takes at best (1.2 s and 0.02 s a token). A server may be slower than that without fault, and the wait for a place, a permit or a connection takes time of its own.

Change: StopPeriod decides. A request whose own timeout lies before the end of the stop is taken: nothing else is certain. Only in the first 2.5 s, in which most callers use a directory response from before the stop, others are taken that usually end in time, by the times measured of late (UsualTimes), never less than the times assumed before. The check is repeated right before the send, and before a repeat; what does not fit is refused as not run, or answered with an unknown outcome if a server had begun. Requests are ended 0.5 s before the grace period ends (an eighth of it, if it is short) in place of 1 s.

PlannedStopTest stops with a grace period of 0.6 s: its request must still wait for its place at the end.

--- a/sequoiafall/exchange.py
+++ b/sequoiafall/exchange.py
@@ -32,10 +32,10 @@
         Service that the route's weighted choice selected.
     organisation : Organisation or None
         The authenticated organisation, None on open routes.
-    started_at, deadline, first_event_due_at : float
-        Arrival, the time at which the request times out, and the latest time at
-        which the response or its first event counts as on time; in seconds of
-        `boot_time`.
+    started_at, read_at, deadline, first_event_due_at : float
+        Arrival of the headers and of the whole request, the time at which the request
+        times out, and the latest time at which the response or its first event counts
+        as on time; in seconds of `boot_time`.
     sends, runs, rejected_sends : int
         Sends so far, those that may have run, and those that no server ran because
         it refused the request or could not be reached.
@@ -71,6 +71,7 @@
     service: str
     organisation: Organisation | None
     started_at: float
+    read_at: float
     deadline: float
     first_event_due_at: float
     sends: int = 0
--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -8,7 +8,6 @@
 import asyncio
 import contextlib
 import functools
-import math
 import random
 
 from aiohttp import web
@@ -44,6 +43,7 @@
 from .server_notices import ServerNotice, spread_retry_s
 from .serving_ports import Attempt, Dialect, ResponseKind
 from .stall_timeout import EVENT_GAP_TIMEOUT_S, LOOK_AGAIN_S
+from .stop_period import StopPeriod
 from .stream_move import (
     MAX_LOOK_AGAIN_S,
     MovedError,
@@ -52,6 +52,7 @@
     watch_send,
 )
 from .trial_admission import RunEnd
+from .usual_times import UsualTimes
 
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 # The gateway responds this long before the caller's or the route's timeout, so that
@@ -69,14 +70,6 @@
 # `Retry-After` of refusals for which no better estimate is known.
 DEFAULT_RETRY_AFTER_S = 0.4
 NO_CONFIGURATION_RETRY_AFTER_S = 0.5
-# A stopping instance refuses a request unless it has at least this time left: for a
-# plain call, for a stream up to its first event (including an adapter load), and for
-# each output token (two steps of a full batch).
-MIN_CALL_TIME_S = 1.0
-MIN_STREAM_START_TIME_S = 1.2
-MIN_TIME_PER_TOKEN_S = 0.02
-# Assumed output length if the request does not name one.
-DEFAULT_OUTPUT_TOKENS = 100
 # Parts of the fleet's retry budget that instances use: of the retries beyond a share
 # of the requests, divided by the members, and of that share. Retries in reserve count
 # as earned ones do, so both are below 1.
@@ -103,7 +96,7 @@
 
 
 class WithheldError(NotSentError):
-    """The server is leaving or asked for a pause, so the request was not sent."""
+    """The server or this instance is leaving, or the server asked for a pause."""
 
 
 class Forwarder:
@@ -126,9 +119,8 @@
 
     Attributes
     ----------
-    stop_deadline : float
-        Time at which a stopping process ends, in seconds of `boot_time`; infinite
-        until it is being stopped.
+    stop_period : StopPeriod
+        What is still taken while the process is being stopped.
     """
 
     def __init__(
@@ -152,8 +144,8 @@
         self._max_saved_retries = 0.0
         self._ends = RequestEnds(metrics)
         self._run_ids = RunIds(settings.instance)
-        self._stopping_since = math.inf
-        self.stop_deadline = math.inf
+        self._usual_times = UsualTimes()
+        self.stop_period = StopPeriod()
 
     async def handle(self, web_request: web.Request) -> web.StreamResponse:
         """Handle a caller's request and return the response."""
@@ -189,10 +181,9 @@
         """Wait until no request is in progress, or until the timeout in seconds."""
         await self._ends.wait_idle(timeout_s)
 
-    def begin_stop(self, now: float, deadline: float) -> None:
-        """Refuse from now on what does not end by a deadline, as the process ends."""
-        self._stopping_since = now
-        self.stop_deadline = deadline
+    def begin_stop(self, now: float, grace_s: float) -> None:
+        """Refuse from now on what does not end before the grace period does."""
+        self.stop_period.begin(now, grace_s)
         self._ends.on_stopping()
 
     def describe_stop(self) -> str:
@@ -201,7 +192,7 @@
 
     def stop(self) -> None:
         """End the requests in progress and refuse new ones, as the process ends."""
-        self.stop_deadline = -math.inf
+        self.stop_period.end()
         self._ends.stop()
 
     def retries(self) -> int:
@@ -264,6 +255,7 @@
             route.choose_service(self._generator),
             organisation,
             started_at,
+            boot_time(),
             started_at + limit_s - DEADLINE_MARGIN_S,
             started_at + route.latency_target_s - CALLER_ROUND_TRIP_S,
             splitter=EventSplitter(request.resume_after),
@@ -307,15 +299,8 @@
     async def _serve(self, exchange: Exchange) -> web.StreamResponse:
         catalog = self._fleet.catalog
         service = catalog.services_by_name.get(exchange.service) if catalog else None
-        if self._stops_before_response(
-            exchange, service is not None and service.is_engine
-        ):
-            refusal = Refusal(
-                Reason.DRAINING,
-                retry_after_s=DRAINING_RETRY_AFTER_S,
-                detail="this instance ends before the answer would",
-            )
-            return self._finish_refusal(exchange, refusal)
+        if self._stops_before_response(exchange):
+            return self._refuse_stopping(exchange)
         self._retry_budget(exchange.service).on_request()
         try:
             async with asyncio.timeout(max(0.0, exchange.deadline - boot_time())):
@@ -325,14 +310,26 @@
         except TimeoutError:
             return self._finish_timeout(exchange)
 
-    def _stops_before_response(self, exchange: Exchange, is_stream: bool) -> bool:
-        left_s = self.stop_deadline - boot_time()
-        if not is_stream:
-            return left_s < MIN_CALL_TIME_S
-        tokens = exchange.request.output_tokens
-        if tokens is None:
-            tokens = DEFAULT_OUTPUT_TOKENS
-        return left_s < MIN_STREAM_START_TIME_S + MIN_TIME_PER_TOKEN_S * tokens
+    def _stops_before_response(self, exchange: Exchange) -> bool:
+        """Return whether a response that has not begun may outlast this instance."""
+        if exchange.stream is not None:
+            return False
+        if exchange.route.is_stream:
+            tokens = exchange.request.output_tokens
+            usual_s = self._usual_times.stream_s(exchange.service, tokens)
+        else:
+            usual_s = self._usual_times.call_s(exchange.service)
+        return not self.stop_period.admits(
+            exchange.read_at, exchange.deadline, usual_s, boot_time()
+        )
+
+    def _refuse_stopping(self, exchange: Exchange) -> web.StreamResponse:
+        refusal = Refusal(
+            Reason.DRAINING,
+            retry_after_s=DRAINING_RETRY_AFTER_S,
+            detail="this instance ends before the answer would",
+        )
+        return self._finish_refusal(exchange, refusal)
 
     def _finish_timeout(self, exchange: Exchange) -> web.StreamResponse:
         if exchange.stream is not None:
@@ -546,6 +543,7 @@
         self._metrics.attempts_by_outcome[exchange.service, outcome.name] += 1
         if outcome.name == "ok":
             exchange.set_cause(EndCause.COMPLETED)
+            self._record_times(exchange)
             self._log_end(exchange, "ok", _response_status(outcome), server)
             return outcome.response
         log_event(
@@ -569,6 +567,8 @@
             exchange.excluded.add(server)
             return None
         if outcome.name == "withheld":
+            if self._stops_before_response(exchange):
+                return self._refuse_stopping(exchange)
             # Needs no retry budget: nothing was sent, and each server is excluded
             # only once.
             exchange.excluded.add(server)
@@ -611,6 +611,19 @@
         self._log_end(exchange, "outcome_unknown", 502, outcome.detail)
         return self._error_response(502, "the backend server's answer was lost")
 
+    def _record_times(self, exchange: Exchange) -> None:
+        """Record how long a complete response took."""
+        now, times = boot_time(), exchange.times
+        if not exchange.route.is_stream:
+            self._usual_times.record_call(exchange.service, now - exchange.started_at)
+        elif times.first_at:
+            self._usual_times.record_stream(
+                exchange.service,
+                times.first_at - exchange.started_at,
+                now - times.first_at,
+                exchange.request.output_tokens,
+            )
+
     # A single send
 
     async def _send(self, exchange: Exchange, place: GatewayPlace) -> Outcome:
@@ -647,7 +660,7 @@
                     url,
                     headers,
                     request.body,
-                    lambda: self._check_server(place.server),
+                    lambda: self._check_send(exchange, place.server),
                 ) as backend_response,
             ):
                 kind = self._dialect.classify(
@@ -697,7 +710,10 @@
             )
         return notice
 
-    def _check_server(self, server: str) -> None:
+    def _check_send(self, exchange: Exchange, server: str) -> None:
+        """Raise an error unless a request may still be sent, once it is connected."""
+        if self._stops_before_response(exchange):
+            raise WithheldError("this instance ends before the answer would")
         entry = self._fleet.registry.find(server)
         if entry is None or entry.is_leaving:
             raise WithheldError("the backend server is leaving")
@@ -864,7 +880,10 @@
             )
             return exchange.last_failure
         if exchange.runs > 0:
-            exchange.set_cause(EndCause.SERVER_BROKE_OFF)
+            is_stopping = refusal.reason is Reason.DRAINING
+            exchange.set_cause(
+                EndCause.STOPPED if is_stopping else EndCause.SERVER_BROKE_OFF
+            )
             self._log_end(exchange, "outcome_unknown", 502, refusal.detail)
             return self._error_response(502, "the backend server's answer was lost")
         exchange.set_cause(EndCause.REFUSED)
@@ -942,12 +961,12 @@
 
     def _describe_stop_times(self, started_at: float) -> dict[str, object]:
         """Return log fields that show how a request lies to a planned stop."""
-        now = boot_time()
-        if now < self._stopping_since:
+        since_s = self.stop_period.since_s(boot_time())
+        if since_s < 0.0:
             return {}
         return {
-            "stop_ms": int((now - self._stopping_since) * 1e3),
-            "arrived_stop_ms": int((started_at - self._stopping_since) * 1e3),
+            "stop_ms": int(since_s * 1e3),
+            "arrived_stop_ms": int(self.stop_period.since_s(started_at) * 1e3),
         }
 
     def _describe_times(self, exchange: Exchange) -> dict[str, object]:
--- a/sequoiafall/node.py
+++ b/sequoiafall/node.py
@@ -26,10 +26,8 @@
 MAX_BODY_BYTES = 8 * 1024 * 1024
 # Longer than callers keep idle connections open.
 KEEP_ALIVE_S = 120.0
-# A process exits by itself this long before its grace period ends.
-STOP_MARGIN_S = 1.0
-# Share of the grace period in which new requests are still accepted: callers use
-# an old directory response for up to three times its TTL.
+# Share of the time until requests are ended in which new ones are accepted: callers
+# use an old directory response for up to three times its TTL.
 ACCEPTING_SHARE = 0.8
 # Interval at which a stopping instance checks whether it was suspended.
 STOP_CHECK_INTERVAL_S = 0.25
@@ -134,10 +132,10 @@
         """Leave the directory, drain the open requests, then close."""
         started_at = boot_time()
         log_event("stopping", open_requests=self.forwarder.open_requests)
+        self.forwarder.begin_stop(started_at, self.settings.grace_s)
+        serving_s = self.forwarder.stop_period.deadline - started_at
+        accept_until = started_at + serving_s * ACCEPTING_SHARE
         await self.fleet.leave()
-        grace_s = max(0.0, self.settings.grace_s - STOP_MARGIN_S)
-        self.forwarder.begin_stop(started_at, started_at + grace_s)
-        accept_until = started_at + grace_s * ACCEPTING_SHARE
         # The grace period goes on during a suspension, but timers stand still.
         while True:
             remaining_s = accept_until - boot_time()
@@ -166,7 +164,7 @@
         if self._caller_site is not None:
             await self._caller_site.stop()
         while self.forwarder.open_requests:
-            remaining_s = self.forwarder.stop_deadline - boot_time()
+            remaining_s = self.forwarder.stop_period.deadline - boot_time()
             if remaining_s <= 0.0:
                 break
             await self.forwarder.wait_idle(min(remaining_s, STOP_CHECK_INTERVAL_S))
--- a/tests/test_final_responses.py
+++ b/tests/test_final_responses.py
@@ -642,8 +642,8 @@
         await super().asyncSetUp()
         self.lines = self.enterContext(capture_log())
         self.node, *_ = await self.start_fleet(1)
-        # The last second of the grace period is for the end of the process.
-        self.node.settings.grace_s = 1.5
+        # Shorter than a request may wait for a place.
+        self.node.settings.grace_s = 0.6
 
     async def stop(self):
         """Stop the node, and wait until its listener is closed."""
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import copy
+import json
 import unittest
 from types import SimpleNamespace
 from unittest.mock import patch
@@ -18,6 +19,7 @@
 from sequoiafall.engine_planner import EnginePlanner
 from sequoiafall.fleet import ranked_members
 from sequoiafall.fleet_leader import LeaderDuties, poll_interval_s
+from sequoiafall.forwarding import Forwarder
 from sequoiafall.leader_link import (
     LEADER_SILENCE_POLLS,
     POLL_TIMEOUT_S,
@@ -250,23 +252,30 @@
 
     @parameterized.expand(
         [
-            ("short stream", "/draft/x", "1000,20", 2.5, 200),
-            ("long stream", "/draft/x", "1000,200", 2.5, 503),
-            ("stream of unknown length", "/draft/x", "", 2.5, 503),
-            ("stream early", "/draft/x", "1000,200", 6.5, 200),
-            ("call", "/order/x", "", 2.5, 200),
-            ("late call", "/order/x", "", 0.5, 503),
+            # Usual times count early in a stop.
+            ("early short stream", "/draft/x", "1000,20", 1.0, 2.5, 4000, 200),
+            ("early long stream", "/draft/x", "1000,200", 1.0, 2.5, 4000, 503),
+            ("early stream of unknown length", "/draft/x", "", 1.0, 2.5, 4000, 503),
+            ("early call", "/order/x", "", 1.0, 1.5, 4000, 200),
+            ("early call near the end", "/order/x", "", 1.0, 0.5, 4000, 503),
+            # Later, only the time at which a request ends in any case does.
+            ("late stream", "/draft/x", "1000,20", 3.0, 3.5, 4000, 503),
+            ("late stream with a deadline", "/draft/x", "1000,20", 3.0, 3.5, 2000, 200),
+            ("late call", "/order/x", "", 3.0, 3.5, 4000, 503),
+            ("late call with a deadline", "/order/x", "", 3.0, 3.5, 2000, 200),
         ]
     )
-    async def test_request_late_in_the_grace_period(
-        self, _name, path, tokens, left_s, expected
+    async def test_request_during_the_grace_period(
+        self, _name, path, tokens, since_s, left_s, deadline_ms, expected
     ):
         """The request arrives on a connection that was kept open."""
         node, _ = await self.start_fleet()
         await until(lambda: node.fleet.registry.active_servers("desk"))
-        node.forwarder.stop_deadline = boot_time() + left_s
+        node.forwarder.begin_stop(boot_time() - since_s, 100.0)
+        node.forwarder.stop_period.deadline = boot_time() + left_s
         node.fleet.is_leaving = True
         headers = {names.TOKENS: tokens} if tokens else {}
+        headers[names.DEADLINE_MS] = str(deadline_ms)
         if path.startswith("/draft"):
             headers[names.MODEL] = "base/a1"
         status, body, response_headers = await self.call(
@@ -275,9 +284,92 @@
         self.assertEqual(status, expected, body)
         self.assertEqual(response_headers["Connection"], "close")
         if expected == 503:
+            self.assertEqual(json.loads(body)["error"]["ran"], "not run")
             self.assertEqual(self.runs("late"), 0)
             self.assertIn("Retry-After", response_headers)
 
+    async def test_streams_slower_than_usual(self):
+        """Guards against streams that are admitted late in a stop and cut at its end.
+
+        Each lasts for 3.8 s, longer than any before the stop.
+        """
+        node, *_ = await self.start_fleet(1)
+        routes = [{**r, "timeout_ms": 12_000} for r in configuration()["routes"]]
+        self.configure(2, routes=routes)
+        await until(lambda: node.fleet.catalog.version == 2)
+        for _ in range(3):
+            await self.call(node, "/check/x", adapter="a1")
+        for name in ("e1", "e2"):
+            self.engines[name].events_per_stream = 20
+            self.engines[name].event_interval_s = 0.19
+
+        async def send(after_s):
+            await asyncio.sleep(after_s)
+            fields = {names.TOKENS: "1000,60", names.DEADLINE_MS: "12000"}
+            return await self.call(node, "/check/x", "POST", "", **fields, **model)
+
+        model = {names.MODEL: "base/a1"}
+        node.settings.grace_s = 8.0
+        stopping = asyncio.create_task(node.stop())
+        sent = [send(after_s) for after_s in (0.2, 3.1, 3.4, 3.7, 4.0, 4.4)]
+        early, *late = await asyncio.gather(*sent)
+        await stopping
+        self.nodes.remove(node)
+        self.assertEqual((early[0], early[1].count(b"data: piece")), (200, 20))
+        for status, body, _ in late:
+            self.assertEqual(status, 503, body)
+            self.assertEqual(json.loads(body)["error"]["ran"], "not run")
+
+    @parameterized.expand([("stream", "/check/x"), ("call", "/order/x")])
+    async def test_time_that_is_spent_before_the_send(self, _name, path):
+        """Guards against a request that fits on arrival, and no more when it is sent.
+
+        A place, a permit or a connection may take a second.
+        """
+        node, *_ = await self.start_fleet(1)
+        await until(lambda: node.fleet.registry.active_servers("desk"))
+        adapter = "a1" if path.startswith("/check") else ""
+        await self.call(node, path, adapter=adapter)
+        node.forwarder.begin_stop(boot_time(), 100.0)
+        check_send = Forwarder._check_send
+
+        def pass_time(forwarder, exchange, server):
+            forwarder.stop_period.deadline = boot_time() + 0.5
+            check_send(forwarder, exchange, server)
+
+        with patch.object(Forwarder, "_check_send", pass_time):
+            fields = {names.DEADLINE_MS: "3000"}
+            status, body, _ = await self.call(
+                node, path, adapter=adapter, request_id="late", **fields
+            )
+        self.assertEqual(status, 503, body)
+        self.assertEqual(json.loads(body)["error"]["ran"], "not run")
+        self.assertEqual(self.runs("late"), 0)
+
+    async def test_repeat_that_does_not_fit(self):
+        """Guards against a request that is sent again although it would be cut.
+
+        Its first server ends the connection, so whether it ran is not known.
+        """
+        node, *_ = await self.start_fleet(1)
+        await until(lambda: node.fleet.registry.active_servers("desk"))
+        node.forwarder.begin_stop(boot_time(), 100.0)
+        handle_outcome = Forwarder._handle_outcome
+
+        async def pass_time(forwarder, exchange, server, outcome):
+            forwarder.stop_period.deadline = boot_time() + 0.5
+            return await handle_outcome(forwarder, exchange, server, outcome)
+
+        for name in ("d1", "d2"):
+            self.engines[name].drop_next = 1
+        with patch.object(Forwarder, "_handle_outcome", pass_time):
+            status, body, _ = await self.call(
+                node, "/look/x", "GET", request_id="again"
+            )
+        self.assertEqual(status, 502, body)
+        self.assertEqual(json.loads(body)["error"]["ran"], "unknown")
+        self.assertEqual(self.runs("again"), 1)
+
 
 class StopLogTest(PlatformCase):
     """The log of a planned stop shows what it did to callers."""
