End the process as soon as its service has stopped

Cause: the worker of the service library sleeps for a second before it closes the event loop, in which nothing can be open any more.

Change: ServiceWorker leaves that pause out, so that the grace period serves requests.

Result: test_no_pause_after_the_stop failed before (a pause of 1.0 s after the stop). A second SIGTERM and SIGINT do not change the stop (test_further_signals, passed before too).

--- a/sequoiafall/process.py
+++ b/sequoiafall/process.py
@@ -14,6 +14,16 @@
 GC_THRESHOLD_OBJECTS = 5_000
 
 
+class ServiceWorker(Worker):
+    """Worker whose process ends as soon as its service has stopped."""
+
+    async def _sentinel_task(self) -> None:
+        """Replace a pause of one second before the event loop is closed.
+
+        The grace period of the process goes on meanwhile.
+        """
+
+
 def run_service(service: Service, logs_to_standard_output: bool = False) -> None:
     """Run a service until SIGTERM or SIGINT, then exit.
 
@@ -30,6 +40,6 @@
     gc.enable()
     gc.set_threshold(GC_THRESHOLD_OBJECTS, 20, 20)
     configure_logging(logs_to_standard_output)
-    Worker(
+    ServiceWorker(
         service, override_logging=False, redirect_stdouts=False, daemon=True
     ).execute_from_commandline()
