--- a/sequoiafall/standins/adapter_engine.py
+++ b/sequoiafall/standins/adapter_engine.py
@@ -462,7 +462,7 @@
                 if request.transport is not None:
                     self._cut(request.transport)
                 return response
-            await asyncio.sleep(self.event_interval_s)
+            await asyncio.sleep(self._interval_s(request))
             if self.trickling_streams > 0 and number > first:
                 self.trickling_streams -= 1
                 return await self._trickle(response)
@@ -474,6 +474,10 @@
         await response.write_eof()
         return response
 
+    def _interval_s(self, request: web.Request) -> float:
+        """Return the seconds between two events of a stream."""
+        return self.event_interval_s
+
     async def _trickle(self, response: web.StreamResponse) -> web.StreamResponse:
         """Send bytes of an unfinished event until the client disconnects."""
         while True:
--- a/soak/endings.py
+++ b/soak/endings.py
@@ -8,19 +8,43 @@
 from dataclasses import dataclass
 
 from .calls import Call
-from .configuration import REQUEST_DEADLINE_S, STREAM_ROUTES, Configuration
+from .configuration import STREAM_ROUTES, Configuration
 
 # The gateway responds this long before the deadline at the latest.
 DEADLINE_MARGIN_S = 0.05
-# A stopped node ends its running requests within its grace period, of which it gives
-# new requests 0.8. The shortest grace period of a run is 3 s.
-MIN_GRACE_S = 2.4
+# A stop excuses a cut only of a request that was sent up to this long after it, and
+# only if the server was at work on it in this last share of the grace period.
+MAX_SENT_AFTER_STOP_S = 3.0
+LAST_SHARE_OF_GRACE = 1 / 6
+# A stopped node may be expected to end requests until this long after its grace period.
+STOP_TAIL_S = 1.0
+# A node that closes a connection without an answer has not read the request only if
+# it does so at once.
+UNREAD_SLACK_S = 0.2
+# Delay with which a node reads changed settings.
+SETTINGS_NEWS_S = 1.0
 # Events this long around a request are named in a finding.
 CONTEXT_S = 1.0
 # Delay with which a caller sees what happened to a node or a server.
 SIGHT_S = 0.1
 
 
+@dataclass(slots=True)
+class _Stop:
+    """A planned stop of a node, with its grace period in seconds."""
+
+    begun_at: float
+    grace_s: float
+
+
+@dataclass(slots=True)
+class _Pause:
+    """Time in which a node is suspended."""
+
+    begun_at: float
+    ended_at: float = math.inf
+
+
 @dataclass(slots=True)
 class _Loss:
     """Time in which the links to a server lose data or connections."""
@@ -53,7 +77,10 @@
         self._configuration = configuration
         self.started_at = time.monotonic()
         self._kills_by_node: dict[int, list[float]] = defaultdict(list)
-        self._stops_by_node: dict[int, list[float]] = defaultdict(list)
+        self._stops_by_node: dict[int, list[_Stop]] = defaultdict(list)
+        self._pauses_by_node: dict[int, list[_Pause]] = defaultdict(list)
+        # Times of changes of the grace period, with its seconds from then on.
+        self._graces_by_node: dict[int, list[tuple[float, float]]] = defaultdict(list)
         self._losses: list[_Loss] = []
         self._broken_requests: set[str] = set()
         self._history_by_request: dict[str, list[tuple[float, str]]] = defaultdict(list)
@@ -72,9 +99,30 @@
 
     def record_stop(self, node: int) -> None:
         """Record that a node is asked to stop."""
-        self._stops_by_node[node].append(time.monotonic())
+        now = time.monotonic()
+        self._stops_by_node[node].append(_Stop(now, self._grace_s(node, now)))
         self.note(f"stop of node-{node}")
 
+    def record_grace(self, node: int, grace_s: float) -> None:
+        """Record the grace period of a node's settings, in seconds."""
+        self._graces_by_node[node].append((time.monotonic(), grace_s))
+
+    def _grace_s(self, node: int, now: float) -> float:
+        """Return the grace period in force, the shorter one if it has just changed."""
+        graces = self._graces_by_node[node]
+        recent = [grace_s for at, grace_s in graces if at > now - SETTINGS_NEWS_S]
+        before = [grace_s for at, grace_s in graces if at <= now - SETTINGS_NEWS_S]
+        return min([*recent, *before[-1:]])
+
+    def record_pause(self, node: int) -> None:
+        """Record that a node is suspended."""
+        self._pauses_by_node[node].append(_Pause(time.monotonic()))
+        self.note(f"pause of node-{node}")
+
+    def end_pause(self, node: int) -> None:
+        """Record that a node runs again."""
+        self._pauses_by_node[node][-1].ended_at = time.monotonic()
+
     def begin_loss(self, server: str, is_engine: bool) -> None:
         """Record that the links to a server begin to lose data or connections."""
         self._losses.append(_Loss(server, is_engine, time.monotonic()))
@@ -129,13 +177,51 @@
         return ""
 
     def _is_stop_an_excuse(self, call: Call) -> bool:
-        """Whether a node was stopped too long before a response was complete.
+        """Whether a planned stop may have cut a request, or left it unread."""
+        return any(
+            self._may_be_unread(stop, call) or self._ran_until_the_end(stop, call)
+            for stop in self._stops_by_node[call.node]
+        )
+
+    def _may_be_unread(self, stop: _Stop, call: Call) -> bool:
+        """Whether a stopping node may have closed a connection before it read it."""
+        if call.status or self._arrivals(call) or stop.begun_at > call.ended_at:
+            return False
+        if call.sent_at > stop.begun_at + stop.grace_s + STOP_TAIL_S:
+            return False
+        waited_s = call.ended_at - call.sent_at - self._paused_s(call)
+        return waited_s <= UNREAD_SLACK_S
+
+    def _ran_until_the_end(self, stop: _Stop, call: Call) -> bool:
+        """Whether a server worked on an early request until the end of a stop."""
+        if call.sent_at > stop.begun_at + MAX_SENT_AFTER_STOP_S:
+            return False
+        worked_until = self._worked_until(call)
+        least = stop.begun_at + stop.grace_s * (1.0 - LAST_SHARE_OF_GRACE)
+        latest = stop.begun_at + stop.grace_s + STOP_TAIL_S + self._paused_s(call)
+        return least <= worked_until <= latest
+
+    def _arrivals(self, call: Call) -> list[float]:
+        rows = self._history_by_request[call.request_id]
+        return [at for at, text in rows if text.startswith("reached ")]
 
-        A stopping node may close a connection before it has read a request.
-        """
-        first = call.sent_at - REQUEST_DEADLINE_S
-        last = call.ended_at - (MIN_GRACE_S if call.status else 0.0)
-        return any(first <= at <= last for at in self._stops_by_node[call.node])
+    def _worked_until(self, call: Call) -> float:
+        """Return when the last server stopped work; minus infinity if none began."""
+        if not self._arrivals(call):
+            return -math.inf
+        rows = self._history_by_request[call.request_id]
+        left = [at for at, text in rows if text.startswith("left ")]
+        return max(left, default=call.ended_at)
+
+    def _paused_s(self, call: Call) -> float:
+        """Return the seconds of a call in which its node was suspended."""
+        return sum(
+            max(
+                0.0,
+                min(row.ended_at, call.ended_at) - max(row.begun_at, call.sent_at),
+            )
+            for row in self._pauses_by_node[call.node]
+        )
 
     def _is_any_within(self, times: list[float], call: Call) -> bool:
         return any(call.sent_at - SIGHT_S <= at <= call.ended_at for at in times)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,6 +7,8 @@
 import time
 from typing import TYPE_CHECKING
 
+from .endings import SETTINGS_NEWS_S
+from .late_streams import LateStreams
 from .relay import FaultyRelay
 
 if TYPE_CHECKING:
@@ -25,6 +27,8 @@
 FIRST_SEED_WITH_HARMFUL_PROMPTS = 1100
 # And the store comes back from an older copy only from here on.
 FIRST_SEED_WITH_RESTORED_STORE = 1200
+# And callers send slow streams to stopping nodes only from here on.
+FIRST_SEED_WITH_LATE_STREAMS = 5000
 
 
 class FaultInjector:
@@ -41,6 +45,7 @@
     def __init__(self, soak: Soak, node_count: int) -> None:
         self._soak = soak
         self._node_count = node_count
+        self._late_streams = LateStreams(soak)
 
     async def run(self, end_at: float) -> None:
         """Inject overlapping faults, then clear all that remain.
@@ -67,6 +72,8 @@
             faults += [self.send_harmful_prompts, self.end_answers_with_connection]
         if self._soak.seed >= FIRST_SEED_WITH_RESTORED_STORE:
             faults += [self.restore_store, self.restore_store]
+        if self._soak.seed >= FIRST_SEED_WITH_LATE_STREAMS:
+            faults += [self.stop_node_beside_streams] * 3
         faults += [
             self.disrupt_store,
             self.disrupt_backend_link,
@@ -116,6 +123,27 @@
         if self._soak.processes[number] is process:
             await self._soak.start_node(number)
 
+    async def stop_node_beside_streams(self) -> None:
+        """Stop a node, and send it streams at the slowest pace until it ends."""
+        number = self._random_node()
+        process = self._soak.processes[number]
+        if process.returncode is not None or number in self._soak.paused:
+            return
+        self._soak.write_settings(number, self._late_streams.choose_grace_s())
+        await asyncio.sleep(SETTINGS_NEWS_S)
+        async with self._soak.caller_session() as session:
+            await self._late_streams.open_connections(session, number)
+            if process.returncode is not None or number in self._soak.paused:
+                return
+            self._soak.disturb(number)
+            self._soak.endings.record_stop(number)
+            process.send_signal(signal.SIGTERM)
+            await self._late_streams.send(session, number, process)
+        await process.wait()
+        self._soak.disturb(number)
+        if self._soak.processes[number] is process:
+            await self._soak.start_node(number)
+
     async def pause_node(self) -> None:
         """Suspend a node for up to 4 s, which can outlast a lease."""
         number = self._random_node()
@@ -124,11 +152,12 @@
             return
         self._soak.paused.add(number)
         self._soak.disturb(number)
-        self._soak.endings.note(f"pause of node-{number}")
+        self._soak.endings.record_pause(number)
         process.send_signal(signal.SIGSTOP)
         await asyncio.sleep(self._soak.random.uniform(0.5, 4.0))
         if process.returncode is None:
             process.send_signal(signal.SIGCONT)
+        self._soak.endings.end_pause(number)
         self._soak.disturb(number)
         self._soak.paused.discard(number)
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -131,6 +131,7 @@
         self._return_tasks: set[asyncio.Task[None]] = set()
         self.request_numbers = itertools.count(1)
         self.further_numbers = itertools.count(1)
+        self.late_numbers = itertools.count(1)
         self.further_random = random.Random(f"{seed} further versions")
         self.key_withdrawn_at = 0.0
         self.limits = LimitCheck()
@@ -282,6 +283,7 @@
 
     def write_settings(self, number: int, grace_s: int = 4) -> None:
         """Write the settings file of a node."""
+        self.endings.record_grace(number, grace_s)
         host = f"{self.subnet}.{number}"
         # Other nodes reach this node through its relay; only the seeds bypass it.
         (self.folder / f"node-{number}.yaml").write_text(
@@ -360,11 +362,13 @@
         await self.make_call(session, call)
         return call.status if call.is_complete else 0
 
-    def stream_headers(self, adapter: str, parts: str) -> dict[str, str]:
+    def stream_headers(
+        self, adapter: str, parts: str, output_tokens: int = 20
+    ) -> dict[str, str]:
         """Return the headers of a request that an engine serves."""
         return {
             names.MODEL: f"base/{adapter}",
-            names.TOKENS: "800,20",
+            names.TOKENS: f"800,{output_tokens}",
             names.PROMPT_PARTS: parts,
         }
 
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -11,6 +11,8 @@
 from sequoiafall.platform import names
 from sequoiafall.standins.adapter_engine import AdapterEngine
 
+from .late_streams import SLOW_INTERVAL_S, SLOW_PATH
+
 # Identifier of the request that the current task handles.
 _current_request_id: ContextVar[str] = ContextVar("current_request_id", default="")
 
@@ -83,6 +85,12 @@
             causes.add(request.raw_path)
         return sorted(causes)
 
+    def _interval_s(self, request: web.Request) -> float:
+        """Return the seconds between two events; some requests ask for slow ones."""
+        if request.path.rpartition("/")[2] == SLOW_PATH:
+            return SLOW_INTERVAL_S
+        return super()._interval_s(request)
+
     async def crash(self) -> None:
         """Crash, and report the requests that the server broke off."""
         crashes = len(self.crashed_at)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -147,6 +147,13 @@
     return call
 
 
+# Events of runs in which a call lasts from second 100 to 101.
+GRACE = (90.0, "record_grace", 1, 4.0)
+REACHED = (100.1, "record_arrival", "e1", "r1")
+LEFT = (100.3, "record_left", "e1", "r1")
+OTHER_STOP = (97.6, "record_stop", 2)
+
+
 class EndingCheckTest(unittest.TestCase):
     """A response that is cut is reported unless the letter of the check excuses it.
 
@@ -180,8 +187,48 @@
             ("node killed", [(100.9, "record_kill", 1)], False),
             ("another node killed", [(100.9, "record_kill", 2)], True),
             ("node killed before", [(99.0, "record_kill", 1)], True),
-            ("node stops", [(100.5, "record_stop", 1)], True),
-            ("grace is over", [(98.0, "record_stop", 1)], False),
+            ("node stops", [GRACE, (100.5, "record_stop", 1)], True),
+            (
+                "server at work near the end of the grace period",
+                [GRACE, REACHED, (97.6, "record_stop", 1)],
+                False,
+            ),
+            (
+                "cut long before the end of the grace period",
+                [GRACE, REACHED, (98.0, "record_stop", 1)],
+                True,
+            ),
+            (
+                "cut at the server long before",
+                [GRACE, REACHED, (97.6, "record_stop", 1), LEFT],
+                True,
+            ),
+            (
+                "sent long after the stop",
+                [(90.0, "record_grace", 1, 8.0), REACHED, (96.9, "record_stop", 1)],
+                True,
+            ),
+            (
+                "cut long after the grace period",
+                [GRACE, REACHED, (95.5, "record_stop", 1)],
+                True,
+            ),
+            (
+                "node was suspended in the grace period",
+                [
+                    GRACE,
+                    REACHED,
+                    (97.6, "record_stop", 1),
+                    (100.1, "record_pause", 1),
+                    (100.9, "end_pause", 1),
+                ],
+                False,
+            ),
+            (
+                "another node stops",
+                [GRACE, (90.0, "record_grace", 2, 4.0), REACHED, OTHER_STOP],
+                True,
+            ),
             ("link lost", [(100.5, "begin_loss", "e1", True)], False),
             ("link of a plain server", [(100.5, "begin_loss", "d1", False)], True),
             (
@@ -225,9 +272,31 @@
     def test_end(self, _name, fields, is_found):
         self.assertEqual(len(self._findings(_call(**fields))), int(is_found))
 
-    def test_node_stops_before_it_reads_a_request(self):
-        call = _call(error="ServerDisconnectedError")
-        self.assertEqual(self._findings(call, (100.5, "record_stop", 1)), [])
+    @parameterized.expand(
+        [
+            ("at once", 100.1, [], False),
+            ("after a while", 100.3, [], True),
+            ("after a while, suspended", 100.6, [(100.1, 100.55)], False),
+            ("after a longer while, suspended", 100.8, [(100.1, 100.55)], True),
+        ]
+    )
+    def test_node_stops_before_it_reads_a_request(
+        self, _name, ended_at, pauses, is_found
+    ):
+        """A node that takes longer has read the request, and owes an answer."""
+        call = _call(ended_at=ended_at, error="ServerDisconnectedError")
+        events = [GRACE, (100.0, "record_stop", 1)]
+        for begun_at, resumed_at in pauses:
+            events += [(begun_at, "record_pause", 1), (resumed_at, "end_pause", 1)]
+        self.assertEqual(len(self._findings(call, *events)), int(is_found))
+
+    def test_grace_period_that_has_just_changed(self):
+        """A node may not have read the longer one when it is stopped."""
+        call = _call(status=200, error="ClientPayloadError")
+        events = [GRACE, (97.0, "record_grace", 1, 8.0), (97.6, "record_stop", 1)]
+        self.assertEqual(self._findings(call, *events, REACHED), [])
+        events = [GRACE, (96.0, "record_grace", 1, 8.0), (97.6, "record_stop", 1)]
+        self.assertEqual(len(self._findings(call, *events, REACHED)), 1)
 
     def test_finding_names_request_node_second_and_what_was_beside(self):
         call = _call(status=200, error="ClientPayloadError")
