Test requests at a leader that stops, and a stop beside a silent store

Paths related to the streams that were cut at the end of a stop. A request that waits at a leader which stops, alone or with the instance that the request came from, is refused as not run, in time. A leader whose lease is not released because the store is silent bounds its requests all the same: since the stop period begins before the release, and no longer after it.

--- a/tests/test_final_responses.py
+++ b/tests/test_final_responses.py
@@ -4,6 +4,7 @@
 import contextlib
 import gzip
 import json
+import math
 import random
 import re
 import socket
@@ -13,6 +14,7 @@
 import aiohttp
 from parameterized import parameterized
 
+from sequoiafall.boot_clock import boot_time
 from sequoiafall.engine_client import _SingleSendConnector
 from sequoiafall.lease_keeper import LeaseKeeper
 from sequoiafall.platform import names
@@ -683,6 +685,56 @@
             ends[EndCause.COMPLETED.value, COMPLETE] = 1
         await self.assert_ends_add_up(len(ends), ends)
 
+    @parameterized.expand([("leader alone", False), ("both in turn", True)])
+    async def test_request_that_waits_at_a_leader_that_stops(self, _name, both):
+        """Guards against a request that is passed between two instances that end.
+
+        It waits at the leader for an adapter, and came from the other instance.
+        """
+        await self.start_node(2)
+        other = next(node for node in self.nodes if not node.fleet.lease.leads)
+        leader = self.leader
+        await until(lambda: other.is_ready and other.fleet.has_leader)
+        for server in self.engines.values():
+            server.load_s = 30.0
+        fields = {names.DEADLINE_MS: "3500"}
+        call = asyncio.create_task(self.call(other, "/draft/x", adapter="a9", **fields))
+        planners = leader.fleet.duties.planners_by_service
+        await until(lambda: planners["assist"].waiting_count)
+        leader.settings.grace_s = other.settings.grace_s = 1.0
+        stopping = [asyncio.create_task(leader.stop())]
+        await until(lambda: any("event=lease_lost" in line for line in self.lines))
+        if both:
+            stopping.append(asyncio.create_task(other.stop()))
+        status, body, _ = await call
+        await asyncio.gather(*stopping)
+        self.nodes = [node for node in self.nodes if node is other and not both]
+        self.assertEqual(status, 503, body)
+        self.assertEqual(json.loads(body)["error"]["ran"], "not run")
+        self.assertEqual(self.runs("r1"), 0)
+
+    async def test_store_that_is_silent_at_the_stop(self):
+        """Guards against a stop that waits for the store while requests come in.
+
+        A leader releases its lease first, and the grace period goes on meanwhile.
+        """
+        release, released = asyncio.Event(), []
+
+        async def wait(_keeper, version):
+            released.append(version)
+            await release.wait()
+
+        with patch.object(LeaseKeeper, "release", wait):
+            stopping = asyncio.create_task(self.node.stop())
+            await until(lambda: released)
+            self.assertTrue(math.isfinite(self.node.forwarder.stop_period.deadline))
+            self.node.forwarder.stop_period.deadline = boot_time() + 0.5
+            status, body, _ = await self.call(self.node, "/order/x")
+            self.assertEqual(status, 503, body)
+            release.set()
+            await stopping
+        self.nodes.remove(self.node)
+
     async def test_request_whose_refusal_is_being_written(self):
         """Guards against a stop that an error ends halfway."""
         write, released = OpenRequest._write, asyncio.Event()
