Give calls again to plain servers that are new or were slow once

Cause: the estimate of a server changed only with its own answers. One without any stood at 60 ms, one with a slow answer at what that had left; as long as the others were faster, neither was tried, and neither estimate ever moved.

Change: a server that has not responded yet is assumed to be as quick as the quickest other one of its service. With each choice, the estimates of slower servers move 1% towards that of the chosen one, so a server that stays slow is tried with about that share of the calls. Weighed against it: a decay by time, which forgets everything between two calls at the rates of a single instance (about one a second), and a share of random calls, which also goes to servers that are known to be slow.

Engines and peers were not looked at.

--- a/sequoiafall/plain_routing.py
+++ b/sequoiafall/plain_routing.py
@@ -14,8 +14,12 @@
 
 # Weight of the newest call in the moving averages of response time and failures.
 SAMPLE_WEIGHT = 0.2
-# Assumed response time of a server before its first response.
+# Assumed response time of a service none of whose servers has responded yet.
 INITIAL_MEAN_S = 0.06
+# Part of the way by which the average of a slower server moves towards that of the
+# chosen one. Without it, a server that was slow once would never be tried again; one
+# that stays slow gets about this share of the calls.
+APPROACH_WEIGHT = 0.01
 # Added to the estimate of a server in another availability zone: it responds more
 # slowly, and traffic between zones is charged.
 ZONE_PENALTY_S = 0.01
@@ -59,8 +63,14 @@
 
 @dataclass(slots=True)
 class _ServerStats:
+    """What is known of a server.
+
+    Before its first response, it has no mean time; then the assumed one counts.
+    """
+
     open_calls: int = 0
-    mean_s: float = INITIAL_MEAN_S
+    mean_s: float | None = None
+    assumed_s: float = INITIAL_MEAN_S
     failure_share: float = 0.0
     failed_at: float = 0.0
     unreachable_count: int = 0
@@ -104,21 +114,43 @@
 
         Unreachable servers are chosen only if there is no other server.
         """
-        candidates = [
-            (self._cost(entry, now), entry)
-            for entry in entries
-            if entry.name not in excluded
-        ]
-        if not candidates:
+        entries = [entry for entry in entries if entry.name not in excluded]
+        if not entries:
             return None
+        self._assume(entries)
+        candidates = [(self._cost(entry, now), entry) for entry in entries]
         best, *others = nsmallest(1 + NEXT_BEST_COUNT, candidates, key=itemgetter(0))
+        self._approach(entries, best[1].name)
         next_best = tuple((entry.name, cost_s) for (_, cost_s), entry in others)
         return PlainChoice(best[1], best[0][1], next_best)
 
+    def _assume(self, entries: Iterable[BackendEntry]) -> None:
+        """Let servers without a response count as quick as the quickest other one."""
+        stats = [self._stats(entry.name) for entry in entries]
+        means_s = [row.mean_s for row in stats if row.mean_s is not None]
+        if not means_s or len(means_s) == len(stats):
+            return
+        for row in stats:
+            row.assumed_s = min(means_s)
+
+    def _approach(self, entries: Iterable[BackendEntry], chosen: str) -> None:
+        """Move the estimates of slower servers a little towards the chosen one's.
+
+        They are from the past, while responses of the chosen server keep arriving.
+        """
+        least_s = self._stats(chosen).mean_s
+        if least_s is None:
+            return
+        for entry in entries:
+            stats = self._stats(entry.name)
+            if stats.mean_s is not None and stats.mean_s > least_s:
+                stats.mean_s += APPROACH_WEIGHT * (least_s - stats.mean_s)
+
     def _cost(self, entry: BackendEntry, now: float) -> tuple[bool, float]:
         stats = self._stats(entry.name)
         slots = max(1, entry.slots)
-        cost_s = stats.mean_s * (1.0 + stats.open_calls / slots * 2.0)
+        mean_s = stats.assumed_s if stats.mean_s is None else stats.mean_s
+        cost_s = mean_s * (1.0 + stats.open_calls / slots * 2.0)
         cost_s += FAILURE_PENALTY_S * _decayed_failure_share(stats, now)
         cost_s += RAMP_UP_PENALTY_S * self._ramp_up_left(entry.name)
         if entry.zone != self._zone:
@@ -158,6 +190,8 @@
         stats.unreachable_count = 0
         if not failed:
             stats.paused_until = 0.0
+            if stats.mean_s is None:
+                stats.mean_s = stats.assumed_s
             stats.mean_s += SAMPLE_WEIGHT * (seconds - stats.mean_s)
         return 0.0
 
--- a/tests/test_plain_routing.py
+++ b/tests/test_plain_routing.py
@@ -1,5 +1,6 @@
 """Tests of the choice of backend servers for plain services."""
 
+import heapq
 import random
 import unittest
 from collections import Counter
@@ -112,3 +113,82 @@
         self.assertGreater(self.routing.on_end("s0", "unreachable", 0.1, 1.0), 0.0)
         self.routing.on_start("s0")
         self.assertEqual(self.routing.on_end("s0", "ok", 0.1, 9.0), 0.0)
+
+
+PAIR = [
+    BackendEntry(name, "desk", f"10.0.1.{n}:80", "a", 64, False)
+    for n, name in enumerate(("old", "new"))
+]
+
+
+def keep_calls_open(routing, open_calls, service_s, seconds, entries=PAIR):
+    """Keep a number of calls open and count those of each server; all take as long.
+
+    Returns
+    -------
+    Counter of str
+        Calls that each server got.
+    """
+    counts, ends, now = Counter(), [], 0.0
+    while now < seconds:
+        while len(ends) < open_calls:
+            name = routing.choose(entries, frozenset(), now).entry.name
+            routing.on_start(name)
+            counts[name] += 1
+            heapq.heappush(ends, (now + service_s, len(counts), name))
+        now, _, name = heapq.heappop(ends)
+        routing.on_end(name, "ok", service_s, now)
+    for _, _, name in ends:
+        routing.on_end(name, "cancelled", 0.0, now)
+    return counts
+
+
+class SharePerServerTest(unittest.TestCase):
+    """Load: steady calls to a plain service of which one server is new or was slow.
+
+    An estimate changed only with the server's own answers, so a server that looked
+    slower than the others once never got a call again.
+    """
+
+    @parameterized.expand(
+        [
+            (f"{service_ms} ms, {open_calls} open", service_ms / 1e3, open_calls)
+            for service_ms in (2, 5, 20, 100)
+            for open_calls in (8, 32, 60)
+        ]
+    )
+    def test_fresh_server(self, _name, service_s, open_calls):
+        """Guards against a restarted or added server that brings nothing."""
+        routing = PlainRouting("a", random.Random(3))
+        keep_calls_open(routing, open_calls, service_s, 2.0, PAIR[:1])
+        counts = keep_calls_open(routing, open_calls, service_s, 2.0)
+        self.assertGreater(counts["new"], 0.4 * counts.total())
+
+    @parameterized.expand(
+        [
+            ("quick service", 0.02, 0.5),
+            ("slow service", 0.1, 2.0),
+        ]
+    )
+    def test_one_slow_answer(self, _name, service_s, slow_s):
+        """Guards against one slow answer that takes a server out of use."""
+        routing = PlainRouting("a", random.Random(3))
+        keep_calls_open(routing, 32, service_s, 2.0)
+        routing.on_start("new")
+        routing.on_end("new", "ok", slow_s, 0.0)
+        keep_calls_open(routing, 32, service_s, 2.0)
+        counts = keep_calls_open(routing, 32, service_s, 1.0)
+        self.assertGreater(counts["new"], 0.4 * counts.total())
+
+    def test_server_that_stays_slow(self):
+        """A slow server is tried now and then, and gets no more than that."""
+        routing = PlainRouting("a", random.Random(3))
+        counts = Counter()
+        for number in range(2000):
+            name = routing.choose(PAIR, frozenset(), 0.0).entry.name
+            routing.on_start(name)
+            counts[name] += 1
+            seconds = 0.4 if name == "new" else 0.05
+            routing.on_end(name, "ok", seconds, 0.1 * number)
+        self.assertLess(counts["new"], 0.02 * counts.total())
+        self.assertGreater(counts["new"], 2)
