--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -38,7 +38,7 @@
         self.assertEqual(soak.findings, [])
         self.assertGreater(soak.counts_by_status["200"], 20)
 
-    @parameterized.expand([(3,), (56,), (505,), (1004,), (1104,), (1206,)])
+    @parameterized.expand([(3,), (56,), (505,), (1004,), (1104,), (1206,), (5000,)])
     def test_seed(self, seed):
         with tempfile.TemporaryDirectory() as folder:
             soak = asyncio.run(run_seed(seed, Path(folder), TRAFFIC_S))
