--- a/tests/test_stop_period.py
+++ b/tests/test_stop_period.py
@@ -49,6 +49,28 @@
         )
         self.assertEqual(admitted, expected)
 
+    @parameterized.expand(
+        [
+            ("calls", 3.0, 1.0, 0),
+            ("short streams", 4.0, 1.7, 10),
+            # Those that usually take 3.5 s, until no deadline of theirs fits any more.
+            ("long streams", 12.0, 3.5, 20),
+            ("streams that usually do not fit", 12.0, 8.0, 45),
+        ]
+    )
+    def test_refusals(self, _name, timeout_s, usual_s, expected):
+        """Load: a request each 0.1 s from callers that use an old directory response.
+
+        Guards against a stop that refuses everything: each refusal costs a retry.
+        """
+        period = StopPeriod()
+        period.begin(SIGNAL_AT, 8.0)
+        refused = 0
+        for number in range(45):
+            now = SIGNAL_AT + 0.1 * number + 0.05
+            refused += not period.admits(now, now + timeout_s, usual_s, now)
+        self.assertEqual(refused, expected)
+
     def test_ended(self):
         """No request is taken, whatever its deadline."""
         period = StopPeriod()
