End the gateway's calls at its drain timeout with a response

What callers saw: a call of the product's own gateway that had not ended when the drain timeout passed went on for up to 60 s more, without a place at its engine, and was then cut without a response, or by whoever ended the process.

Cause: after the timeout, on_stop returned the grants and left the open calls to the cleanup of the HTTP server, which waits 60 s by default and then cancels them; the handler took that for a caller that had left.

Change: the calls are ended with the reason "draining" and whether they ran, before places and grants are given back; the cleanup waits a second.

--- a/sequoiafall/calls.py
+++ b/sequoiafall/calls.py
@@ -154,6 +154,15 @@
             if refusal is not None:
                 call.end(refusal)
 
+    def end_all(self, refusal: Refusal) -> None:
+        """End all calls with a refusal, because the gateway stops."""
+        for call in list(self._calls_by_request_id.values()):
+            call.end(refusal)
+
+    async def wait_ended(self) -> None:
+        """Wait until no call is in progress; background tasks may be."""
+        await self._empty.wait()
+
     def run_in_background(self, coroutine: Any) -> asyncio.Task[Any]:
         """Run a coroutine that may outlive the caller's connection."""
         task = asyncio.create_task(coroutine)
@@ -163,6 +172,6 @@
 
     async def wait_finished(self) -> None:
         """Wait until all calls and background tasks have finished."""
-        await self._empty.wait()
+        await self.wait_ended()
         while self._background:
             await asyncio.gather(*self._background, return_exceptions=True)
--- a/sequoiafall/gateway.py
+++ b/sequoiafall/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import ssl
 import time
@@ -12,7 +13,7 @@
 from aiohttp import web
 from mode import Service
 
-from .callers_api import CallersApi
+from .callers_api import DRAINING_RETRY_AFTER_S, CallersApi
 from .calls import RunningCalls
 from .chart import load_chart
 from .completions import Backends
@@ -27,6 +28,7 @@
 from .platform_client import PlatformClient
 from .process import run_service
 from .quota_client import QuotaClient
+from .refusal import Reason, Refusal
 from .retry import RetryBudget
 from .settings import (
     Finding,
@@ -49,6 +51,9 @@
 # A stream may take long, but the platform eventually replaces the instance.
 DRAIN_TIMEOUT_S = 600.0
 
+# Time for the last responses, to callers that may read slowly.
+END_TIMEOUT_S = 1.0
+
 # Connections waiting to be accepted; aiohttp's default of 128 is too low for the
 # number of callers that may connect at once.
 LISTEN_BACKLOG = 2048
@@ -232,6 +237,7 @@
                 await self.calls.wait_finished()
         except TimeoutError:
             log_warning("drain_timed_out", open_calls=len(self.calls))
+            await self._end_calls()
         await self.quota.return_grants()
         await self.places.flush()
         for runner in self._runners:
@@ -240,13 +246,31 @@
         await self.platform.close()
         log_event("stopped", open_calls=len(self.calls))
 
+    async def _end_calls(self) -> None:
+        """End the calls that have not finished, while they still hold their places."""
+        refusal = Refusal(
+            Reason.DRAINING,
+            retry_after_s=DRAINING_RETRY_AFTER_S,
+            detail="the gateway ends before the answer would",
+        )
+        self.calls.end_all(refusal)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(END_TIMEOUT_S):
+                await self.calls.wait_ended()
+
     async def _listen(
         self,
         application: web.Application,
         address: str,
         tls: ssl.SSLContext | None = None,
     ) -> str:
-        runner = web.AppRunner(application, access_log=None, handler_cancellation=True)
+        runner = web.AppRunner(
+            application,
+            access_log=None,
+            handler_cancellation=True,
+            # `on_stop` has already waited for the calls.
+            shutdown_timeout=END_TIMEOUT_S,
+        )
         await runner.setup()
         self._runners.append(runner)
         host, _, port = address.rpartition(":")
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -344,6 +344,25 @@
             "".join(texts_of(body)), completion_text("a spoon", "oak", "10", 600)
         )
 
+    async def test_stream_that_outlasts_the_drain(self):
+        """Guards against calls that go on without a place after the drain timeout.
+
+        They lasted until the HTTP server cancelled them a minute later, and ended
+        without an error event.
+        """
+        for engine in self.engines:
+            engine.config.token_seconds = 0.1
+        response, body = await self.open_stream()
+        self.gateway.config.drain_timeout_s = 0.2
+        stopping = asyncio.create_task(self.gateway.stop())
+        async with asyncio.timeout(EVENT_TIMEOUT_S):
+            body += await response.content.read()
+            await stopping
+        self.assertEqual(error_of(body)["reason"], "draining")
+        self.assertEqual(error_of(body)["ran"], "unknown")
+        self.assertNotIn(b"[DONE]", body)
+        await self.wait_until(lambda: not list(self.engines[0].batch))
+
 
 class OwnerTest(GatewayTestCase):
     """Requests must not keep waiting for an owner that has been replaced."""
