Tell by a node's log whether it has read a request that it left unanswered

No server got it, and no line of the node's log names it, while the node names each request that it reads: it was on its way when the connection was closed.

The check excuses what the node's log does not name, and nothing else: a request that was read and got no answer within 0.2 s is a finding now, which it was not before.

--- a/soak/endings.py
+++ b/soak/endings.py
@@ -5,6 +5,7 @@
 import math
 import time
 from collections import Counter, defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from .calls import Call
@@ -18,9 +19,6 @@
 LAST_SHARE_OF_GRACE = 1 / 6
 # A stopped node may be expected to end requests until this long after its grace period.
 STOP_TAIL_S = 1.0
-# A node that closes a connection without an answer has not read the request only if
-# it does so at once.
-UNREAD_SLACK_S = 0.2
 # Delay with which a node reads changed settings.
 SETTINGS_NEWS_S = 1.0
 # Events this long around a request are named in a finding.
@@ -66,6 +64,9 @@
     ----------
     configuration : Configuration
         Names the shortest timeouts.
+    has_read : callable
+        Returns whether the log of a node names a request, as it does with each
+        request that the node has read.
 
     Attributes
     ----------
@@ -73,8 +74,11 @@
         Requests without a complete response that are excused, by reason.
     """
 
-    def __init__(self, configuration: Configuration) -> None:
+    def __init__(
+        self, configuration: Configuration, has_read: Callable[[int, str], bool]
+    ) -> None:
         self._configuration = configuration
+        self._has_read = has_read
         self.started_at = time.monotonic()
         self._kills_by_node: dict[int, list[float]] = defaultdict(list)
         self._stops_by_node: dict[int, list[_Stop]] = defaultdict(list)
@@ -179,18 +183,17 @@
     def _is_stop_an_excuse(self, call: Call) -> bool:
         """Whether a planned stop may have cut a request, or left it unread."""
         return any(
-            self._may_be_unread(stop, call) or self._ran_until_the_end(stop, call)
+            self._is_unread(stop, call) or self._ran_until_the_end(stop, call)
             for stop in self._stops_by_node[call.node]
         )
 
-    def _may_be_unread(self, stop: _Stop, call: Call) -> bool:
-        """Whether a stopping node may have closed a connection before it read it."""
+    def _is_unread(self, stop: _Stop, call: Call) -> bool:
+        """Whether a stopping node closed a connection before it read the request."""
         if call.status or self._arrivals(call) or stop.begun_at > call.ended_at:
             return False
         if call.sent_at > stop.begun_at + stop.grace_s + STOP_TAIL_S:
             return False
-        waited_s = call.ended_at - call.sent_at - self._paused_s(call)
-        return waited_s <= UNREAD_SLACK_S
+        return not self._has_read(call.node, call.request_id)
 
     def _ran_until_the_end(self, stop: _Stop, call: Call) -> bool:
         """Whether a server worked on an early request until the end of a stop."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -123,7 +123,7 @@
         self.findings: list[str] = []
         self.counts_by_status: Counter[str] = Counter()
         self.configuration = Configuration()
-        self.endings = EndingCheck(self.configuration)
+        self.endings = EndingCheck(self.configuration, self.has_read)
         self.sound_requests = SoundRequestCheck()
         self.deadly = DeadlyRequests(seed, random.Random(f"{seed} deadly requests"))
         self.traffic_span_s = (0.0, 0.0)
@@ -277,6 +277,11 @@
         extra_keys = [WITHDRAWN_KEY] if includes_withdrawn_key else []
         self.configuration.write(self.store, extra_keys, added_route)
 
+    def has_read(self, number: int, request_id: str) -> bool:
+        """Return whether the log of a node names a request."""
+        text = (self.folder / f"node-{number}.log").read_text(errors="replace")
+        return f"request_id={request_id} " in text
+
     def caller_address(self, number: int) -> str:
         """Return the address at which a node accepts callers."""
         return f"{self.subnet}.{number}:18221"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -160,10 +160,10 @@
     Guards against checks that pass a cut beside a silence or a configuration change.
     """
 
-    def _findings(self, call, *events):
+    def _findings(self, call, *events, has_read=True):
         now = 0.0
         configuration = Configuration()
-        check = EndingCheck(configuration)
+        check = EndingCheck(configuration, lambda _node, _request_id: has_read)
         with patch("time.monotonic", lambda: now):
             for at, name, *arguments in events:
                 now = at
@@ -274,21 +274,32 @@
 
     @parameterized.expand(
         [
-            ("at once", 100.1, [], False),
-            ("after a while", 100.3, [], True),
-            ("after a while, suspended", 100.6, [(100.1, 100.55)], False),
-            ("after a longer while, suspended", 100.8, [(100.1, 100.55)], True),
+            ("not read", False, GRACE, False),
+            ("read", True, GRACE, True),
+            (
+                "long after the grace period",
+                False,
+                (90.0, "record_grace", 1, 0.1),
+                True,
+            ),
         ]
     )
     def test_node_stops_before_it_reads_a_request(
-        self, _name, ended_at, pauses, is_found
+        self, _name, is_read, grace, is_found
     ):
-        """A node that takes longer has read the request, and owes an answer."""
-        call = _call(ended_at=ended_at, error="ServerDisconnectedError")
-        events = [GRACE, (100.0, "record_stop", 1)]
-        for begun_at, resumed_at in pauses:
-            events += [(begun_at, "record_pause", 1), (resumed_at, "end_pause", 1)]
-        self.assertEqual(len(self._findings(call, *events)), int(is_found))
+        """A node that has read the request owes an answer, however soon it ends."""
+        call = _call(ended_at=102.1, sent_at=102.0, error="ServerDisconnectedError")
+        events = [grace, (100.5, "record_stop", 1)]
+        findings = self._findings(call, *events, has_read=is_read)
+        self.assertEqual(len(findings), int(is_found))
+
+    def test_log_names_a_request(self):
+        with tempfile.TemporaryDirectory() as folder:
+            soak = Soak(1, Path(folder))
+            line = "event=request_ended request_id=s1-12 end=ok\n"
+            (Path(folder) / "node-2.log").write_text(line)
+            self.assertTrue(soak.has_read(2, "s1-12"))
+            self.assertFalse(soak.has_read(2, "s1-1"))
 
     def test_grace_period_that_has_just_changed(self):
         """A node may not have read the longer one when it is stopped."""
