--- a/sequoiafall/gateway.py
+++ b/sequoiafall/gateway.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import random
 import ssl
 import time
@@ -254,9 +253,12 @@
             detail="the gateway ends before the answer would",
         )
         self.calls.end_all(refusal)
-        with contextlib.suppress(TimeoutError):
+        try:
             async with asyncio.timeout(END_TIMEOUT_S):
                 await self.calls.wait_ended()
+        except TimeoutError:
+            # The cleanup of the listener closes their connections.
+            log_warning("calls_not_ended", open_calls=len(self.calls))
 
     async def _listen(
         self,
