Log what a stop finds open, takes and leaves unsent, and the last lines at the end

The logs could not tell whether such a request was open at the signal or came later, whether a server had it when it was cut, and whether its answer was left in a buffer; and a process whose log is read slowly lost its last lines, as it tried to write them once.

open_at_stop and taken_in_stop name the requests of a stop; the ends of requests name send_ended_ms, last_event_ms and unsent_bytes; the last lines wait up to 0.2 s for their reader. test_last_lines_reach_a_slow_reader and test_log_of_a_stop pass; no decision is changed.

--- a/sequoiafall/exchange.py
+++ b/sequoiafall/exchange.py
@@ -55,6 +55,9 @@
         How often new events arrived in the current or last run.
     sent_at : float
         Time of the last send in seconds of `boot_time`.
+    send_ended_at : float
+        End of the last send in seconds of `boot_time`, when its server had the
+        request no more; 0 before that.
     last_failure : web.Response or None
         Error response of a backend server, sent if no further attempt succeeds.
     plain_choice : PlainChoice or None
@@ -85,6 +88,7 @@
     place: GatewayPlace | None = None
     run_events: int = 0
     sent_at: float = 0.0
+    send_ended_at: float = 0.0
     last_failure: web.Response | None = None
     plain_choice: PlainChoice | None = None
     times: ResponseTimings = field(default_factory=ResponseTimings)
--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -301,6 +301,7 @@
         service = catalog.services_by_name.get(exchange.service) if catalog else None
         if self._stops_before_response(exchange):
             return self._refuse_stopping(exchange)
+        self._log_taken_in_stop(exchange)
         self._retry_budget(exchange.service).on_request()
         try:
             async with asyncio.timeout(max(0.0, exchange.deadline - boot_time())):
@@ -687,6 +688,8 @@
             # The server may have crashed in the moment of the move, which then comes
             # before the error of the connection.
             return Outcome("moved", detail="the stream stalled", is_cut=client.is_cut)
+        finally:
+            exchange.send_ended_at = boot_time()
 
     def _apply_notice(
         self,
@@ -957,6 +960,7 @@
             **exchange.describe_choice(),
             **self._describe_times(exchange),
             **self._describe_stop_times(exchange.started_at),
+            **self._describe_end_in_stop(exchange),
         )
 
     def _describe_stop_times(self, started_at: float) -> dict[str, object]:
@@ -969,6 +973,41 @@
             "arrived_stop_ms": int(self.stop_period.since_s(started_at) * 1e3),
         }
 
+    def _describe_end_in_stop(self, exchange: Exchange) -> dict[str, object]:
+        """Return log fields on a request that ends in a planned stop.
+
+        They show for how long no server had the request any more, and what the caller
+        has not taken of its response.
+        """
+        now = boot_time()
+        if self.stop_period.since_s(now) < 0.0 or exchange.open_request is None:
+            return {}
+        fields: dict[str, object] = {
+            "last_event": exchange.splitter.last_id,
+            "unsent_bytes": exchange.open_request.unsent_bytes,
+        }
+        if exchange.send_ended_at:
+            fields["send_ended_ms"] = int((now - exchange.send_ended_at) * 1e3)
+        if exchange.times.last_at:
+            fields["last_event_ms"] = int((now - exchange.times.last_at) * 1e3)
+        return fields
+
+    def _log_taken_in_stop(self, exchange: Exchange) -> None:
+        """Log a request that is taken during a planned stop.
+
+        If the process is killed before the request ends, no other line names it.
+        """
+        stop_times = self._describe_stop_times(exchange.started_at)
+        if not stop_times:
+            return
+        log_event(
+            "taken_in_stop",
+            request_id=exchange.request.request_id,
+            route=exchange.route.name,
+            deadline_ms=int((exchange.deadline - boot_time()) * 1e3),
+            **stop_times,
+        )
+
     def _describe_times(self, exchange: Exchange) -> dict[str, object]:
         """Return log fields that show why a stream was late."""
         if not exchange.route.is_stream:
--- a/sequoiafall/log.py
+++ b/sequoiafall/log.py
@@ -6,6 +6,7 @@
 import json
 import os
 import re
+import select
 import sys
 import time
 import traceback
@@ -21,6 +22,8 @@
 MAX_BUFFERED_BYTES = 256 * 1024
 # Delay before the next write while the reader is behind.
 RETRY_WRITE_S = 0.02
+# Time for a slow reader to take the last lines when the process ends.
+LAST_LINES_S = 0.2
 # Frames of a trace that are logged.
 MAX_TRACE_FRAMES = 4
 
@@ -111,6 +114,21 @@
         self._lines = [rest] if rest else []
         self._buffered_bytes = len(rest)
 
+    def flush_all(self, timeout_s: float) -> None:
+        """Write all lines as the process ends, waiting for the reader if necessary.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Longest wait for the reader in seconds. What it has not taken by then is
+            lost.
+        """
+        until = time.monotonic() + timeout_s
+        self.flush()
+        while self._lines and (left_s := until - time.monotonic()) > 0.0:
+            select.select([], [self._descriptor], [], left_s)
+            self.flush()
+
 
 # Where lines are written; None until `configure_logging`, as in the tests.
 _output: TextIO | LineBuffer | None = None
@@ -232,6 +250,6 @@
     handler.setLevel(WARNING)
     if to_standard_output:
         _output = LineBuffer(sys.stdout.fileno())
-        atexit.register(_output.flush)
+        atexit.register(_output.flush_all, LAST_LINES_S)
         return
     _output = sys.stderr
--- a/sequoiafall/request_ends.py
+++ b/sequoiafall/request_ends.py
@@ -12,9 +12,12 @@
 
 from .boot_clock import boot_time
 from .connection_reset import abort_response
-from .log import innermost_frames, log_warning
+from .log import innermost_frames, log_event, log_warning
 from .node_metrics import NodeMetrics
 
+# Identifiers in one log line.
+MAX_LOGGED_REQUESTS = 40
+
 
 class EndCause(enum.StrEnum):
     """Why a request ended.
@@ -262,6 +265,12 @@
     def _has_begun(self) -> bool:
         return self._web_request.writer.output_size > 0
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of the response that the caller's connection has not taken yet."""
+        transport = self._web_request.transport
+        return transport.get_write_buffer_size() if transport is not None else 0
+
     @property
     def _is_disconnected(self) -> bool:
         transport = self._web_request.transport
@@ -339,8 +348,16 @@
             self._idle.set()
 
     def on_stopping(self) -> None:
-        """Record that a planned stop begins, from which `describe_stop` counts."""
+        """Record that a planned stop begins, from which `describe_stop` counts.
+
+        The requests that are open then are logged: a process that is killed later
+        writes nothing about their ends.
+        """
         self._ends_at_stop = self._all_ends()
+        open_ids = [request.request_id for request in self._open]
+        for first in range(0, len(open_ids), MAX_LOGGED_REQUESTS):
+            request_ids = open_ids[first : first + MAX_LOGGED_REQUESTS]
+            log_event("open_at_stop", request_ids=",".join(request_ids))
 
     def describe_stop(self) -> str:
         """Return how requests have ended since the stop began, for the log."""
--- a/tests/test_final_responses.py
+++ b/tests/test_final_responses.py
@@ -778,6 +778,36 @@
         cause = EndCause.STOPPED.value
         await self.assert_ends_add_up(1, {(cause, ResponseState.CUT.value): 1})
 
+    async def test_log_of_a_stop(self):
+        """Guards against requests of a stop that no line of the log names.
+
+        A process that is killed writes nothing about the ends of its requests.
+        """
+        for name in ("e1", "e2"):
+            self.engines[name].pause_after_events = 2
+        before = asyncio.create_task(self.call(self.node, "/check/x", adapter="a1"))
+        await until(lambda: self.engines["e1"].running + self.engines["e2"].running)
+        self.node.settings.grace_s = 2.0
+        stopping = asyncio.create_task(self.node.stop())
+        self.nodes.remove(self.node)
+        await until(lambda: any("event=open_at_stop" in line for line in self.lines))
+        status, body, _ = await self.call(
+            self.node, "/order/x", request_id="taken", **{names.DEADLINE_MS: "1000"}
+        )
+        self.assertEqual(status, 200, body)
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            await before
+        await stopping
+        for pattern in (
+            "event=open_at_stop request_ids=r1",
+            "event=taken_in_stop request_id=taken route=order",
+            "event=request_ended request_id=r1 end=stopped .* last_event=2 "
+            "unsent_bytes=0 send_ended_ms=\\d+ last_event_ms=",
+        ):
+            self.assertTrue(
+                any(re.search(pattern, line) for line in self.lines), pattern
+            )
+
     async def test_requests_on_a_kept_connection(self):
         """Guards against requests that are read while the process closes."""
         reader, writer = await self.connect(self.node)
--- a/tests/test_line_buffer.py
+++ b/tests/test_line_buffer.py
@@ -1,6 +1,8 @@
 """Tests of logging to a slow reader."""
 
 import os
+import threading
+import time
 import unittest
 
 from sequoiafall.log import MAX_BUFFERED_BYTES, LineBuffer
@@ -40,3 +42,29 @@
         self.assertEqual(
             lines, ["t event=same", "t event=repeated count=49", "t event=other"]
         )
+
+    def test_last_lines_reach_a_slow_reader(self):
+        """Guards against lost lines of a process that ends beside a full pipe."""
+        text = "z" * 900
+        for number in range(200):
+            self.buffer.write_line("t", f"event=x text={text} number={number}")
+        received = bytearray()
+
+        def read_slowly():
+            while not received.endswith(b"number=199\n"):
+                time.sleep(0.005)
+                received.extend(os.read(self.reader, 1 << 14))
+
+        reading = threading.Thread(target=read_slowly)
+        reading.start()
+        self.buffer.flush_all(10.0)
+        os.write(self.writer, b"number=199\n")
+        reading.join()
+        self.assertEqual(received.count(b"event=x"), 200)
+
+    def test_end_without_a_reader(self):
+        """Guards against a process that waits for the reader of its log forever."""
+        for number in range(200):
+            self.buffer.write_line("t", f"event=x text={'z' * 900} number={number}")
+        self.buffer.flush_all(0.01)
+        self.assertTrue(self.buffer._lines)
