Show a stream that leaves its sound server in a stop and is lost

A node that is being stopped moves a stream away from an engine that sends nothing for a second. If the engines are full by then, no server takes it, and the node cuts it at the end of the stop although its first engine was sound.

--- a/tests/test_final_responses.py
+++ b/tests/test_final_responses.py
@@ -808,6 +808,39 @@
                 any(re.search(pattern, line) for line in self.lines), pattern
             )
 
+    async def test_stream_without_a_server_at_the_deadline(self):
+        """Guards against streams that leave their server in a stop and are lost.
+
+        A sound engine sends nothing for a while. The stream is moved to another one,
+        which then has no room; no server works on it when the process ends it.
+        """
+        node = await self.start_node(2)
+        await until(lambda: node.is_ready and node.fleet.has_leader)
+        await self.call(node, "/draft/x", adapter="a1")
+        first = next(row for row in self.engines.values() if row.runs["r1"])
+        second = self.engines["e2" if first.name == "e1" else "e1"]
+        first.pause_after_events = 2
+        second.shed_next = 1000
+        call = asyncio.create_task(
+            self.call(node, "/draft/x", adapter="a1", request_id="silent")
+        )
+        await until(lambda: first.runs["silent"])
+        first.shed_next = 1000
+        node.settings.grace_s = 3.5
+        stopping = asyncio.create_task(node.stop())
+        self.nodes.remove(node)
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            await call
+        await stopping
+        end = next(
+            line
+            for line in self.lines
+            if "event=request_ended request_id=silent" in line
+        )
+        match = re.search(r" end=stopped .* send_ended_ms=(\d+)", end)
+        self.assertIsNotNone(match, end)
+        self.assertLess(int(match[1]), 100, "no server worked on the stream")
+
     async def test_requests_on_a_kept_connection(self):
         """Guards against requests that are read while the process closes."""
         reader, writer = await self.connect(self.node)
