Keep streams at their server during a planned stop

Shown here: a stopping node moved a stream away from a sound engine that sent nothing for 1.3 s; the engines were full, no other server took it, and the node cut it at the end of the stop, 637 ms after the last server had it.

Class: work that has begun leaves what carries it for something that is not sure to carry it to its end, while its own end is near. During a stop, a stream leaves its server only if that one ends the connection; a place that comes after the signal is released. The first engine goes on with it until it ends or the stop does.

--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -356,7 +356,16 @@
         )
         notices = self._fleet.notices
         budget = self._retry_budget(exchange.service)
-        move = StreamMove(pending, self._places, notices, budget, exchange.excluded)
+        move = StreamMove(
+            pending,
+            self._places,
+            notices,
+            budget,
+            exchange.excluded,
+            # Another server may have no room, and nothing would be left to work on
+            # the stream when this process ends it.
+            lambda: not self.stop_period.has_begun,
+        )
         exchange.move = move
         with contextlib.closing(move):
             while True:
--- a/sequoiafall/stop_period.py
+++ b/sequoiafall/stop_period.py
@@ -39,6 +39,11 @@
         """Take no request any more."""
         self.deadline = -math.inf
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the instance is being stopped."""
+        return self._began_at < math.inf
+
     def since_s(self, now: float) -> float:
         """Return the seconds since the signal; negative if there was none."""
         return now - self._began_at
--- a/sequoiafall/stream_move.py
+++ b/sequoiafall/stream_move.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Callable, Iterator
 
 from .boot_clock import boot_time
 from .log import log_event, log_warning
@@ -46,6 +46,8 @@
     excluded : set of str
         Servers that are not tried again. It is cleared if no other server takes a
         stream that cannot be refused any more.
+    may_leave_server : callable
+        Returns whether the stream may leave a server that may be sound.
 
     Attributes
     ----------
@@ -62,6 +64,7 @@
         "_is_closed",
         "_is_wanted",
         "_logged_refusals",
+        "_may_leave_server",
         "_notices",
         "_pending",
         "_places",
@@ -79,7 +82,9 @@
         notices: ServerNotices,
         budget: RetryBudget,
         excluded: set[str],
+        may_leave_server: Callable[[], bool],
     ) -> None:
+        self._may_leave_server = may_leave_server
         self._pending = pending
         self._places = places
         self._notices = notices
@@ -217,7 +222,11 @@
         if self._clock.due_s(boot_time()) > 0.0:
             self._schedule()
             return
-        if self._search is None and self._budget.try_reserve():
+        if (
+            self._search is None
+            and self._may_leave_server()
+            and self._budget.try_reserve()
+        ):
             self._is_wanted = True
             avoided = self._avoided() | {self._server}
             self._search = asyncio.get_running_loop().create_task(
@@ -253,7 +262,7 @@
 
     def _may_move(self) -> bool:
         """Take the retry of a move, unless it is not wanted or there is none."""
-        if self._is_wanted and not self._clock.is_held:
+        if self._is_wanted and not self._clock.is_held and self._may_leave_server():
             self._has_retry = self._budget.try_retry()
         return self._has_retry
 
--- a/tests/test_stream_move.py
+++ b/tests/test_stream_move.py
@@ -85,12 +85,14 @@
         self.budget = RetryBudget(random.Random(1), reserve=1.0)
         self.excluded = {"e9"}
         request = SimpleNamespace(request_id="r1")
+        self.may_leave = True
         self.move = StreamMove(
             SimpleNamespace(request=request),
             self.places,
             SimpleNamespace(pauses=lambda: [SimpleNamespace(server="e8")]),
             self.budget,
             self.excluded,
+            lambda: self.may_leave,
         )
         self.can_end = asyncio.Event()
         self.enterContext(patch.object(stream_move, "LOOK_AGAIN_S", 0.0))
@@ -197,7 +199,12 @@
         """When a whole site is silent, each stream took a place that few could use."""
         send = await self.start()
         other = StreamMove(
-            self.move._pending, self.places, self.move._notices, self.budget, set()
+            self.move._pending,
+            self.places,
+            self.move._notices,
+            self.budget,
+            set(),
+            lambda: True,
         )
         async with other.watch("e1", 0.0):
             other._on_timer()
@@ -206,6 +213,26 @@
         await until(lambda: len(self.places.requests) == 2)
         await self.finish(send)
 
+    async def test_nothing_is_requested_while_the_stream_must_not_leave(self):
+        """Guards against streams that leave a sound server in a planned stop."""
+        self.may_leave = False
+        send = asyncio.create_task(self.send())
+        await until(lambda: self.move._timer is not None)
+        for _ in range(5):
+            self.move._on_timer()
+        self.assertEqual(self.places.requests, [])
+        await self.finish(send)
+
+    async def test_place_that_comes_when_the_stream_must_not_leave(self):
+        """Guards against a move that was begun right before a planned stop."""
+        send = await self.start()
+        self.may_leave = False
+        self.places.answer(PLACE)
+        await until(lambda: self.places.ended)
+        self.assertFalse(send.done())
+        self.assertEqual(self.budget.retries, 0)
+        await self.finish(send)
+
     async def test_nothing_is_requested_without_a_retry(self):
         self.budget.try_retry()
         send = asyncio.create_task(self.send())
@@ -227,7 +254,12 @@
         """Both streams found the last retry unused, and both were moved."""
         self.budget = self.move._budget = RetryBudget(random.Random(1), reserve=2.0)
         other = StreamMove(
-            self.move._pending, self.places, self.move._notices, self.budget, set()
+            self.move._pending,
+            self.places,
+            self.move._notices,
+            self.budget,
+            set(),
+            lambda: True,
         )
         send = await self.start()
 
