Read the software version of servers and the stream that a caller takes up

The version of a server's entry and the header Resumes were not read at all, so neither logs nor decisions could know them. They are read now, and nothing uses them yet.

--- a/sequoiafall/backend_registry.py
+++ b/sequoiafall/backend_registry.py
@@ -26,6 +26,8 @@
         Whether it takes no new work.
     born : int
         Start time in Unix milliseconds, 0 if it is not announced.
+    software : str
+        Version of its software, empty if it is not announced.
     """
 
     name: str
@@ -35,6 +37,7 @@
     slots: int
     is_leaving: bool
     born: int = 0
+    software: str = ""
 
 
 class BackendRegistry:
@@ -137,6 +140,13 @@
         """Return the servers of a service that take work."""
         return [row for row in self.all_servers(service) if not row.is_leaving]
 
+    def software_by_service(self) -> dict[str, set[str]]:
+        """Return the software versions of the known servers of each service."""
+        versions: dict[str, set[str]] = {}
+        for entry in self._entries_by_name.values():
+            versions.setdefault(entry.service, set()).add(entry.software)
+        return versions
+
     def all_servers(self, service: str) -> Iterable[BackendEntry]:
         """Return all servers of a service, including those that are leaving."""
         return [row for row in self._entries_by_name.values() if row.service == service]
--- a/sequoiafall/platform/dialect.py
+++ b/sequoiafall/platform/dialect.py
@@ -79,6 +79,7 @@
             output_tokens,
             int(_parse_number(headers, names.LAST_EVENT, -1)),
             _shared_parts(headers.get(names.PROMPT_PARTS, "")),
+            resumes=headers.get(names.RESUMES, ""),
         )
 
     def attempt_headers(
--- a/sequoiafall/platform/names.py
+++ b/sequoiafall/platform/names.py
@@ -7,6 +7,8 @@
 PROMPT_PARTS = "X-Sequoiafall-Prompt-Prefix"
 LENGTH_HINT = "X-Sequoiafall-Length-Hint"
 LAST_EVENT = "Last-Event-Id"
+# The caller's attempt that brought the first event of the stream that it takes up.
+RESUMES = "Resumes"
 
 # Headers that the system sets; those that a caller sends are dropped.
 EXPECTED_SERVER = "X-Sequoiafall-Expected-Instance"
--- a/sequoiafall/platform/rows.py
+++ b/sequoiafall/platform/rows.py
@@ -97,6 +97,8 @@
     # `ready` or `draining`; entries with any other state are unusable.
     state: str
     born: int = 0
+    # Version of the software, not of the weights.
+    version: str = ""
 
 
 _STATES = ("ready", "draining")
@@ -138,6 +140,7 @@
                 entry.slots,
                 entry.state == "draining",
                 entry.born,
+                entry.version,
             )
         )
 
--- a/sequoiafall/serving_ports.py
+++ b/sequoiafall/serving_ports.py
@@ -52,6 +52,9 @@
         `request_identity`; empty until the caller is authenticated.
     run_id : str
         Identifier in messages between instances, see `run_id`; `request_id` if empty.
+    resumes : str
+        Identifier of the caller's attempt that brought the first event of the stream
+        that this request takes up, empty if it names none.
     """
 
     request_id: str
@@ -71,6 +74,7 @@
     shared_parts: tuple[str, ...] = ()
     identity: str = ""
     run_id: str = ""
+    resumes: str = ""
 
     def __post_init__(self) -> None:
         self.run_id = self.run_id or self.request_id
