Show a stream that moved right before a planned stop and is lost

A stream that left a sound server just before it for one that refuses it is still cut without a server at work.

--- /dev/null
+++ b/tests/test_stop_ends.py
@@ -0,0 +1,90 @@
+"""Tests of work that has begun and whose end lies behind the end of a process."""
+
+import asyncio
+import re
+
+import aiohttp
+
+from sequoiafall.platform import names
+
+from .events import until
+from .gateway_case import capture_log
+from .platform_case import configuration
+from .test_final_responses import FinalResponseCase
+
+
+class StopEndsTest(FinalResponseCase):
+    """Streams and answers that are open when their process is stopped."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.lines = self.enterContext(capture_log())
+        self.node, *_ = await self.start_fleet(1)
+
+    def end_of(self, request_id):
+        """Return the log line on the end of a request, empty if there is none."""
+        text = f"event=request_ended request_id={request_id} "
+        return next((line for line in self.lines if text in line), "")
+
+    async def start_others(self, last):
+        """Start further nodes and wait until all of them serve."""
+        for number in range(2, last + 1):
+            await self.start_node(number)
+        routes = [{**row, "timeout_ms": 12_000} for row in configuration()["routes"]]
+        self.configure(2, routes=routes)
+        await until(
+            lambda: all(
+                node.is_ready
+                and node.fleet.has_leader
+                and node.fleet.catalog.version == 2
+                for node in self.nodes
+            )
+        )
+
+    async def begin_stream(self, node):
+        """Begin a stream that stops after two events; return its engine and call."""
+        await self.call(node, "/draft/x", adapter="a1")
+        first = next(row for row in self.engines.values() if row.runs["r1"])
+        first.pause_after_events = 2
+        fields = {names.DEADLINE_MS: "12000"}
+        call = asyncio.create_task(
+            self.call(node, "/draft/x", adapter="a1", request_id="silent", **fields)
+        )
+        await until(lambda: first.runs["silent"])
+        await asyncio.sleep(0.1)
+        return first, call
+
+    async def begin_moved_stream(self, node):
+        """Begin a stream that is moved from a sound engine to one that refuses it."""
+        first, call = await self.begin_stream(node)
+        for name in ("e1", "e2"):
+            self.engines[name].shed_next = 1000
+        await until(lambda: any("outcome=not_run" in row for row in self.lines))
+        return first, call
+
+    def begin_stop(self, node, grace_s):
+        node.settings.grace_s = grace_s
+        self.nodes.remove(node)
+        return asyncio.create_task(node.stop())
+
+    async def status_of(self, call):
+        try:
+            return (await call)[0]
+        except aiohttp.ClientPayloadError:
+            return "cut"
+
+    async def test_stream_that_moved_right_before_the_signal(self):
+        """Guards against streams that left a sound server for one that refuses.
+
+        No server works on the stream when the process ends it.
+        """
+        await self.start_others(2)
+        _, call = await self.begin_moved_stream(self.nodes[1])
+        stopping = self.begin_stop(self.nodes[1], 2.0)
+        status = await self.status_of(call)
+        await stopping
+        end = self.end_of("silent")
+        sent = re.search(r" end=stopped .* send_ended_ms=(\d+)", end)
+        if status != 200:
+            self.assertIsNotNone(sent, end)
+            self.assertLess(int(sent[1]), 100, "no server worked on the stream")
