Show a begun stream that is not sent again during a planned stop

Without a retry left, `_wait_for_retry` waits for one that only new requests earn, and a stopping instance gets none.

--- a/tests/test_stop_ends.py
+++ b/tests/test_stop_ends.py
@@ -88,3 +88,23 @@
         if status != 200:
             self.assertIsNotNone(sent, end)
             self.assertLess(int(sent[1]), 100, "no server worked on the stream")
+
+    async def test_begun_stream_without_a_retry(self):
+        """Guards against streams that wait for a retry that no request earns.
+
+        New requests earn retries, and a stopping instance gets none. The engines have
+        room again seconds before the process ends the stream.
+        """
+        await self.start_others(2)
+        node = self.nodes[1]
+        _, call = await self.begin_moved_stream(node)
+        # Other requests used the retries up.
+        node.forwarder._retry_budget("assist")._saved = 0.0
+        stopping = self.begin_stop(node, 6.0)
+        await asyncio.sleep(1.5)
+        for name in ("e1", "e2"):
+            self.engines[name].pause_after_events = -1
+            self.engines[name].shed_next = 0
+        status = await self.status_of(call)
+        await stopping
+        self.assertEqual(status, 200, self.end_of("silent"))
