Show a stopping instance that does not find the next leader

New leaders are announced only to members that are not leaving, and a leaving member takes no election step, which is the other way to find them.

--- a/tests/test_stop_ends.py
+++ b/tests/test_stop_ends.py
@@ -108,3 +108,24 @@
         status = await self.status_of(call)
         await stopping
         self.assertEqual(status, 200, self.end_of("silent"))
+
+    async def test_place_after_a_change_of_leader(self):
+        """Guards against stopping instances that no new leader is announced to.
+
+        The engine of a stream crashes, and only a leader loads the adapter elsewhere.
+        """
+        await self.start_others(3)
+        leader = self.leader
+        member, third = [row for row in self.nodes if row is not leader]
+        first, call = await self.begin_stream(member)
+        first.down_s = 60.0
+        stopping = [self.begin_stop(member, 6.0)]
+        await asyncio.sleep(0.5)
+        stopping.append(self.begin_stop(leader, 6.0))
+        await until(lambda: third.fleet.lease.leads)
+        await asyncio.sleep(0.5)
+        await first.crash()
+        status = await self.status_of(call)
+        has_leader = member.fleet.has_leader
+        await asyncio.gather(*stopping)
+        self.assertEqual((status, has_leader), (200, True), self.end_of("silent"))
