--- a/tests/test_stop_ends.py
+++ b/tests/test_stop_ends.py
@@ -2,9 +2,13 @@
 
 import asyncio
 import re
+import signal
+import sys
+import unittest
 
 import aiohttp
 
+from sequoiafall.boot_clock import boot_time
 from sequoiafall.platform import names
 
 from .events import until
@@ -12,6 +16,31 @@
 from .platform_case import configuration
 from .test_final_responses import FinalResponseCase
 
+# A service whose event loop is busy, and which prints when its stop begins.
+BUSY_SERVICE = """
+import asyncio, time
+from mode import Service
+from sequoiafall.boot_clock import boot_time
+from sequoiafall.process import run_service
+
+class Busy(Service):
+    async def on_started(self):
+        print("started", flush=True)
+        self.spend()
+
+    def spend(self):
+        until = time.monotonic() + 0.2
+        while time.monotonic() < until:
+            pass
+        asyncio.get_running_loop().call_soon(self.spend)
+
+    async def on_stop(self):
+        print(boot_time(), flush=True)
+        self.spend = lambda: None
+
+run_service(Busy())
+"""
+
 
 class StopEndsTest(FinalResponseCase):
     """Streams and answers that are open when their process is stopped."""
@@ -129,3 +158,27 @@
         has_leader = member.fleet.has_leader
         await asyncio.gather(*stopping)
         self.assertEqual((status, has_leader), (200, True), self.end_of("silent"))
+
+
+class SignalTest(unittest.IsolatedAsyncioTestCase):
+    """The stop of a process counts from its signal."""
+
+    async def test_stop_of_a_busy_process(self):
+        """Guards against streams that are taken over 3 s after the signal, and cut.
+
+        They are taken in the first 2.5 s of a stop. An iteration of the event loop
+        takes 0.2 s here, and the stop began four of them after the signal.
+        """
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-c", BUSY_SERVICE, stdout=asyncio.subprocess.PIPE
+        )
+        try:
+            await process.stdout.readline()
+            await asyncio.sleep(0.7)
+            sent_at = boot_time()
+            process.send_signal(signal.SIGTERM)
+            began_at = float(await process.stdout.readline())
+        finally:
+            process.kill()
+            await process.wait()
+        self.assertLess(began_at - sent_at, 0.5)
