Show an answer that is left in the buffer of a process that ends

A request counts as ended when its answer has been given to the connection. A process without open requests ends although callers have not taken theirs. The send buffer of the socket is small here, as with a slow link.

--- a/tests/test_stop_ends.py
+++ b/tests/test_stop_ends.py
@@ -3,6 +3,7 @@
 import asyncio
 import re
 import signal
+import socket
 import sys
 import unittest
 
@@ -159,6 +160,38 @@
         await asyncio.gather(*stopping)
         self.assertEqual((status, has_leader), (200, True), self.end_of("silent"))
 
+    async def test_answer_that_a_slow_caller_has_not_taken(self):
+        """Guards against a process that ends with the end of an answer in its buffer.
+
+        The request counts as ended, and a part of the grace period is left.
+        """
+        await self.call(self.node, "/draft/x", adapter="a1")
+        for name in ("e1", "e2"):
+            self.engines[name].padding_bytes = 8_000
+            self.engines[name].pause_after_events = 0
+        _, writer = await self.connect(self.node, 4096)
+        writer.transport.pause_reading()
+        fields = {names.MODEL: "base/a1", names.TOKENS: "1000,20"}
+        fields[names.REQUEST_ID] = "slow"
+        writer.write(self.head("/draft/x", **fields) + b"body")
+        await until(lambda: self.node.forwarder.open_requests)
+        (open_request,) = self.node.forwarder._ends._open
+        transport = open_request._web_request.transport
+        # As on a link that is slower than loopback.
+        opened = transport.get_extra_info("socket")
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        for name in ("e1", "e2"):
+            self.engines[name].pause_after_events = -1
+            self.engines[name].resume_event.set()
+        await until(lambda: self.end_of("slow"))
+        self.assertIn("end=ok", self.end_of("slow"))
+        stopping = self.begin_stop(self.node, 4.0)
+        began_at = boot_time()
+        # The caller reads on after most of the grace period.
+        asyncio.get_running_loop().call_later(3.2, writer.transport.resume_reading)
+        await stopping
+        self.assertEqual(transport.get_write_buffer_size(), 0, boot_time() - began_at)
+
 
 class SignalTest(unittest.IsolatedAsyncioTestCase):
     """The stop of a process counts from its signal."""
