--- a/tests/test_stop_ends.py
+++ b/tests/test_stop_ends.py
@@ -1,21 +1,26 @@
 """Tests of work that has begun and whose end lies behind the end of a process."""
 
 import asyncio
+import random
 import re
 import signal
 import socket
 import sys
 import unittest
+from types import SimpleNamespace
 
 import aiohttp
 
 from sequoiafall.boot_clock import boot_time
+from sequoiafall.place_source import GatewayPlace, PendingPlacement, PlaceSource
 from sequoiafall.platform import names
+from sequoiafall.wire.gen import ttypes
 
 from .events import until
 from .gateway_case import capture_log
 from .platform_case import configuration
 from .test_final_responses import FinalResponseCase
+from .test_place_source import CountingControl, FakeFleet
 
 # A service whose event loop is busy, and which prints when its stop begins.
 BUSY_SERVICE = """
@@ -193,6 +198,58 @@
         self.assertEqual(transport.get_write_buffer_size(), 0, boot_time() - began_at)
 
 
+class PlaceAtLeaderTest(unittest.IsolatedAsyncioTestCase):
+    """A request waits for a place at a leader that stops."""
+
+    async def test_next_leader_is_awaited(self):
+        """Guards against requests that are refused because their leader stops.
+
+        The time that they waited at the leader counts as time without one.
+        """
+
+        class ChangingFleet(FakeFleet):
+            """A fleet whose leader ends after 1.1 s, and has a successor in 0.2 s."""
+
+            has_leader = True
+            settings = SimpleNamespace(zone="z1", instance="node-1")
+            requests = 0
+
+            def __init__(self):
+                super().__init__(False)
+                self.places_by_request_and_server = {}
+
+            async def request_place(self, _request, _timeout_s):
+                """Answer as a leader that ends, and then as the next one."""
+                self.requests += 1
+                reason = "owner_unavailable" if self.requests == 1 else ""
+                if reason:
+                    await asyncio.sleep(1.1)
+                    self.has_leader = False
+                    asyncio.get_running_loop().call_later(0.2, self.elect)
+                return ttypes.EngineAnswer(
+                    server="e1",
+                    version=1,
+                    reason=reason,
+                    retry_after_ms=0,
+                    charged=True,
+                    detail="",
+                    address="10.0.0.1:80",
+                )
+
+            def elect(self):
+                """Let the next leader reply."""
+                self.has_leader = True
+
+        source = PlaceSource(ChangingFleet(), CountingControl(), random.Random(1))
+        request = SimpleNamespace(
+            request_id="r1", run_id="r1", adapter="a1", suspects=(), prompt_tokens=1
+        )
+        now = boot_time()
+        pending = PendingPlacement(request, "assist", None, 0, 1, now + 0.8, now + 4.0)
+        place = await source.take(pending, frozenset())
+        self.assertIsInstance(place, GatewayPlace)
+
+
 class SignalTest(unittest.IsolatedAsyncioTestCase):
     """The stop of a process counts from its signal."""
 
