Show a stop that an error ends before its requests

An error of `Fleet.leave` leaves `Node.on_stop`, and the worker ends the process. No such error of the store is known.

--- a/tests/test_stop_ends.py
+++ b/tests/test_stop_ends.py
@@ -8,10 +8,12 @@
 import sys
 import unittest
 from types import SimpleNamespace
+from unittest.mock import patch
 
 import aiohttp
 
 from sequoiafall.boot_clock import boot_time
+from sequoiafall.lease_keeper import LeaseKeeper
 from sequoiafall.place_source import GatewayPlace, PendingPlacement, PlaceSource
 from sequoiafall.platform import names
 from sequoiafall.wire.gen import ttypes
@@ -165,6 +167,17 @@
         await asyncio.gather(*stopping)
         self.assertEqual((status, has_leader), (200, True), self.end_of("silent"))
 
+    async def test_error_while_the_lease_is_released(self):
+        """Guards against a stop that an error ends before its requests have ended."""
+        _, call = await self.begin_stream(self.node)
+        with patch.object(LeaseKeeper, "release", side_effect=KeyError("k")):
+            stopping = self.begin_stop(self.node, 4.0)
+            await asyncio.wait({stopping})
+        # The process ends here.
+        is_open = not call.done()
+        call.cancel()
+        self.assertFalse(is_open, repr(stopping.exception()))
+
     async def test_answer_that_a_slow_caller_has_not_taken(self):
         """Guards against a process that ends with the end of an answer in its buffer.
 
