--- a/sequoiafall/node.py
+++ b/sequoiafall/node.py
@@ -141,7 +141,11 @@
         self.forwarder.begin_stop(started_at, self.settings.grace_s)
         serving_s = self.forwarder.stop_period.deadline - started_at
         accept_until = started_at + serving_s * ACCEPTING_SHARE
-        await self.fleet.leave()
+        try:
+            await self.fleet.leave()
+        except Exception as error:
+            # The open requests still have the grace period.
+            log_warning("leave_failed", error=repr(error))
         # The grace period goes on during a suspension, but timers stand still.
         while True:
             remaining_s = accept_until - boot_time()
