Let a stopping instance follow the next leader

New leaders announce themselves to members that stay, and a leaving instance took no election step, so it never read the lease row.

It reads the row as the others do, and never takes the lease. The next leader also hears of its places. test_place_after_a_change_of_leader failed before.

--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -506,7 +506,7 @@
                     )
                     continue
                 self._on_leader_lost()
-                if self._is_rank_delay_over() and not self.is_leaving:
+                if self._is_rank_delay_over():
                     await self._run_election_step()
                     await asyncio.sleep(self._rank_delay_s)
             except Exception as error:
@@ -630,13 +630,18 @@
     # The lease
 
     async def _run_election_step(self) -> None:
-        """Read the lease row; take the lease or follow its holder."""
+        """Read the lease row; take the lease or follow its holder.
+
+        An instance that is leaving only follows: its streams may need a place.
+        """
         reading = await self._keeper.observe(self._link.has_holder_ended)
         if reading is None:
             if not self.has_leader:
                 await self._ask_peers()
             return
         step, row, record = reading
+        if step is LeaseStep.TAKE and self.is_leaving:
+            return
         if step is LeaseStep.TAKE:
             loading = asyncio.get_running_loop().create_task(
                 self.evidence_exchange.load()
