Wait for the next leader however long the last one took

It waits for the next one for up to a second, within its deadline. test_next_leader_is_awaited failed before.

--- a/sequoiafall/place_source.py
+++ b/sequoiafall/place_source.py
@@ -161,6 +161,8 @@
                 reply = await self._request_from_leader(pending, excluded)
                 if reply is not None:
                     return reply
+                # The next leader gets its time, however long this one took.
+                waited_until = boot_time() + LEADER_WAIT_S
             place = await self._place_without_leader(pending, excluded)
             if place is not None:
                 return place
