Wait in a stop until callers have taken their responses

The end of the callers' connections waits for their buffers until the stop's deadline, and logs what is left. test_answer_that_a_slow_caller_has_not_taken failed before.

--- a/sequoiafall/node.py
+++ b/sequoiafall/node.py
@@ -37,6 +37,8 @@
 # Time for the last refusals: of requests that are under way on kept connections when
 # the others have ended, and again for callers that read slowly.
 LAST_REQUESTS_S = 0.1
+# Interval at which the end of the last responses is looked for.
+DRAIN_CHECK_INTERVAL_S = 0.02
 # Time for closing the remaining connections when the process ends.
 CLOSE_TIMEOUT_S = 0.1
 # Instances listed in one directory response.
@@ -171,10 +173,11 @@
         Requests that callers still send on kept connections are refused, as those
         that have not ended by the deadline.
         """
+        deadline = self.forwarder.stop_period.deadline
         if self._caller_site is not None:
             await self._caller_site.stop()
         while self.forwarder.open_requests:
-            remaining_s = self.forwarder.stop_period.deadline - boot_time()
+            remaining_s = deadline - boot_time()
             if remaining_s <= 0.0:
                 break
             await self.forwarder.wait_idle(min(remaining_s, STOP_CHECK_INTERVAL_S))
@@ -185,10 +188,35 @@
         await asyncio.sleep(LAST_REQUESTS_S)
         await self.forwarder.wait_idle(LAST_REQUESTS_S)
         if self._caller_runner is not None:
+            await self._drain_connections(self._caller_runner, deadline)
             self._runners.remove(self._caller_runner)
             await self._caller_runner.cleanup()
         return open_requests
 
+    async def _drain_connections(self, runner: web.AppRunner, until: float) -> None:
+        """Wait until callers have taken the ends of their responses.
+
+        The process ends with what is left in its buffers. `until` is a time of
+        `boot_time`.
+        """
+        while True:
+            connections = runner.server.connections if runner.server else []
+            transports = [row.transport for row in connections]
+            unsent = [
+                size
+                for transport in transports
+                if transport is not None
+                and (size := transport.get_write_buffer_size())
+            ]
+            if not unsent:
+                return
+            if boot_time() >= until:
+                log_warning(
+                    "responses_unsent", connections=len(unsent), bytes=sum(unsent)
+                )
+                return
+            await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
+
     @property
     def is_ready(self) -> bool:
         """Whether this instance accepts callers."""
