Send begun streams again in a stop without a retry of the budget

Only new requests earn retries, and a stopping instance gets none.

Such streams are few, and are sent again about once a second. test_begun_stream_without_a_retry failed before.

--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -597,7 +597,7 @@
                 exchange.excluded.clear()
                 exchange.excluded.add(server)
                 if exchange.rejected_sends > MAX_UNBUDGETED_SENDS:
-                    await _wait_for_retry(budget, exchange.rejected_sends)
+                    await self._wait_for_retry(budget, exchange.rejected_sends)
                 else:
                     await asyncio.sleep(LOOK_AGAIN_S)
                 return None
@@ -621,6 +621,18 @@
         self._log_end(exchange, "outcome_unknown", 502, outcome.detail)
         return self._error_response(502, "the backend server's answer was lost")
 
+    async def _wait_for_retry(self, budget: RetryBudget, rejected_sends: int) -> None:
+        """Wait for a retry of the budget for a rejected request, and take it.
+
+        A stopping instance gets no requests that earn retries. The streams that need
+        one are few, as they have begun, and are sent again about once a second.
+        """
+        delay_s = back_off_s(LOOK_AGAIN_S, rejected_sends, MAX_LOOK_AGAIN_S)
+        while True:
+            await asyncio.sleep(delay_s)
+            if budget.try_retry() or self.stop_period.has_begun:
+                return
+
     def _record_times(self, exchange: Exchange) -> None:
         """Record how long a complete response took."""
         now, times = boot_time(), exchange.times
@@ -1048,15 +1060,6 @@
     return RunEnd(outcome.name, has_begun, crashed, exchange.sent_at)
 
 
-async def _wait_for_retry(budget: RetryBudget, rejected_sends: int) -> None:
-    """Wait for a retry of the budget for a rejected request, and take it."""
-    delay_s = back_off_s(LOOK_AGAIN_S, rejected_sends, MAX_LOOK_AGAIN_S)
-    while True:
-        await asyncio.sleep(delay_s)
-        if budget.try_retry():
-            return
-
-
 def _drop_headers_with_secret(headers: CIMultiDict[str], secret: str) -> list[str]:
     """Remove headers that contain the caller's key and return their names."""
     if not contains_secret(secret, headers.values()):
