Move streams without events in a stop, as their refusal would be complete

Only begun streams stay. test_silent_engine_before_the_first_event failed before; the test of begun streams still passes.

--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -362,9 +362,9 @@
             notices,
             budget,
             exchange.excluded,
-            # Another server may have no room, and nothing would be left to work on
-            # the stream when this process ends it.
-            lambda: not self.stop_period.has_begun,
+            # Another server may have no room, and nothing would be left to work on a
+            # begun stream when this process ends it.
+            lambda: exchange.stream is None or not self.stop_period.has_begun,
         )
         exchange.move = move
         with contextlib.closing(move):
--- a/tests/test_stop_ends.py
+++ b/tests/test_stop_ends.py
@@ -131,6 +131,26 @@
             self.assertIsNotNone(sent, end)
             self.assertLess(int(sent[1]), 100, "no server worked on the stream")
 
+    async def test_silent_engine_before_the_first_event(self):
+        """Guards against streams that wait for a silent engine until a stop ends.
+
+        Nothing of their response was sent, so a refusal would be complete.
+        """
+        await self.start_others(2)
+        node = self.nodes[1]
+        await self.call(node, "/draft/x", adapter="a1")
+        first = next(row for row in self.engines.values() if row.runs["r1"])
+        first.fall_silent(30.0)
+        fields = {names.DEADLINE_MS: "12000"}
+        call = asyncio.create_task(
+            self.call(node, "/draft/x", adapter="a1", request_id="silent", **fields)
+        )
+        await until(lambda: "silent" in first.received_request_ids)
+        stopping = self.begin_stop(node, 8.0)
+        status = await self.status_of(call)
+        await stopping
+        self.assertEqual(status, 200, self.end_of("silent"))
+
     async def test_begun_stream_without_a_retry(self):
         """Guards against streams that wait for a retry that no request earns.
 
