--- a/sequoiafall/standins/adapter_engine.py
+++ b/sequoiafall/standins/adapter_engine.py
@@ -66,6 +66,8 @@
         ``Retry-After`` header.
     event_interval_s : float
         Seconds between two events of a stream.
+    software : str
+        Software version that each event names; events name none if it is empty.
     padding_bytes : int
         Additional bytes of each event.
     trickling_streams : int
@@ -133,6 +135,7 @@
         self.breaks_all_streams = False
         self.pause_after_events = -1
         self.resume_event = asyncio.Event()
+        self.software = ""
         self.mismatched_responses = 0
         self.fail_next = 0
         self.shed_next = 0
@@ -224,6 +227,12 @@
             self._restart_later(host, port)
         )
         await self._site.stop()
+        self.reset_connections()
+
+    def reset_connections(self) -> None:
+        """Reset all connections, and go on to serve on new ones."""
+        if self._runner is None or self._runner.server is None:
+            return
         for connection in list(self._runner.server.connections):
             reset_connection(connection.transport)
 
@@ -469,7 +478,10 @@
             if 0 <= self.pause_after_events < number:
                 await self.resume_event.wait()
             await self._wait_silence_over()
-            text = f"piece {number}" + " " * self.padding_bytes
+            text = f"piece {number}"
+            if self.software:
+                text += f" of {self.software}"
+            text += " " * self.padding_bytes
             await response.write(f"id: {number}\ndata: {text}\n\n".encode())
         await response.write_eof()
         return response
--- a/sequoiafall/standins/row_server.py
+++ b/sequoiafall/standins/row_server.py
@@ -7,6 +7,7 @@
 import json
 import random
 import time
+from collections import Counter
 from dataclasses import dataclass
 from typing import Any
 
@@ -48,6 +49,10 @@
     late_apply_delay_s : float
         Seconds after which a transaction that gets no response takes effect, if
         its precondition still holds.
+    writes_by_table : Counter of str
+        Number of rows that transactions of instances have asked to write.
+    reads_by_table : Counter of str
+        Number of requests for rows of a table, without those for its feed.
     """
 
     def __init__(self, seed: int = 0) -> None:
@@ -61,6 +66,8 @@
         self.response_loss_rate = 0.0
         self.late_apply_delay_s = 0.0
         self.request_count = 0
+        self.writes_by_table: Counter[str] = Counter()
+        self.reads_by_table: Counter[str] = Counter()
         self._restore_at_count = 0
         self._pending_copy: StoreCopy | None = None
         self._changed = asyncio.Event()
@@ -144,6 +151,7 @@
         if rejection is not None:
             return rejection
         table, start = request.query["table"], request.query.get("from", "")
+        self.reads_by_table[table] += 1
         limit = min(MAX_PAGE_ROWS, int(request.query.get("limit", MAX_PAGE_ROWS)))
         rows = sorted(
             (
@@ -189,6 +197,7 @@
         body = await request.json()
         if any(item["table"] in READ_ONLY_TABLES for item in body.get("put", ())):
             return web.Response(status=403)
+        self.writes_by_table.update(item["table"] for item in body.get("put", ()))
         if self._random.random() < self.response_loss_rate:
             if self.late_apply_delay_s:
                 task = asyncio.get_running_loop().create_task(self._apply_late(body))
--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -160,7 +160,7 @@
             "service": backend.service,
             "address": backend.address,
             "zone": "z1",
-            "version": "v1",
+            "version": backend.software or "v1",
             "slots": 64,
             "state": "ready",
             "sequence": 1,
