--- a/sequoiafall/standins/adapter_engine.py
+++ b/sequoiafall/standins/adapter_engine.py
@@ -16,6 +16,8 @@
 
 EVENT_INTERVAL_S = 0.01
 TRICKLE_INTERVAL_S = 0.02
+# Instances take headers of this size from callers and pass them on.
+MAX_HEADER_BYTES = 16 * 1024
 # Reports show the state as it was this long ago.
 REPORT_LAG_S = 0.1
 CRASH_DOWN_S = 1.5
@@ -181,7 +183,11 @@
     async def listen(self, host: str) -> str:
         """Start to serve on a free port and return the address."""
         self._runner = web.AppRunner(
-            self.application(), access_log=None, handler_cancellation=True
+            self.application(),
+            access_log=None,
+            handler_cancellation=True,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
         )
         await self._runner.setup()
         self._site = web.TCPSite(self._runner, host, 0, shutdown_timeout=0.1)
