Show a stream that leaves its sound server before a stop and is lost

A stream is moved away from an engine that sends nothing for a second, as soon as another one has a place for it. If that one rejects it, the stream has no server. A stop that begins then cuts it although no server was at work on it.

--- a/tests/test_final_responses.py
+++ b/tests/test_final_responses.py
@@ -19,6 +19,7 @@
 from sequoiafall.lease_keeper import LeaseKeeper
 from sequoiafall.platform import names
 from sequoiafall.request_ends import EndCause, OpenRequest, ResponseState
+from sequoiafall.stall_timeout import EVENT_GAP_TIMEOUT_S
 
 from .events import until
 from .gateway_case import capture_log
@@ -841,6 +842,37 @@
         self.assertIsNotNone(match, end)
         self.assertLess(int(match[1]), 100, "no server worked on the stream")
 
+    async def test_stream_that_left_its_server_before_the_stop(self):
+        """Guards against streams that are moved without room elsewhere, and then cut.
+
+        A sound engine sends nothing for a while. The stream leaves it for another one,
+        which rejects it. Then the process stops, and no server works on the stream.
+        As its last server was sound, no rule excuses that the caller gets no answer.
+        """
+        node = await self.start_node(2)
+        await until(lambda: node.is_ready and node.fleet.has_leader)
+        await self.call(node, "/draft/x", adapter="a1")
+        first = next(row for row in self.engines.values() if row.runs["r1"])
+        second = self.engines["e2" if first.name == "e1" else "e1"]
+        first.pause_after_events = 2
+        second.shed_next = 1000
+        call = asyncio.create_task(
+            self.call(node, "/draft/x", adapter="a1", request_id="silent")
+        )
+        await until(lambda: first.runs["silent"])
+        first.shed_next = 1000
+        await asyncio.sleep(EVENT_GAP_TIMEOUT_S + 0.5)
+        node.settings.grace_s = 1.0
+        stopping = asyncio.create_task(node.stop())
+        self.nodes.remove(node)
+        period = node.forwarder.stop_period
+        await until(lambda: boot_time() > period.deadline - 0.1)
+        working = first.running + second.running
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            await call
+        await stopping
+        self.assertEqual(working, 1, "no server worked on the stream")
+
     async def test_requests_on_a_kept_connection(self):
         """Guards against requests that are read while the process closes."""
         reader, writer = await self.connect(self.node)
