Show a whole response that a stopping process leaves unsent

A request counts as ended when its response has been given to the connection, although the last bytes of it may still lie in the process. A stop waits for open requests only, so it ends with these bytes unsent while its grace period goes on, and the log says end=ok for the request.

Seen with real nodes on (lab, trials; callers with a receive buffer of 4 KiB and segments of 1400 bytes that read 4 KiB at a time): a response of 480,000 bytes, whole at its server 5.3 s after SIGTERM, of which the caller read 467,514 before the connection ended, with end=ok in the log; the stop counted six cuts, callers saw seven.

--- a/tests/test_final_responses.py
+++ b/tests/test_final_responses.py
@@ -18,7 +18,7 @@
 from sequoiafall.engine_client import _SingleSendConnector
 from sequoiafall.lease_keeper import LeaseKeeper
 from sequoiafall.platform import names
-from sequoiafall.request_ends import EndCause, OpenRequest, ResponseState
+from sequoiafall.request_ends import EndCause, OpenRequest, RequestEnds, ResponseState
 from sequoiafall.stall_timeout import EVENT_GAP_TIMEOUT_S
 
 from .events import until
@@ -31,6 +31,10 @@
     (EndCause.REFUSED.value, COMPLETE),
 }
 EVENTS = 5
+# Response that a process takes for sent although its caller has read little of it,
+# and the interval at which that caller reads: it has it all 2 s later.
+SLOW_RESPONSE_BYTES = 80 * 1024
+SLOW_READ_INTERVAL_S = 0.05
 # Route, whether its responses are streams, and the adapter that its requests name.
 ROUTES = (
     ("draft", True, "a1"),
@@ -873,6 +877,57 @@
         await stopping
         self.assertEqual(working, 1, "no server worked on the stream")
 
+    async def test_caller_that_reads_slowly(self):
+        """Guards against a process that ends with a whole response in its buffers.
+
+        The server has ended its work, and the grace period goes on. Bytes that the
+        process has not given to the connections are lost when it ends.
+        """
+        await self.call(self.node, "/order/x")
+        listener = self.node._caller_site._server.sockets[0]
+        # Connections get the size from their listener; it is small on a real network.
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 16 * 1024)
+        opened = []
+        begin = RequestEnds.begin
+
+        def record(ends, web_request, request_id):
+            opened.append(web_request.transport)
+            return begin(ends, web_request, request_id)
+
+        self.node.settings.grace_s = 4.0
+        loop = asyncio.get_running_loop()
+        with (
+            socket.socket() as caller,
+            patch.object(RequestEnds, "begin", record),
+            patch("sequoiafall.node.ACCEPTING_SHARE", 0.1),
+        ):
+            caller.setblocking(False)
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            host, _, port = self.node.settings.front_address.rpartition(":")
+            await loop.sock_connect(caller, (host, int(port)))
+            body = b"b" * SLOW_RESPONSE_BYTES
+            head = self.head("/order/x", len(body), **{names.REQUEST_ID: "slow"})
+            await loop.sock_sendall(caller, head + body)
+            await until(
+                lambda: self.runs("slow") and not self.node.forwarder.open_requests
+            )
+            stopping = asyncio.create_task(self.node.stop())
+            self.nodes.remove(self.node)
+
+            async def end_process():
+                await stopping
+                if opened[-1].get_write_buffer_size():
+                    opened[-1].abort()
+
+            ending = asyncio.create_task(end_process())
+            received = b""
+            with contextlib.suppress(ConnectionError):
+                while chunk := await loop.sock_recv(caller, 2048):
+                    received += chunk
+                    await asyncio.sleep(SLOW_READ_INTERVAL_S)
+            await ending
+        self.assertTrue(RawResponse(received).is_complete, len(received))
+
     async def test_requests_on_a_kept_connection(self):
         """Guards against requests that are read while the process closes."""
         reader, writer = await self.connect(self.node)
