Show a request that runs behind an announced close of its connection

Responses of a stopping process say that their connection ends with them (Connection: close), but the process goes on with a further request that the caller has sent already, and a server runs it. A caller that closes the connection as it was told has no answer to a request that was passed on.

--- a/tests/test_final_responses.py
+++ b/tests/test_final_responses.py
@@ -877,6 +877,28 @@
         await stopping
         self.assertEqual(working, 1, "no server worked on the stream")
 
+    async def test_request_behind_an_announced_close(self):
+        """Guards against requests that run although their caller was told of a close.
+
+        The caller sends the second request before it has the first response, which
+        says that the connection ends with it. It then expects no further response.
+        """
+        reader, writer = await self.connect(self.node)
+        await self.call(self.node, "/order/x")
+        for server in self.engines.values():
+            server.processing_s = 0.2
+        self.node.settings.grace_s = 2.0
+        stopping = asyncio.create_task(self.node.stop())
+        self.nodes.remove(self.node)
+        await until(lambda: self.node.fleet.is_leaving)
+        for request_id in ("first", "second"):
+            fields = {names.REQUEST_ID: request_id, names.DEADLINE_MS: "1000"}
+            writer.write(self.head("/order/x", Connection="", **fields) + b"body")
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.assertIn(b"Connection: close", head)
+        await stopping
+        self.assertEqual((self.runs("first"), self.runs("second")), (1, 0))
+
     async def test_caller_that_reads_slowly(self):
         """Guards against a process that ends with a whole response in its buffers.
 
