Judge by the caller whether a stopping node read a request in the soak

The soak excused a request that no line of the node's log names as not read, however long its connection stayed open.

Such a request is now excused only if its connection ended within loss_slack_ms (0.2 s) of its last byte, without the time in which the node was suspended; the log must still not name it.

--- a/soak/calls.py
+++ b/soak/calls.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from dataclasses import dataclass, field
+from typing import Any
 
 import aiohttp
 import msgspec
@@ -40,6 +41,8 @@
         Seconds after which the caller leaves; 0 if it waits for the response.
     sent_at, ended_at : float
         Monotonic times in seconds.
+    last_byte_at : float
+        When the whole request had been sent; `sent_at` if that is not known.
     status : int
         Status of the response, 0 without one.
     received : bytes
@@ -62,6 +65,7 @@
     is_sound: bool = True
     leaves_after_s: float = 0.0
     sent_at: float = 0.0
+    last_byte_at: float = 0.0
     ended_at: float = 0.0
     status: int = 0
     received: bytes = b""
@@ -103,7 +107,7 @@
             "Authorization": f"Bearer {self.key}",
             **self.headers,
         }
-        self.sent_at = time.monotonic()
+        self.sent_at = self.last_byte_at = time.monotonic()
         try:
             async with (
                 asyncio.timeout(self.leaves_after_s or None),
@@ -112,6 +116,7 @@
                     f"http://{address}{self.target}",
                     headers=headers,
                     data=self.body if self.method == "POST" else None,
+                    trace_request_ctx=self,
                 ) as response,
             ):
                 self.status = response.status
@@ -123,3 +128,16 @@
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             self.error = type(error).__name__
         self.ended_at = time.monotonic()
+
+
+def record_last_bytes() -> aiohttp.TraceConfig:
+    """Return the tracing by which calls of a session know when they have been sent."""
+
+    async def record(_session: object, context: Any, _parameters: object) -> None:
+        if isinstance(context.trace_request_ctx, Call):
+            context.trace_request_ctx.last_byte_at = time.monotonic()
+
+    tracing = aiohttp.TraceConfig()
+    tracing.on_request_headers_sent.append(record)
+    tracing.on_request_chunk_sent.append(record)
+    return tracing
--- a/soak/endings.py
+++ b/soak/endings.py
@@ -17,6 +17,8 @@
 # only if the server was at work on it in this last share of the grace period.
 MAX_SENT_AFTER_STOP_S = 3.0
 LAST_SHARE_OF_GRACE = 1 / 6
+# A request counts as read this long after its last byte was sent (`loss_slack_ms`).
+LOSS_SLACK_S = 0.2
 # A stopped node may be expected to end requests until this long after its grace period.
 STOP_TAIL_S = 1.0
 # Delay with which a node reads changed settings.
@@ -188,9 +190,14 @@
         )
 
     def _is_unread(self, stop: _Stop, call: Call) -> bool:
-        """Whether a stopping node closed a connection before it read the request."""
+        """Whether a stopping node closed a connection before it read the request.
+
+        The log of the node alone does not show that: its last lines may be lost.
+        """
         if call.status or self._arrivals(call) or stop.begun_at > call.ended_at:
             return False
+        if call.ended_at - call.last_byte_at > LOSS_SLACK_S + self._paused_s(call):
+            return False
         if call.sent_at > stop.begun_at + stop.grace_s + STOP_TAIL_S:
             return False
         return not self._has_read(call.node, call.request_id)
--- a/soak/run.py
+++ b/soak/run.py
@@ -27,7 +27,7 @@
 from sequoiafall.standins.adapter_engine import AdapterEngine
 from sequoiafall.standins.row_server import RowServer
 
-from .calls import Call
+from .calls import Call, record_last_bytes
 from .configuration import (
     ENGINE_SERVICES,
     KEYS_BY_ORGANISATION,
@@ -463,6 +463,7 @@
         session = aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=REQUEST_DEADLINE_S + 2.0),
             connector=aiohttp.TCPConnector(limit=0),
+            trace_configs=[record_last_bytes()],
         )
         session._retry_connection = False
         return session
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -141,7 +141,8 @@
 
 def _call(route="note", sent_at=100.0, ended_at=101.0, **fields):
     call = Call("r1", 1, route, "org-1", "key", f"/{route}/x", "POST", b"b")
-    call.sent_at, call.ended_at = sent_at, ended_at
+    call.sent_at = call.last_byte_at = sent_at
+    call.ended_at = ended_at
     for name, value in fields.items():
         setattr(call, name, value)
     return call
@@ -293,6 +294,69 @@
         findings = self._findings(call, *events, has_read=is_read)
         self.assertEqual(len(findings), int(is_found))
 
+    @parameterized.expand(
+        [
+            ("at once", {}, [], 0.0, False),
+            ("later", {"ended_at": 102.4}, [], 0.0, True),
+            ("slow to send", {"ended_at": 102.4}, [], 0.3, False),
+            (
+                "node suspended",
+                {"ended_at": 102.4},
+                [(102.1, "record_pause", 1), (102.35, "end_pause", 1)],
+                0.0,
+                False,
+            ),
+            (
+                "another node suspended",
+                {"ended_at": 102.4},
+                [(102.1, "record_pause", 2), (102.35, "end_pause", 2)],
+                0.0,
+                True,
+            ),
+        ]
+    )
+    def test_request_that_no_line_names(self, _name, fields, beside, sent_s, is_found):
+        """Guards against requests that are excused because the log lost their lines.
+
+        The time between their last byte and the end of their connection is known to
+        the caller.
+        """
+        values = {"ended_at": 102.1, "error": "ServerDisconnectedError", **fields}
+        call = _call(sent_at=102.0, last_byte_at=102.0 + sent_s, **values)
+        events = [GRACE, (100.5, "record_stop", 1), *beside]
+        findings = self._findings(call, *events, has_read=False)
+        self.assertEqual(len(findings), int(is_found), findings)
+
+    def test_time_of_the_last_byte(self):
+        """Guards against requests that seem sent while their connection is made."""
+
+        async def send():
+            async def respond(_reader, writer):
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                await writer.drain()
+                writer.close()
+
+            server = await asyncio.start_server(respond, "127.0.0.1", 0)
+            host, port = server.sockets[0].getsockname()
+            connect = aiohttp.TCPConnector.connect
+
+            async def connect_later(*arguments, **options):
+                await asyncio.sleep(0.1)
+                return await connect(*arguments, **options)
+
+            with tempfile.TemporaryDirectory() as folder:
+                soak = Soak(1, Path(folder))
+            call = _call(sent_at=0.0, ended_at=0.0)
+            with patch.object(aiohttp.TCPConnector, "connect", connect_later):
+                async with server, soak.caller_session() as session:
+                    await call.send(session, f"{host}:{port}")
+            return call
+
+        call = asyncio.run(send())
+        self.assertTrue(call.is_complete, call.error)
+        self.assertGreaterEqual(call.last_byte_at - call.sent_at, 0.1)
+        self.assertLessEqual(call.last_byte_at, call.ended_at)
+
     def test_log_names_a_request(self):
         with tempfile.TemporaryDirectory() as folder:
             soak = Soak(1, Path(folder))
