--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -764,8 +764,9 @@
         response = web.Response(
             status=backend_response.status,
             body=body,
-            headers=self._response_headers(backend_response),
+            headers=self._dialect.response_headers(backend_response.headers),
         )
+        self._close_if_leaving(response)
         self._observe_first_byte(exchange)
         if kind is ResponseKind.FAILURE:
             if backend_response.status < 500:
@@ -835,19 +836,23 @@
     ) -> None:
         stream = StreamedResponse(
             status=backend_response.status,
-            headers=self._response_headers(backend_response),
+            headers=self._dialect.response_headers(backend_response.headers),
         )
+        self._close_if_leaving(stream)
         await stream.prepare(exchange.web_request)
         exchange.stream = stream
         if exchange.open_request is not None:
             exchange.open_request.stream = stream
         self._observe_first_byte(exchange)
 
-    def _response_headers(self, backend_response: BackendResponse) -> CIMultiDict[str]:
-        headers = self._dialect.response_headers(backend_response.headers)
+    def _close_if_leaving(self, response: web.StreamResponse) -> None:
+        """End the connection with a response of a stopping process, and say so.
+
+        With the header alone, a further request on the connection would run, and its
+        caller closes the connection as it was told.
+        """
         if self._fleet.is_leaving:
-            headers["Connection"] = "close"
-        return headers
+            response.force_close()
 
     def _observe_first_byte(self, exchange: Exchange) -> None:
         kind = exchange.route.repeat.value
@@ -946,12 +951,12 @@
         headers: dict[str, str] = {}
         if refusal is not None and refusal.retry_after_s > 0.0:
             headers["Retry-After"] = f"{refusal.retry_after_s:.3f}"
-        if self._fleet.is_leaving:
-            headers["Connection"] = "close"
         ran = refusal.ran if refusal is not None else RunStatus.UNKNOWN
         reason = refusal.reason.value if refusal is not None else "outcome_unknown"
         body = {"error": {"reason": reason, "ran": ran.value, "detail": detail}}
-        return web.json_response(body, status=status, headers=headers)
+        response = web.json_response(body, status=status, headers=headers)
+        self._close_if_leaving(response)
+        return response
 
     def _log_end(
         self,
