--- a/sequoiafall/fleet_leader.py
+++ b/sequoiafall/fleet_leader.py
@@ -424,10 +424,10 @@
             request.software = self._versions.find(
                 request.resumes_key, request.pool, boot_time()
             )
-        active = self._registry.active_servers(request.pool)
-        if request.software is None or not active:
+        if request.software is None:
             return None
-        if any(entry.software == request.software for entry in active):
+        active = self._registry.active_servers(request.pool)
+        if not active or any(entry.software == request.software for entry in active):
             return None
         return _refuse_take_up(request, Reason.STREAM_VERSION_GONE)
 
