Forget streams that nobody can take up, at instances that decide nothing

A gateway recorded where its streams began and dropped what had expired only when it was asked about a stream, or when servers changed. Its memory would have grown by some 100 bytes a stream until then, up to 500,000 streams. The loop that follows the leader drops what has expired; test_instances_that_take_nothing_up failed before.

--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -578,6 +578,7 @@
         if self.settings.is_first_start and not is_hint:
             await asyncio.sleep(FIRST_ELECTION_DELAY_S)
         while not self.should_stop:
+            self.stream_versions.expire(boot_time())
             try:
                 if self.lease.leads:
                     await self._renew()
--- a/sequoiafall/stream_versions.py
+++ b/sequoiafall/stream_versions.py
@@ -206,6 +206,10 @@
             heapq.heappop(self._expiries)
         self._drop_expired()
 
+    def expire(self, now: float) -> None:
+        """Drop some of the origins whose time is over; `record` drops further ones."""
+        self._advance(now)
+
     def find(self, key: bytes, service: str, now: float) -> str | None:
         """Return the version at which a stream of a service began.
 
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -14,6 +14,7 @@
 from parameterized import parameterized
 
 from sequoiafall import forwarding
+from sequoiafall.boot_clock import boot_time
 from sequoiafall.platform import names
 
 from .events import until
@@ -740,3 +741,16 @@
         await self.finish(streams)
         self.assert_one_version(streams)
         self.assertEqual([row.is_complete for row in streams], [True] * STREAMS)
+
+
+class ForgottenStreamTest(PlatformCase):
+    """Instances forget streams that nobody can take up any more."""
+
+    async def test_instances_that_take_nothing_up(self):
+        """Guards against records that a gateway keeps until its memory is used up."""
+        nodes = await self.start_fleet()
+        for node in nodes:
+            for number in range(200):
+                key = number.to_bytes(8, "big")
+                node.fleet.stream_versions.record(key, "assist", "v1", boot_time())
+        await until(lambda: not any(len(row.fleet.stream_versions) for row in nodes))
