Show a begun stream that is cut just before its deadline

DEADLINE_MARGIN_S lets a failure reach the caller in time, but it also ends streams that have begun 20 ms before their deadline.

--- a/tests/test_final_responses.py
+++ b/tests/test_final_responses.py
@@ -641,6 +641,21 @@
         ends = {(EndCause.COMPLETED.value, COMPLETE): 1, (cause.value, state.value): 1}
         await self.assert_ends_add_up(2, ends)
 
+    async def test_begun_stream_is_not_cut_before_its_deadline(self):
+        """Guards against cuts that the deadline does not excuse yet.
+
+        A failure has to reach the caller in time; a cut stream is no response.
+        """
+        node, *_ = await self.start_fleet(1)
+        for name in ("e1", "e2"):
+            self.engines[name].pause_after_events = 2
+        sent_at = boot_time()
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            await self.call(
+                node, "/check/x", adapter="a1", **{names.DEADLINE_MS: "1500"}
+            )
+        self.assertGreaterEqual(boot_time() - sent_at, 1.5)
+
 
 class PlannedStopTest(FinalResponseCase):
     """A process that ends gives every request that it read a final response."""
