--- a/sequoiafall/exchange.py
+++ b/sequoiafall/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass, field
 
 from aiohttp import web
@@ -36,6 +37,9 @@
         Arrival of the headers and of the whole request, the time at which the request
         times out, and the latest time at which the response or its first event counts
         as on time; in seconds of `boot_time`.
+    scope : asyncio.Timeout or None
+        Ends the request at its deadline, and a begun stream a little later, when the
+        caller's own deadline has passed.
     sends, runs, rejected_sends : int
         Sends so far, those that may have run, and those that no server ran because
         it refused the request or could not be reached.
@@ -79,6 +83,7 @@
     read_at: float
     deadline: float
     first_event_due_at: float
+    scope: asyncio.Timeout | None = None
     sends: int = 0
     runs: int = 0
     rejected_sends: int = 0
--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -308,7 +308,8 @@
         self._log_taken_in_stop(exchange)
         self._retry_budget(exchange.service).on_request()
         try:
-            async with asyncio.timeout(max(0.0, exchange.deadline - boot_time())):
+            left_s = max(0.0, exchange.deadline - boot_time())
+            async with asyncio.timeout(left_s) as exchange.scope:
                 if service is not None and service.is_engine:
                     return await self._serve_engine(exchange)
                 return await self._serve_plain(exchange)
@@ -892,6 +893,10 @@
         self._close_if_leaving(stream)
         await stream.prepare(exchange.web_request)
         exchange.stream = stream
+        if exchange.scope is not None and not exchange.scope.expired():
+            # The end of a begun stream is no response that has to arrive in time.
+            left_s = exchange.deadline + DEADLINE_MARGIN_S - boot_time()
+            exchange.scope.reschedule(asyncio.get_running_loop().time() + left_s)
         if exchange.open_request is not None:
             exchange.open_request.stream = stream
         self._observe_first_byte(exchange)
