--- a/tests/test_final_responses.py
+++ b/tests/test_final_responses.py
@@ -828,11 +828,10 @@
                 any(re.search(pattern, line) for line in self.lines), pattern
             )
 
-    async def test_stream_without_a_server_at_the_deadline(self):
-        """Guards against streams that leave their server in a stop and are lost.
+    async def begin_silent_stream(self):
+        """Begin a stream whose engine sends nothing more, and no engine has room.
 
-        A sound engine sends nothing for a while. The stream is moved to another one,
-        which then has no room; no server works on it when the process ends it.
+        Returns its node, the call and both engines.
         """
         node = await self.start_node(2)
         await until(lambda: node.is_ready and node.fleet.has_leader)
@@ -846,6 +845,15 @@
         )
         await until(lambda: first.runs["silent"])
         first.shed_next = 1000
+        return node, call, (first, second)
+
+    async def test_stream_without_a_server_at_the_deadline(self):
+        """Guards against streams that leave their server in a stop and are lost.
+
+        A sound engine sends nothing for a while. The stream is moved to another one,
+        which then has no room; no server works on it when the process ends it.
+        """
+        node, call, _ = await self.begin_silent_stream()
         node.settings.grace_s = 3.5
         stopping = asyncio.create_task(node.stop())
         self.nodes.remove(node)
@@ -868,25 +876,14 @@
         which rejects it. Then the process stops, and no server works on the stream.
         As its last server was sound, no rule excuses that the caller gets no answer.
         """
-        node = await self.start_node(2)
-        await until(lambda: node.is_ready and node.fleet.has_leader)
-        await self.call(node, "/draft/x", adapter="a1")
-        first = next(row for row in self.engines.values() if row.runs["r1"])
-        second = self.engines["e2" if first.name == "e1" else "e1"]
-        first.pause_after_events = 2
-        second.shed_next = 1000
-        call = asyncio.create_task(
-            self.call(node, "/draft/x", adapter="a1", request_id="silent")
-        )
-        await until(lambda: first.runs["silent"])
-        first.shed_next = 1000
+        node, call, engines = await self.begin_silent_stream()
         await asyncio.sleep(EVENT_GAP_TIMEOUT_S + 0.5)
         node.settings.grace_s = 1.0
         stopping = asyncio.create_task(node.stop())
         self.nodes.remove(node)
         period = node.forwarder.stop_period
         await until(lambda: boot_time() > period.deadline - 0.1)
-        working = first.running + second.running
+        working = sum(engine.running for engine in engines)
         with self.assertRaises(aiohttp.ClientPayloadError):
             await call
         await stopping
