Bound what callers say of streams that they may take up

A stream may be taken up for 300 s at most. A key in place of an attempt in Resumes was logged with the take-up; it is dropped before. test_very_long_deadline and test_key_in_place_of_an_attempt failed before. Refusals at the gateway itself count among the take-ups.

--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -93,8 +93,9 @@
 # Identifiers of prompt parts in a log line.
 MAX_LOGGED_PARTS = 8
 # A caller may take a stream up for this long after its deadline, as its clock began
-# before the request arrived here.
+# before the request arrived here. What a caller says of its deadline is not a limit.
 TAKE_UP_MARGIN_S = 2.0
+MAX_TAKE_UP_S = 300.0
 # Short, because another instance can serve the request at once.
 DRAINING_RETRY_AFTER_S = 0.05
 
@@ -243,6 +244,9 @@
                 headers=",".join(dropped),
                 reason="they contain the caller's key",
             )
+        if contains_secret(request.key, [request.resumes]):
+            # It is logged, and names no attempt.
+            request.resumes = ""
         request.run_id = self._run_ids.next_id(request.request_id)
         request.identity = request_identity(
             organisation.name if organisation is not None else None,
@@ -409,9 +413,8 @@
         if exchange.route.repeat is not RepeatPolicy.RESUMABLE:
             return placement
         organisation = exchange.organisation.name if exchange.organisation else ""
-        placement.take_up_until = (
-            exchange.started_at + request.time_left_s + TAKE_UP_MARGIN_S
-        )
+        left_s = min(request.time_left_s + TAKE_UP_MARGIN_S, MAX_TAKE_UP_S)
+        placement.take_up_until = exchange.started_at + left_s
         if request.resumes:
             placement.resumes_key = stream_key(organisation, request.resumes)
         placement.is_take_up = request.resume_after >= 0
--- a/sequoiafall/place_source.py
+++ b/sequoiafall/place_source.py
@@ -192,6 +192,8 @@
             )
         while True:
             if self._is_version_gone(pending):
+                if pending.is_take_up:
+                    self._fleet.count_take_up(Reason.STREAM_VERSION_GONE.value)
                 return _version_gone(pending)
             if self._fleet.has_leader:
                 reply = await self._request_from_leader(pending, excluded)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -18,6 +18,7 @@
 from sequoiafall.platform import names
 
 from .events import until
+from .gateway_case import capture_log
 from .platform_case import KEY, PlatformCase, configuration
 
 RESUMES = "Resumes"
@@ -754,3 +755,32 @@
                 key = number.to_bytes(8, "big")
                 node.fleet.stream_versions.record(key, "assist", "v1", boot_time())
         await until(lambda: not any(len(row.fleet.stream_versions) for row in nodes))
+
+
+class CallerHeaderTest(VersionCase):
+    """What callers say of themselves is bounded, and their keys are not logged."""
+
+    async def test_very_long_deadline(self):
+        """Guards against a time that does not fit into messages between instances."""
+        await self.start(TWO_EACH)
+        status, body, _ = await self.call(
+            self.member,
+            "/draft/x",
+            adapter="a1",
+            **{names.DEADLINE_MS: "99999999999999999"},
+        )
+        self.assertEqual(status, 200, body)
+        versions = self.member.fleet.stream_versions
+        (origin,), _ = versions.origins_since(0, boot_time())
+        self.assertLess(origin.expires_at - boot_time(), 301.0)
+        await self.stop(self.leader)
+        await until(lambda: all(node.fleet.has_leader for node in self.nodes))
+
+    async def test_key_in_place_of_an_attempt(self):
+        await self.start(ONE_VERSION)
+        lines = self.enterContext(capture_log())
+        headers = {names.LAST_EVENT: "2", RESUMES: KEY}
+        response = await self.post(self.member, "r", "/draft/x", **headers)
+        await response.read()
+        self.assertTrue(any("event=stream_taken_up" in line for line in lines))
+        self.assertFalse(any(KEY in line for line in lines), lines)
