--- a/sequoiafall/standins/adapter_engine.py
+++ b/sequoiafall/standins/adapter_engine.py
@@ -463,6 +463,8 @@
     async def _stream(
         self, request: web.Request, headers: dict[str, str]
     ) -> web.StreamResponse:
+        # Streams that run on while the server is replaced stay with their version.
+        software = self.software
         first = int(request.headers.get(names.LAST_EVENT, "0")) + 1
         kind = _UnframedResponse if self.ends_with_connection else web.StreamResponse
         response = kind(headers=headers)
@@ -485,8 +487,8 @@
                 await self.resume_event.wait()
             await self._wait_silence_over()
             text = f"piece {number}"
-            if self.software:
-                text += f" of {self.software}"
+            if software:
+                text += f" of {software}"
             text += " " * self.padding_bytes
             await response.write(f"id: {number}\ndata: {text}\n\n".encode())
         await response.write_eof()
