Let the soak serve two versions and take streams up after any loss

From seed 7000 on, half of the servers of a service leave and return with another version, callers take broken streams up at any node, and all nodes are killed at once. A run with more than two joined streams, or with too few streams that go on, has findings.

--- a/soak/crash_budget.py
+++ b/soak/crash_budget.py
@@ -41,7 +41,8 @@
         """Record that a server crashed."""
         self.crashed_at_by_cause[cause].append(time.monotonic())
 
-    def _is_excused(self, at: float, node: int) -> bool:
+    def is_excused(self, at: float, node: int) -> bool:
+        """Return whether a node or the store was disturbed just before a time."""
         times = self._disturbed_at_by_node[node] + self._disturbed_at_by_node[0]
         return any(at - CONTACT_S <= disturbed_at <= at for disturbed_at in times)
 
@@ -54,7 +55,7 @@
         return [
             (at, node)
             for at, node in self.arrivals_by_cause[cause]
-            if at > known_at and not self._is_excused(at, node)
+            if at > known_at and not self.is_excused(at, node)
         ]
 
     def findings(self) -> list[str]:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -29,6 +29,8 @@
 FIRST_SEED_WITH_RESTORED_STORE = 1200
 # And callers send slow streams to stopping nodes only from here on.
 FIRST_SEED_WITH_LATE_STREAMS = 5000
+# And servers of several versions serve, and callers take streams up, from here on.
+FIRST_SEED_WITH_VERSIONS = 7000
 
 
 class FaultInjector:
@@ -74,6 +76,8 @@
             faults += [self.restore_store, self.restore_store]
         if self._soak.seed >= FIRST_SEED_WITH_LATE_STREAMS:
             faults += [self.stop_node_beside_streams] * 3
+        if self._soak.seed >= FIRST_SEED_WITH_VERSIONS:
+            faults += [self.kill_all_nodes]
         faults += [
             self.disrupt_store,
             self.disrupt_backend_link,
@@ -97,7 +101,15 @@
 
     async def kill_node(self) -> None:
         """Kill a node with SIGKILL and start it again within a second."""
-        number = self._random_node()
+        await self._kill(self._random_node())
+
+    async def kill_all_nodes(self) -> None:
+        """Kill all nodes at once that run, and start them again within a second."""
+        numbers = range(1, self._node_count + 1)
+        await asyncio.gather(*(self._kill(number) for number in numbers))
+        self._soak.sound_requests.record_restart()
+
+    async def _kill(self, number: int) -> None:
         process = self._soak.processes[number]
         if process.returncode is not None or number in self._soak.paused:
             return
@@ -107,7 +119,8 @@
         await process.wait()
         await asyncio.sleep(self._soak.random.uniform(0.0, 1.0))
         self._soak.disturb(number)
-        await self._soak.start_node(number)
+        if self._soak.processes[number] is process:
+            await self._soak.start_node(number)
 
     async def stop_node(self) -> None:
         """Stop a node with SIGTERM, as the platform does, and start it again."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -40,13 +40,14 @@
 )
 from .deadly_requests import DeadlyRequests
 from .endings import EndingCheck
-from .faults import FaultInjector
+from .faults import FIRST_SEED_WITH_VERSIONS, FaultInjector
 from .further_faults import FurtherFaults
 from .limits import LimitCheck
 from .prompts import PromptCheck
 from .relay import FaultyRelay
 from .request_counters import counter_findings
 from .servers import RecordingEngine, ServerObserver
+from .software_versions import SoftwareVersions, StreamCheck
 from .sound_requests import SoundRequestCheck
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -136,6 +137,8 @@
         self.key_withdrawn_at = 0.0
         self.limits = LimitCheck()
         self.prompts = PromptCheck(seed)
+        self.streams = StreamCheck()
+        self.removed_engines: set[AdapterEngine] = set()
         self.nodes_by_request: dict[str, int] = {}
         # Last responses to a valid and to a withdrawn key, for the findings.
         self.recovery_statuses_by_node: dict[int, list[int]] = {}
@@ -161,6 +164,13 @@
         ):
             for number in range(first, first + count):
                 servers.append(await self._start_engine(f"{letter}{number}", model))
+        if self.has_versions:
+            for number in range(2 * count + 1, 3 * count + 1):
+                engine = await self._start_engine(f"e{number}", "base")
+                self.further_engines.append(engine)
+            for engine in self.all_engines:
+                engine.software = f"{self.service(engine)}-v1"
+                engine.event_interval_s = SLOW_EVENT_INTERVAL_S
         for engine in self.further_engines:
             engine.event_interval_s = SLOW_EVENT_INTERVAL_S
         for engine in self.all_engines:
@@ -183,6 +193,11 @@
         self.relays[name] = relay
         return engine
 
+    @property
+    def has_versions(self) -> bool:
+        """Whether servers of several versions serve, and callers take streams up."""
+        return self.seed >= FIRST_SEED_WITH_VERSIONS and not self.is_series
+
     @property
     def all_engines(self) -> list[RecordingEngine]:
         """Servers of all services."""
@@ -250,11 +265,14 @@
         self.deadly.disturb(node)
 
     def register_engine(self, engine: AdapterEngine, state: str = "ready") -> None:
-        """Write the entry of a backend server to the store."""
+        """Write the entry of a backend server to the store, unless it was removed."""
+        if engine in self.removed_engines:
+            return
         entry = {
             "service": self.service(engine),
             "address": self.relays[engine.name].address,
             "zone": "z1",
+            **({"version": engine.software} if engine.software else {}),
             "slots": 64,
             "state": state,
             "born": engine.started_at_ms,
@@ -384,6 +402,7 @@
         self.counts_by_status[str(call.status) if call.is_complete else "lost"] += 1
         self.endings.record_end(call)
         self.sound_requests.record_end(call)
+        self.streams.record_end(call)
         status = call.status if call.is_complete else 0
         is_denial_expected = self.configuration.is_denial_expected(call.route, call.key)
         self._check_response(
@@ -394,6 +413,7 @@
             call.received,
             call.body,
             is_denial_expected,
+            int(call.headers.get(names.LAST_EVENT, "0")) + 1,
         )
 
     def _check_response(
@@ -405,6 +425,7 @@
         body: bytes,
         sent_body: bytes = b"b",
         is_denial_expected: bool = False,
+        first_event: int = 1,
     ) -> None:
         runs = sum(engine.runs[request_id] for engine in self.all_engines)
         if route in SINGLE_RUN_ROUTES and runs > 1:
@@ -413,7 +434,7 @@
             self.add_finding(f"{request_id}: answered {status} and ran")
         if status == 200 and route in STREAM_ROUTES:
             event_ids = [row for row in body.split(b"\n") if row.startswith(b"id:")]
-            if event_ids != [b"id: %d" % number for number in range(1, 6)]:
+            if event_ids != [b"id: %d" % number for number in range(first_event, 6)]:
                 self.add_finding(f"{request_id}: events {event_ids}")
         if (
             status == 200
@@ -470,7 +491,10 @@
     async def send_further(self, end_at: float) -> None:
         """Inject silences, deadly requests and changes, beside further requests."""
         async with self.caller_session() as session:
-            await FurtherFaults(self).run(session, end_at)
+            runs = [FurtherFaults(self).run(session, end_at)]
+            if self.has_versions:
+                runs.append(SoftwareVersions(self).run(session, end_at))
+            await asyncio.gather(*runs)
 
     # Final checks
 
@@ -497,6 +521,7 @@
         self.findings += self.endings.findings() + self.deadly.findings()
         self.findings += self.limits.findings() + self.prompts.findings()
         self.findings += self.sound_requests.findings(*self.traffic_span_s)
+        self.findings += self.streams.findings()
         await self._check_counters()
         for engine in self.all_engines:
             if engine.exceeded_slots:
@@ -669,6 +694,8 @@
                 f"{reason.replace(' ', '_')}={count}"
                 for reason, count in sorted(soak.endings.counts_by_excuse.items())
             )
+            if soak.has_versions:
+                typer.echo(f"  {soak.streams.describe()}")
             if excused:
                 typer.echo(f"  excused {excused}")
             for finding in soak.findings[:10]:
--- a/soak/sound_requests.py
+++ b/soak/sound_requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import time
 from collections import defaultdict
 
 from .calls import Call
@@ -44,6 +45,11 @@
                     f"{call.sent_at - first:.1f} s"
                 )
 
+    def record_restart(self) -> None:
+        """Record that all nodes are started again; none could serve before."""
+        for kind in ("engines", "plain services"):
+            self._served_at_by_kind[kind].append(time.monotonic())
+
     def findings(self, started_at: float, ended_at: float) -> list[str]:
         """Return a line for each kind of sound request that was not served.
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -22,6 +22,7 @@
 from soak.request_counters import counter_findings
 from soak.run import Soak, run_seed
 from soak.servers import RecordingEngine
+from soak.software_versions import RESUMES, StreamCheck
 from soak.sound_requests import SoundRequestCheck
 from tests.events import until
 
@@ -46,6 +47,49 @@
         self.assertGreater(soak.counts_by_status["200"], 20)
 
 
+class StreamCheckTest(unittest.TestCase):
+    """Streams that are joined from two versions, or seldom go on, are reported."""
+
+    def record(self, check, stream, *versions, cut=False):
+        """Record a try for each version, with one event each."""
+        for number, version in enumerate(versions, 1):
+            call = Call(f"{stream}-{number}", 1, "draft", "org-1", "key", "/", "POST")
+            call.request_id = call.request_id if number > 1 else stream
+            call.headers = {RESUMES: stream} if number > 1 else {}
+            call.received = f"id: {number}\ndata: piece {number} of {version}".encode()
+            call.received += b"" if cut and number == len(versions) else b"   \n\n"
+            check.record_end(call)
+
+    @parameterized.expand(
+        [
+            ("one version", 3, ("s-v1", "s-v1", "s-v1"), False, 0),
+            ("two versions", 3, ("s-v1", "s-v2"), False, 3),
+            ("as few as are accepted", 2, ("s-v1", "s-v2"), False, 0),
+            ("versions of two services", 3, ("s-v1", "s-2-v1"), False, 0),
+            ("two of a service among others", 3, ("s-v1", "t-v1", "s-v2"), False, 3),
+            ("incomplete event", 3, ("s-v1", "s-v2"), True, 0),
+        ]
+    )
+    def test_joined(self, _name, streams, versions, cut, expected):
+        check = StreamCheck()
+        for number in range(streams):
+            self.record(check, f"r{number}", *versions, cut=cut)
+        self.assertEqual(len(check.findings()), expected)
+
+    @parameterized.expand(
+        [
+            ("half", 6, 12, 0),
+            ("under half", 5, 12, 1),
+            ("too few to judge", 0, 11, 0),
+        ]
+    )
+    def test_share_that_goes_on(self, _name, went_on, count, expected):
+        check = StreamCheck()
+        check.begun = [True] * 10
+        check.taken_up = [True] * went_on + [False] * (count - went_on)
+        self.assertEqual(len(check.findings()), expected)
+
+
 class LimitCheckTest(unittest.TestCase):
     """Requests beyond a server's limit are reported, unless a node is excused."""
 
