--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -22,7 +22,7 @@
 from soak.request_counters import counter_findings
 from soak.run import Soak, run_seed
 from soak.servers import RecordingEngine
-from soak.software_versions import RESUMES, StreamCheck
+from soak.software_versions import StreamCheck
 from soak.sound_requests import SoundRequestCheck
 from tests.events import until
 
@@ -55,7 +55,7 @@
         for number, version in enumerate(versions, 1):
             call = Call(f"{stream}-{number}", 1, "draft", "org-1", "key", "/", "POST")
             call.request_id = call.request_id if number > 1 else stream
-            call.headers = {RESUMES: stream} if number > 1 else {}
+            call.headers = {names.RESUMES: stream} if number > 1 else {}
             call.received = f"id: {number}\ndata: piece {number} of {version}".encode()
             call.received += b"" if cut and number == len(versions) else b"   \n\n"
             check.record_end(call)
