--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -27,6 +27,8 @@
 from tests.events import until
 
 TRAFFIC_S = 4.0
+# A second version comes after 6.5 s.
+VERSIONS_TRAFFIC_S = 14.0
 
 
 class SoakTest(unittest.TestCase):
@@ -46,6 +48,13 @@
         self.assertEqual(soak.findings, [])
         self.assertGreater(soak.counts_by_status["200"], 20)
 
+    def test_seed_with_software_versions(self):
+        """Streams are taken up after the servers of another version have come."""
+        with tempfile.TemporaryDirectory() as folder:
+            soak = asyncio.run(run_seed(7001, Path(folder), VERSIONS_TRAFFIC_S))
+        self.assertEqual(soak.findings, [])
+        self.assertGreater(len(soak.streams.taken_up), 0)
+
 
 class StreamCheckTest(unittest.TestCase):
     """Streams that are joined from two versions, or seldom go on, are reported."""
