--- a/soak/software_versions.py
+++ b/soak/software_versions.py
@@ -25,7 +25,6 @@
     from .run import Soak
     from .servers import RecordingEngine
 
-RESUMES = "Resumes"
 STREAMS_PER_S = 12.0
 EVENTS = 5
 ROUTES = ("draft", "note")
@@ -57,7 +56,7 @@
 
     def record_end(self, call: Call) -> None:
         """Record the events of one try."""
-        stream = call.headers.get(RESUMES, call.request_id)
+        stream = call.headers.get(names.RESUMES, call.request_id)
         for event in complete_events(call.received):
             version = event.rpartition(b" of ")[2].decode()
             self.versions_by_stream[stream].add(version)
@@ -177,7 +176,7 @@
             tries += 1
             is_counted &= self._is_served_twice(stream)
             call = self._new_call(generator, f"{stream}t{tries}", call.route)
-            call.headers |= {names.LAST_EVENT: str(events), RESUMES: stream}
+            call.headers |= {names.LAST_EVENT: str(events), names.RESUMES: stream}
             await self._soak.make_call(session, call)
             if is_counted:
                 self._count(self._check.taken_up, call)
