--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -22,11 +22,13 @@
 from soak.request_counters import counter_findings
 from soak.run import Soak, run_seed
 from soak.servers import RecordingEngine
-from soak.software_versions import RESUMES, StreamCheck
+from soak.software_versions import StreamCheck
 from soak.sound_requests import SoundRequestCheck
 from tests.events import until
 
 TRAFFIC_S = 4.0
+# A second version comes after 6.5 s.
+VERSIONS_TRAFFIC_S = 14.0
 
 
 class SoakTest(unittest.TestCase):
@@ -46,6 +48,13 @@
         self.assertEqual(soak.findings, [])
         self.assertGreater(soak.counts_by_status["200"], 20)
 
+    def test_seed_with_software_versions(self):
+        """Streams are taken up after the servers of another version have come."""
+        with tempfile.TemporaryDirectory() as folder:
+            soak = asyncio.run(run_seed(7001, Path(folder), VERSIONS_TRAFFIC_S))
+        self.assertEqual(soak.findings, [])
+        self.assertGreater(len(soak.streams.taken_up), 0)
+
 
 class StreamCheckTest(unittest.TestCase):
     """Streams that are joined from two versions, or seldom go on, are reported."""
@@ -55,7 +64,7 @@
         for number, version in enumerate(versions, 1):
             call = Call(f"{stream}-{number}", 1, "draft", "org-1", "key", "/", "POST")
             call.request_id = call.request_id if number > 1 else stream
-            call.headers = {RESUMES: stream} if number > 1 else {}
+            call.headers = {names.RESUMES: stream} if number > 1 else {}
             call.received = f"id: {number}\ndata: piece {number} of {version}".encode()
             call.received += b"" if cut and number == len(versions) else b"   \n\n"
             check.record_end(call)
