Answer the platform's polls at plain services without using up a fault

Change: the stand-in answers these polls with 404, as the others. The session is also played while both kinds of client poll the service right after its fault was set. Requests other than polls that reach a reused address would still use a fault up; a failure prints them.

--- a/sequoiafall/standins/recording.py
+++ b/sequoiafall/standins/recording.py
@@ -14,6 +14,7 @@
 
 from ..connection_reset import reset_connection
 from ..log import log_event
+from ..platform import names
 
 # Bounds the memory that recorded requests take in a long test.
 MAX_RECORDED = 20_000
@@ -22,8 +23,9 @@
 # of aiohttp, some of 2,000 simultaneous connections are delayed by a second.
 LISTEN_BACKLOG = 2048
 
-# Controllers poll engines at these paths all the time; not recorded.
-POLLED_PATHS = ("/state", "/cache-events")
+# Controllers, and instances on the users' platform, poll engines at these paths all the
+# time; not recorded.
+POLLED_PATHS = ("/state", "/cache-events", names.REPORT_PATH)
 
 
 class ServerFaults(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
--- a/tests/test_caller_session.py
+++ b/tests/test_caller_session.py
@@ -6,8 +6,17 @@
 import json
 import os
 import re
+import time
 from pathlib import Path
 
+from parameterized import parameterized
+from returns.result import Failure
+
+from sequoiafall.backend_registry import BackendEntry
+from sequoiafall.engine_client import EngineClient
+from sequoiafall.order_client import OrderClient
+from sequoiafall.platform.engines import PlatformEngines
+
 from .gateway_case import SECRETS, GatewayTestCase
 
 GOLDEN = Path(__file__).parent / "golden" / "caller_session.txt"
@@ -27,9 +36,47 @@
 class CallerSessionTest(GatewayTestCase):
     """Detects unintended changes of the API that callers see."""
 
-    async def test_session(self):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
         self.maxDiff = None
         self.lines = []
+        self.poll_service = None
+
+    async def test_session(self):
+        await self.compare_session()
+
+    @parameterized.expand([("controller",), ("platform_instance",)])
+    async def test_session_at_the_reused_address_of_an_engine(self, poller):
+        """An instance of another test still polls the engine that had the address.
+
+        Its polls consumed the fault of the call that is to be cut.
+        """
+        self.poll_service = getattr(self, f"poll_as_{poller}")
+        await self.compare_session()
+
+    async def poll_as_controller(self, address):
+        """Poll an address as the owner of a pool polls an engine."""
+        engines = EngineClient()
+        self.addAsyncCleanup(engines.close)
+        client = OrderClient(engines, lambda: True, time.monotonic)
+        for result in (
+            await client.state("e3", address),
+            await client.cache_events(address, 0),
+            await client.cache_snapshot(address),
+        ):
+            self.assertIsInstance(result, Failure)
+            # It has reached the service.
+            self.assertTrue(result.failure().was_sent)
+
+    async def poll_as_platform_instance(self, address):
+        """Poll an address as a leader on the users' platform polls an engine."""
+        engines = PlatformEngines()
+        self.addAsyncCleanup(engines.close)
+        entry = BackendEntry("e3", "assist", address, "a", 64, False)
+        self.assertIsNone(await engines.report(entry))
+
+    async def compare_session(self):
+        """Record the session and compare it with the golden file."""
         await self.successful_requests()
         await self.refused_requests()
         await self.edit(("key", "carvers-key", {"state": "withdrawn"}))
@@ -77,6 +124,8 @@
         await self.record("POST", "/services/orders/buy", **buy)
         self.platform.available = True
         await self.set_faults(self.service, close="after", close_times=1)
+        if self.poll_service is not None:
+            await self.poll_service(self.service.address)
         for _ in range(2):
             await self.record("POST", "/services/orders/buy", **buy)
         for engine in self.engines:
--- a/tests/test_recording.py
+++ b/tests/test_recording.py
@@ -6,6 +6,7 @@
 import aiohttp
 from parameterized import parameterized
 
+from sequoiafall.platform import names
 from sequoiafall.standins.plain_service import PlainService
 
 CONNECTIONS = 400
@@ -33,7 +34,7 @@
 class ReusedAddressTest(unittest.IsolatedAsyncioTestCase):
     """Tests run in parallel, and a server may get an address that was used before."""
 
-    @parameterized.expand([("/state",), ("/cache-events",)])
+    @parameterized.expand([("/state",), ("/cache-events",), (names.REPORT_PATH,)])
     async def test_poll_for_an_engine_uses_up_no_fault(self, path):
         """Such a poll is not recorded, so a consumed fault would be hard to explain."""
         service = PlainService("127.0.0.1:0", "s1")
