Make no trial beside the leader when it has not replied in time

Cause: CopiesTest.test_with_a_leader_4 failed in one of ten runs beside six busy loops on (load 16 to 26 on 8 cores): two copies of a suspected call reached servers, one is allowed. A gateway whose question about a trial was not answered within its wait decided alone. The leader's own gateway does this too: after the process stood still, its question timed out while it led, and it sent a copy beside the trial that it had granted. A member did the same, as its link was silent for as long. Change: if the question is not answered, the call is refused ("awaits a trial, and the leader did not reply", retry in 0.8 s) as long as there is a leader, or if the wait is over. If the leader is lost earlier, the instances take turns as before. The new tests fail before and pass after.

--- a/sequoiafall/trial_admission.py
+++ b/sequoiafall/trial_admission.py
@@ -27,6 +27,8 @@
 CONTINUED_OUTCOMES = frozenset(("moved", "unused"))
 # Retry time of refused callers without a leader, sufficient for an election.
 LEADER_RETRY_S = 0.8
+# Detail of a refusal if there is a leader that has not decided in time.
+UNANSWERED = "awaits a trial, and the leader did not reply"
 # Interval at which a waiting request is considered again without a leader.
 RETRY_INTERVAL_S = 0.05
 # Length of an instance's turn to try a suspect without a leader, and its last part, in
@@ -258,6 +260,15 @@
             if reply is None:
                 # The leader may have granted a trial that is not made.
                 self._report_end(request, service, "", RunEnd("withheld"))
+        if reply is None and (self._fleet.has_leader or boot_time() >= until):
+            # The leader, which may be this instance, may have granted a trial to
+            # another request meanwhile. An instance that stood still for the whole
+            # wait takes the leader for lost until it has read the replies.
+            return Refusal(
+                Reason.OVERLOADED,
+                retry_after_s=LEADER_RETRY_S,
+                detail=UNANSWERED,
+            )
         if reply is None or reply.reason == Reason.OWNER_UNAVAILABLE.value:
             return None
         if not reply.reason:
--- a/tests/test_trial_queue.py
+++ b/tests/test_trial_queue.py
@@ -220,6 +220,36 @@
         self.assertIs((await self.admit()).reason, Reason.OVERLOADED)
         self.assertEqual(self.fleet.ends[0].outcome, "withheld")
 
+    @parameterized.expand([("leads", True, WAIT_S), ("seems lost", False, 0.0)])
+    async def test_leader_that_does_not_reply_in_time(self, _name, has_leader, wait_s):
+        """It may have granted a trial meanwhile, so the instance makes none itself.
+
+        A process stood still for 1.2 s. The leader in it gave up its own question, a
+        member took the leader for lost, and either sent a copy of a suspected request
+        beside the trial that had been granted.
+        """
+        self.suspect()
+
+        async def request_place(_request, _timeout_s):
+            self.fleet.has_leader = has_leader
+
+        self.fleet.request_place = request_place
+        refusal = await self.admit(wait_s)
+        self.assertIsInstance(refusal, Refusal)
+        self.assertIs(refusal.reason, Reason.OVERLOADED)
+        self.assertGreater(refusal.retry_after_s, 0.0)
+        self.assertEqual(self.fleet.ends[0].outcome, "withheld")
+
+    async def test_leader_that_is_lost_while_it_is_asked(self):
+        """Without a leader the instances take turns, and this one is alone."""
+        self.suspect()
+
+        async def request_place(_request, _timeout_s):
+            self.fleet.has_leader = False
+
+        self.fleet.request_place = request_place
+        self.assertEqual(await self.admit(WAIT_S), Admission(is_trial=False))
+
     @parameterized.expand(
         [("turn of the part", 1.0, Verdict.TRIAL), ("its own turn", 0.0, Verdict.WAIT)]
     )
