Look for the leader once more before a trial without one

Cause: an instance that stood still for 1.5 s took the leader for lost until it had read the replies that had arrived meanwhile. A suspected call that it read first was tried at once, beside the trial that the leader had granted to a copy of it. The new test fails before and passes after. CopiesTest, NoEvidenceTest, NewcomerTest, CrashingRequestTest.test_without_a_leader and the tests of test_trial_queue, test_place_source and test_prompt_quarantine pass (one run each).

--- a/sequoiafall/trial_admission.py
+++ b/sequoiafall/trial_admission.py
@@ -176,6 +176,7 @@
         """
         keys = _plain_keys(request)
         evidence = self._fleet.crash_evidence
+        has_paused = False
         while True:
             now = boot_time()
             if all(evidence.suspect(key, now) is None for key in keys):
@@ -187,9 +188,15 @@
             verdict = self.decide_alone(request.run_id, keys)
             if verdict is Verdict.REFUSE:
                 return self.refusal(keys)
-            if verdict is not Verdict.WAIT:
+            if verdict is not Verdict.WAIT and (has_paused or self._fleet.has_leader):
                 self.begin_alone(request.run_id, keys)
                 return Admission(is_trial=False)
+            if verdict is not Verdict.WAIT:
+                # An instance that stood still takes the leader for lost until it has
+                # read the replies that have arrived meanwhile.
+                has_paused = True
+                await asyncio.sleep(RETRY_INTERVAL_S)
+                continue
             now = boot_time()
             hold_s = self._quarantine.hold_left_s(keys, now)
             if now + hold_s >= until:
--- a/tests/test_trial_queue.py
+++ b/tests/test_trial_queue.py
@@ -250,6 +250,22 @@
         self.fleet.request_place = request_place
         self.assertEqual(await self.admit(WAIT_S), Admission(is_trial=False))
 
+    async def test_leader_that_only_seems_lost(self):
+        """Its replies had arrived while the process stood still, and were not read.
+
+        A member sent a copy of a suspected request beside the trial that the leader
+        had granted.
+        """
+        self.suspect()
+        self.fleet.has_leader = False
+        self.fleet.answers = [_refusal(Reason.OVERLOADED, 0.3, "asked", False)]
+        task = asyncio.create_task(self.admit(WAIT_S))
+        await asyncio.sleep(0)
+        self.fleet.has_leader = True
+        refusal = await task
+        self.assertIsInstance(refusal, Refusal)
+        self.assertEqual(refusal.detail, "asked")
+
     @parameterized.expand(
         [("turn of the part", 1.0, Verdict.TRIAL), ("its own turn", 0.0, Verdict.WAIT)]
     )
