--- a/sequoiafall/trial_admission.py
+++ b/sequoiafall/trial_admission.py
@@ -27,6 +27,8 @@
 CONTINUED_OUTCOMES = frozenset(("moved", "unused"))
 # Retry time of refused callers without a leader, sufficient for an election.
 LEADER_RETRY_S = 0.8
+# Detail of a refusal if there is a leader that has not decided in time.
+UNANSWERED = "awaits a trial, and the leader did not reply"
 # Interval at which a waiting request is considered again without a leader.
 RETRY_INTERVAL_S = 0.05
 # Length of an instance's turn to try a suspect without a leader, and its last part, in
@@ -174,6 +176,7 @@
         """
         keys = _plain_keys(request)
         evidence = self._fleet.crash_evidence
+        has_paused = False
         while True:
             now = boot_time()
             if all(evidence.suspect(key, now) is None for key in keys):
@@ -185,9 +188,15 @@
             verdict = self.decide_alone(request.run_id, keys)
             if verdict is Verdict.REFUSE:
                 return self.refusal(keys)
-            if verdict is not Verdict.WAIT:
+            if verdict is not Verdict.WAIT and (has_paused or self._fleet.has_leader):
                 self.begin_alone(request.run_id, keys)
                 return Admission(is_trial=False)
+            if verdict is not Verdict.WAIT:
+                # An instance that stood still takes the leader for lost until it has
+                # read the replies that have arrived meanwhile.
+                has_paused = True
+                await asyncio.sleep(RETRY_INTERVAL_S)
+                continue
             now = boot_time()
             hold_s = self._quarantine.hold_left_s(keys, now)
             if now + hold_s >= until:
@@ -258,6 +267,15 @@
             if reply is None:
                 # The leader may have granted a trial that is not made.
                 self._report_end(request, service, "", RunEnd("withheld"))
+        if reply is None and (self._fleet.has_leader or boot_time() >= until):
+            # The leader, which may be this instance, may have granted a trial to
+            # another request meanwhile. An instance that stood still for the whole
+            # wait takes the leader for lost until it has read the replies.
+            return Refusal(
+                Reason.OVERLOADED,
+                retry_after_s=LEADER_RETRY_S,
+                detail=UNANSWERED,
+            )
         if reply is None or reply.reason == Reason.OWNER_UNAVAILABLE.value:
             return None
         if not reply.reason:
