Forget the time of a signal when its service has ended

In production a process ends with its service.

The time is forgotten when the event loop is closed. The assertion in ServiceWorkerTest failed before.

--- a/sequoiafall/process.py
+++ b/sequoiafall/process.py
@@ -45,8 +45,11 @@
     async def _sentinel_task(self) -> None:
         """Replace a pause of one second before the event loop is closed.
 
-        The grace period of the process goes on meanwhile.
+        The grace period of the process goes on meanwhile. Tests run further services in
+        the same process, whose stops do not count from this one's signal.
         """
+        global _stop_requested_at
+        _stop_requested_at = math.inf
 
 
 def _on_stop_signal(_number: int, _frame: FrameType | None) -> None:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -1,6 +1,7 @@
 """Tests of the process that runs a service."""
 
 import asyncio
+import math
 import os
 import signal
 import unittest
@@ -8,7 +9,7 @@
 
 from mode import Service
 
-from sequoiafall.process import ServiceWorker
+from sequoiafall.process import ServiceWorker, stop_requested_at
 
 
 class _Stopping(Service):
@@ -57,6 +58,8 @@
         with patch("asyncio.sleep", record), self.assertRaises(SystemExit) as ended:
             worker.execute_from_commandline()
         self.assertIn(ended.exception.code, (None, 0))
+        # A later stop in this process must not count from the signal of this one.
+        self.assertEqual(stop_requested_at(), math.inf)
         return pauses
 
     def test_no_pause_after_the_stop(self):
