Show that adapters are loaded beyond a runner's memory

Cause: the leader counts adapter slots only; the configuration's weights_mb and adapter_size_mb are not read.

--- a/review/lab2.py
+++ b/review/lab2.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import json
+import logging
 import os
 import random
 import signal
@@ -287,7 +288,10 @@
             }
             for name, kind, service in changes.get("routes", ROUTES)
         ]
-        engine = {"models": [{"name": MODEL, "adapters": 50}], "adapter_slots": 6}
+        engine = changes.get(
+            "engine",
+            {"models": [{"name": MODEL, "adapters": 50}], "adapter_slots": 6},
+        )
         content = {
             "version": self._version,
             "routes": routes,
@@ -491,6 +495,8 @@
 
 def main(folder: Path, play: Any, nodes: int = 3) -> None:
     """Run a case in its folder and exit with its code."""
+    # Stand-ins that are cut off would log each connection that they lose.
+    logging.disable(logging.ERROR)
 
     async def run() -> int:
         return await with_lab(Lab(folder, nodes), play)
