--- a/review/lab2.py
+++ b/review/lab2.py
@@ -280,7 +280,7 @@
                 "path_prefix": f"/{name}/",
                 "route_type": kind,
                 "resumable": kind == "streaming",
-                "timeout_ms": 4000,
+                "timeout_ms": changes.get("timeout_ms", 4000),
                 "target_latency_ms": 800,
                 "max_attempts": 2,
                 "service": service,
