--- a/review/7/run.py
+++ b/review/7/run.py
@@ -1,13 +1,11 @@
-"""Demand moves to other adapters where a runner's memory holds fewer than its slots."""
+"""A server's entry is removed while the leader alone does not reach the store."""
 
 from __future__ import annotations
 
 import asyncio
-import itertools
 import time
 from collections import Counter
 from pathlib import Path
-from typing import Any
 
 import aiohttp
 
@@ -19,100 +17,85 @@
     DeskServer,
     Lab,
     main,
+    names,
 )
 
-NODES = 3
-# Figures of the sheet: a model of 72.7 GB, runners with 75 GB and 6 places.
-MODEL_MB = 72_700
-RUNNER_MB = 74_600
-ADAPTER_SLOTS = 6
-# Four adapters of this size fit beside the model.
-ADAPTER_MB = 450
-ADAPTERS_BEFORE = 4
-ADAPTERS_AFTER = 12
-PHASE_S = 6.0
-REQUEST_INTERVAL_S = 0.05
-
-
-class Runner(AdapterEngine):
-    """Runner that crashes when it is ordered to load more than it holds."""
-
-    def __init__(self, name: str, lab: Lab) -> None:
-        super().__init__(name, MODEL, slots=ADAPTER_SLOTS)
-        self.lab = lab
-        self.overloads: list[str] = []
-        self.event_interval_s = 0.1
-
-    def _execute_order(self, order: dict[str, Any]) -> int:
-        before = len(self.resident)
-        status = super()._execute_order(order)
-        text = f"{order['operation']} {order.get('adapter', MODEL)}"
-        used_mb = MODEL_MB + ADAPTER_MB * len(self.resident)
-        self.lab.record.write(
-            f"{self.name} gets {text}: {status}, holds {len(self.resident)} adapters,"
-            f" {used_mb} of {RUNNER_MB} MB"
-        )
-        if len(self.resident) > before and used_mb > RUNNER_MB:
-            self.overloads.append(text)
-            self.lab.record.write(f"{self.name} CRASHES: {text} exceeds its memory")
-            asyncio.get_running_loop().create_task(self.crash())
-        return status
+NODES = 5
+DRAIN_S = 2.0
+# The server exits a little after the time for which it must go on.
+EXIT_AFTER_S = 2.6
+ORDER_INTERVAL_S = 0.02
 
 
 async def play(lab: Lab) -> int:
-    """Play the case; return 1 if the rule LIMIT was broken."""
+    """Play the case; return 1 if the rule DRAIN was broken."""
     await lab.start()
-    lab.write_configuration(
-        engine={
-            "models": [
-                {
-                    "name": MODEL,
-                    "weights_mb": MODEL_MB,
-                    "load_s": 4.3,
-                    "adapters": 50,
-                    "adapter_size_mb": ADAPTER_MB,
-                }
-            ],
-            "weights_mb": RUNNER_MB,
-            "adapter_slots": ADAPTER_SLOTS,
-            "loads_per_s": 2.9,
-        }
-    )
-    runners = [Runner(f"i-runner-{number}", lab) for number in (1, 2)]
-    for runner in runners:
-        runner.on_restart = lambda runner=runner: lab.announce(runner)
-        await lab.add_server(runner, ENGINE_SERVICE)
-    await lab.add_server(DeskServer("i-desk-1", lab.record), PLAIN_SERVICE)
+    lab.write_configuration()
+    await lab.add_server(AdapterEngine("i-engine", MODEL), ENGINE_SERVICE)
+    desks = [DeskServer(f"i-desk-{number}", lab.record) for number in (1, 2, 3)]
+    for desk in desks:
+        await lab.add_server(desk, PLAIN_SERVICE)
     if not await lab.wait_ready():
         return 2
-    await asyncio.sleep(3.0)
+    await asyncio.sleep(4.0)
+    leader = await lab.leader()
+    if not leader:
+        return 2
+    lab.record.write(f"node-{leader} leads")
     statuses: Counter[int] = Counter()
-    numbers = itertools.count(1)
+    nodes_by_request: dict[str, int] = {}
+    leaver = desks[0]
     async with aiohttp.ClientSession() as session:
         calls = set()
 
-        async def draft(number: int, adapter: str) -> None:
-            status, _ = await lab.send(
-                session, 1 + number % NODES, "draft", f"draft-{number}", adapter
-            )
+        async def order(number: int) -> None:
+            # Callers do not use the leader, which the cut affects.
+            node = 1 + number % NODES
+            node = node if node != leader else 1 + node % NODES
+            nodes_by_request[f"order-{number}"] = node
+            status, _ = await lab.send(session, node, "order", f"order-{number}")
             statuses[status] += 1
 
-        for adapters in (ADAPTERS_BEFORE, ADAPTERS_AFTER):
-            if adapters == ADAPTERS_AFTER and not lab.has_trouble:
-                adapters = ADAPTERS_BEFORE
-            lab.record.write(f"callers ask for {adapters} adapters")
-            until = time.monotonic() + PHASE_S
-            while time.monotonic() < until:
-                number = next(numbers)
-                adapter = f"a{1 + number % adapters}"
-                calls.add(asyncio.create_task(draft(number, adapter)))
-                await asyncio.sleep(REQUEST_INTERVAL_S)
+        removed_at = exit_at = 0.0
+        started_at = time.monotonic()
+        number = 0
+        has_exited = False
+        while time.monotonic() - started_at < 8.0:
+            number += 1
+            calls.add(asyncio.create_task(order(number)))
+            await asyncio.sleep(ORDER_INTERVAL_S)
+            now = time.monotonic()
+            if not removed_at and now - started_at > 2.0:
+                if lab.has_trouble:
+                    lab.record.write(f"node-{leader} is cut off from the store")
+                    lab.proxies_by_node[leader].is_silent = True
+                lab.store.remove(names.BACKEND_TABLE, leaver.name)
+                removed_at = time.monotonic()
+                exit_at = removed_at + EXIT_AFTER_S
+                lab.record.write(f"{leaver.name} is removed from the store")
+            if removed_at and not has_exited and now > exit_at:
+                has_exited = True
+                lab.record.write(f"{leaver.name} exits")
+                await leaver.close()
         await asyncio.gather(*calls)
-    overloads = sum(len(runner.overloads) for runner in runners)
-    summary = f"orders beyond a runner's memory: {overloads}; answers {dict(statuses)}"
+    late = [
+        (at - removed_at, request_id)
+        for at, request_id in leaver.arrivals
+        if at - removed_at > DRAIN_S and nodes_by_request[request_id] != leader
+    ]
+    cut = [name for name, end in leaver.ends_by_request.items() if end == "cut"]
+    for after_s, request_id in late:
+        lab.record.write(
+            f"LATE {request_id} reached {leaver.name} after {after_s:.3f} s"
+        )
+    lab.record.write(f"answers by status: {dict(statuses)}")
+    summary = (
+        f"requests that reached {leaver.name} later than {DRAIN_S} s after its"
+        f" removal: {len(late)}; orders that its exit cut: {len(cut)}"
+    )
     lab.record.write(summary)
-    print(summary)
-    return 1 if overloads else 0
+    print(summary, dict(statuses))
+    return 1 if late else 0
 
 
 if __name__ == "__main__":
