Show that a leader that refuses connections loses the lease again and again

Cause: a refused connection is taken for the end of the leader's process (LeaderLink.has_holder_ended). Any node may then take the lease once its row is unchanged for ENDED_TAKEOVER_S, 0.2 s, while a sound leader renews it only each 0.5 s. If new connections to and from a leader are refused and its calls of the store go on, it and the others take the lease from each other until that ends, and two nodes in touch give orders to one runner in turn within lease_ms (rule ONE).

The lab of the review can set a node's environment and seeds. Nothing is fixed.

--- a/review/lab2.py
+++ b/review/lab2.py
@@ -215,6 +215,9 @@
         self.store_address = ""
         self.proxies_by_node: dict[int, Proxy] = {}
         self.processes_by_node: dict[int, asyncio.subprocess.Process] = {}
+        # Further environment of a node, and the nodes that are named as seeds.
+        self.environment_by_node: dict[int, dict[str, str]] = {}
+        self.seeds: tuple[int, ...] = (1, 2)
         self.servers_by_name: dict[str, AdapterEngine | DeskServer] = {}
         self.addresses_by_server: dict[str, str] = {}
         self.services_by_server: dict[str, str] = {}
@@ -240,11 +243,15 @@
         """Start the store and the nodes."""
         self.store_address = await self.listen(self.store.application())
         for number in range(1, self.node_count + 1):
-            proxy = Proxy(self.store_address)
-            await proxy.start()
-            self.proxies_by_node[number] = proxy
+            await self.start_proxy(number)
             await self.start_node(number, is_first=True)
 
+    async def start_proxy(self, number: int) -> None:
+        """Start the proxy through which a node reaches the store."""
+        proxy = Proxy(self.store_address)
+        await proxy.start()
+        self.proxies_by_node[number] = proxy
+
     async def add_server(
         self, server: AdapterEngine | DeskServer, service: str
     ) -> None:
@@ -338,7 +345,7 @@
                 "directory": f"{host}:18220",
             },
             "internal_ports": [17600, 17615],
-            "seeds": [f"{self.host(1)}:18229", f"{self.host(2)}:18229"],
+            "seeds": [f"{self.host(seed)}:18229" for seed in self.seeds],
             "bootstrap": is_first,
             "limits": {"cpu_share": 0.731, "cores": 1, "link_mbps": 350.0},
             "bounds": BOUNDS,
@@ -362,6 +369,7 @@
                     "PYTHONDONTWRITEBYTECODE": "1",
                     names.SETTINGS_VARIABLE: str(path),
                     **self._role["env"],
+                    **self.environment_by_node.get(number, {}),
                 },
             )
         finally:
