Show that a deeply nested entry hides all servers after a restart

Cause: msgspec raises RecursionError for a value that is nested too deep in a field without a type, which is no DecodeError. It ends the read of the table, which begins again with the scan and ends again.

--- /dev/null
+++ b/tests/test_foreign_entries.py
@@ -0,0 +1,155 @@
+"""Tests of entries that another writer leaves among those of backend servers."""
+
+import asyncio
+import contextlib
+import json
+import unittest
+
+from parameterized import parameterized
+from returns.result import Failure
+
+from sequoiafall.mirror import Mirror
+from sequoiafall.platform import names
+from sequoiafall.platform.rows import PlatformRows
+from sequoiafall.row_store import Rows, StoreRow
+
+from .events import until
+from .platform_case import PlatformCase, configuration
+
+# Inside the size that the store accepts for a row.
+NESTING = 8000
+SOUND_ENTRY = {
+    "service": "assist",
+    "address": "127.0.0.1:1",
+    "zone": "z1",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "born": 1,
+}
+# Fields of an entry that are read, and others.
+FIELDS = ("note", "models", "slots", "service", "born", "version")
+REWRITE_INTERVAL_S = 0.1
+# More than the attempts of one request, so that one that needs a second try counts.
+REQUESTS = 12
+
+
+def deep_value(nesting=NESTING, is_cut=False):
+    """Return JSON text of nested arrays, without its ends if it is broken off."""
+    return b"[" * nesting if is_cut else b"[" * nesting + b"]" * nesting
+
+
+def deep_row_value(fields, field, is_cut=False):
+    """Return an encoded row with one deeply nested field."""
+    encoded = json.dumps({**fields, field: 0}).encode()
+    name = json.dumps(field).encode()
+    head, _, tail = encoded.rpartition(name + b": 0")
+    value = head + name + b": " + deep_value(is_cut=is_cut)
+    return value if is_cut else value + tail
+
+
+DEEP_ENTRIES = [
+    *((field, deep_row_value(SOUND_ENTRY, field)) for field in FIELDS),
+    ("broken_off", deep_row_value(SOUND_ENTRY, "note", is_cut=True)),
+]
+
+
+class DecodeTest(unittest.TestCase):
+    """A deeply nested value is a failure of its row and raises no exception."""
+
+    @parameterized.expand(DEEP_ENTRIES)
+    def test_entry_of_a_server(self, _name, value):
+        row = StoreRow(names.BACKEND_TABLE, "i-foreign", value, 1)
+        self.assertIsInstance(PlatformRows().backend(row), Failure)
+
+    @parameterized.expand(["note", "routes", "services", "tenants", "limits"])
+    def test_configuration(self, field):
+        value = deep_row_value(configuration(), field)
+        row = StoreRow(names.CONFIGURATION_TABLE, names.CONFIGURATION_KEY, value, 1)
+        self.assertIsInstance(PlatformRows().catalog(row), Failure)
+
+    @parameterized.expand(["note", "adapter", "version"])
+    def test_version_of_an_adapter(self, field):
+        value = deep_row_value({"adapter": "a1", "version": 2}, field)
+        key = f"{names.VERSION_KEY_PREFIX}base.a1"
+        row = StoreRow(names.CONFIGURATION_TABLE, key, value, 1)
+        self.assertIsInstance(PlatformRows().adapter_version(row), Failure)
+
+
+class IsolationTest(unittest.TestCase):
+    """A row that cannot be applied, for whatever reason, does not affect others."""
+
+    def test_rows_after_one_that_fails(self):
+        applied = []
+
+        def on_row(row):
+            if row.key == "b":
+                raise RuntimeError("a row that cannot be applied")
+            applied.append(row.key)
+            return True
+
+        mirror = Mirror(on_row)
+        rows = [StoreRow("servers", key, b"{}", 1) for key in "abc"]
+        mirror.apply_scan("servers", Rows(rows, 1))
+        self.assertEqual(applied, ["a", "c"])
+
+
+class RestartTest(PlatformCase):
+    """All instances restart while foreign entries stand among the servers."""
+
+    async def rewrite(self, entries):
+        """Write entries again and again, as a writer does that sends heartbeats."""
+        while True:
+            for key, value in entries:
+                self.store.put(names.BACKEND_TABLE, key, value)
+            await asyncio.sleep(REWRITE_INTERVAL_S)
+
+    async def restart_all(self):
+        """Stop all nodes at once and start them again."""
+        numbers = range(1, len(self.nodes) + 1)
+        nodes, self.nodes = self.nodes, []
+        await asyncio.gather(*(node.stop() for node in nodes))
+        for number in numbers:
+            await self.start_node(number)
+        await until(lambda: all(node.is_ready for node in self.nodes))
+
+    async def served(self):
+        """Return how many of the requests to all nodes and routes are served."""
+        calls = [
+            self.call(
+                self.nodes[number % len(self.nodes)],
+                f"/{route}/x",
+                adapter="a1" if route == "draft" else "",
+            )
+            for number in range(REQUESTS)
+            for route in ("draft", "look")
+        ]
+        return sum(status == 200 for status, _, _ in await asyncio.gather(*calls))
+
+    # Guards against an entry that ends each read of the table before the entries of
+    # the servers, so that nothing is served after a restart.
+    @parameterized.expand(
+        [
+            ("one_of_each_kind", DEEP_ENTRIES),
+            (
+                "many_of_one_kind",
+                [(f"deep-{number:02}", DEEP_ENTRIES[0][1]) for number in range(40)],
+            ),
+        ]
+    )
+    async def test_deeply_nested_entries(self, _name, entries):
+        await self.start_fleet(2)
+        entries = [(f"a-{key}", value) for key, value in entries]
+        writer = asyncio.create_task(self.rewrite(entries))
+        try:
+            await self.restart_all()
+            # Without the servers, this waits for the whole time and fails.
+            await until(
+                lambda: all(len(node.fleet.registry) >= 4 for node in self.nodes)
+            )
+            await until(self._engines_are_synced)
+            self.assertEqual(await self.served(), 2 * REQUESTS)
+        finally:
+            writer.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await writer
