Decode all bytes from outside through one place, and isolate rows

Cause: msgspec raises RecursionError, which 28 handlers of DecodeError let pass; it ended the read of the whole table, and the next read began with the scan again. Mirror applies each row for itself: one that raises is logged and the others are applied. The operators' table of the product's own deployment reports an unreadable row as ValueError, as documented.

--- a/sequoiafall/completion_bodies.py
+++ b/sequoiafall/completion_bodies.py
@@ -18,6 +18,7 @@
     request_cost,
 )
 from .calls import RefusedError
+from .decoding import decode_json
 from .refusal import Reason, Refusal, RunStatus
 from .relay import Piece
 
@@ -93,8 +94,8 @@
         The request, or an `INVALID_REQUEST` refusal that says what was expected.
     """
     try:
-        values = msgspec.json.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        values = decode_json(body)
+    except msgspec.DecodeError:
         return _invalid_request("the body must be JSON")
     if not isinstance(values, dict):
         return _invalid_request("the body must be a JSON object")
@@ -242,7 +243,7 @@
 
     def _decode(self, piece: Piece) -> dict[str, Any]:
         try:
-            values = msgspec.json.decode(piece.data)
+            values = decode_json(piece.data)
         except msgspec.DecodeError as error:
             raise RefusedError(_malformed_piece()) from error
         if not isinstance(values, dict):
--- a/sequoiafall/completions.py
+++ b/sequoiafall/completions.py
@@ -12,6 +12,7 @@
 from .admission import ResolvedModel
 from .calls import PlaceExpiredError, RefusedError, RunningCall
 from .completion_bodies import CompletionRequest
+from .decoding import decode_json
 from .engine_client import (
     BackendResponse,
     BrokenResponseError,
@@ -302,8 +303,8 @@
 
 def _error_reason(body: bytes) -> str:
     try:
-        values = msgspec.json.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        values = decode_json(body)
+    except msgspec.DecodeError:
         return ""
     reason = values.get("reason") if isinstance(values, dict) else None
     return reason if isinstance(reason, str) and reason.isidentifier() else ""
--- a/sequoiafall/day_report.py
+++ b/sequoiafall/day_report.py
@@ -11,6 +11,7 @@
 
 from .day_arrivals import DayRequest
 from .day_session import DaySession
+from .decoding import decode_json
 from .reports import render_png, write_image
 
 # The mark includes the credit of the worst windows of this length.
@@ -270,4 +271,4 @@
     OSError
         The file cannot be read.
     """
-    return msgspec.json.decode(path.read_bytes(), type=DayReport)
+    return decode_json(path.read_bytes(), DayReport)
--- a/sequoiafall/lease.py
+++ b/sequoiafall/lease.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from .chart import Lifecycle
+from .decoding import decode_json
 from .log import log_event
 from .row_store import StoreRow
 
@@ -50,7 +51,7 @@
         if row is None or row.deleted:
             return None
         try:
-            return msgspec.json.decode(row.value, type=cls)
+            return decode_json(row.value, cls)
         except msgspec.DecodeError as error:
             log_event("lease_unreadable", row_version=row.version, reason=str(error))
             return None
--- a/sequoiafall/mirror.py
+++ b/sequoiafall/mirror.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Iterable, Sequence
 
+from .log import innermost_frames, log_warning
 from .row_store import Rows, StoreRow
 
 # Returns whether other instances need the row.
@@ -66,6 +67,8 @@
     def apply(self, rows: Iterable[StoreRow]) -> int:
         """Apply rows that are newer than the known ones.
 
+        A row that cannot be applied does not affect the others.
+
         Returns
         -------
         int
@@ -73,19 +76,33 @@
         """
         applied = 0
         for row in rows:
-            known = self._rows_by_table.setdefault(row.table, {})
-            before = known.get(row.key)
-            if before is not None and not _has_greater_version(row, before):
-                continue
-            if before is not None and not self._replaces(before, row):
-                row = _carry_over(before, row.version)
-            known[row.key] = row
-            applied += 1
-            if self._on_row(row):
-                self.revision += 1
-                self._revisions_by_row[row.table, row.key] = self.revision
+            try:
+                applied += self._apply_row(row)
+            except Exception as error:
+                # Other writers share the tables, so any row may hold anything.
+                log_warning(
+                    "row_failed",
+                    table=row.table,
+                    key=row.key,
+                    row_version=row.version,
+                    error=type(error).__name__,
+                    at=innermost_frames(error),
+                )
         return applied
 
+    def _apply_row(self, row: StoreRow) -> bool:
+        known = self._rows_by_table.setdefault(row.table, {})
+        before = known.get(row.key)
+        if before is not None and not _has_greater_version(row, before):
+            return False
+        if before is not None and not self._replaces(before, row):
+            row = _carry_over(before, row.version)
+        known[row.key] = row
+        if self._on_row(row):
+            self.revision += 1
+            self._revisions_by_row[row.table, row.key] = self.revision
+        return True
+
     def _replaces(self, before: StoreRow, row: StoreRow) -> bool:
         return self._is_newer is None or self._is_newer(before, row)
 
--- a/sequoiafall/operator_api.py
+++ b/sequoiafall/operator_api.py
@@ -13,6 +13,7 @@
 from returns.result import Failure, Result, Success
 
 from .audit import DEFAULT_LIMIT, MAX_LIMIT, AuditPage, AuditQuery
+from .decoding import decode_json
 from .edits import (
     CommitError,
     EditConflict,
@@ -202,8 +203,8 @@
         The request, or all findings with their fields.
     """
     try:
-        payload = msgspec.json.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        payload = decode_json(body)
+    except msgspec.DecodeError as error:
         return Failure([Finding("body", f"JSON ({error})")])
     if not isinstance(payload, dict):
         return Failure([Finding("body", "a JSON object")])
--- a/sequoiafall/operator_session.py
+++ b/sequoiafall/operator_session.py
@@ -15,6 +15,7 @@
 import msgspec
 import typer
 
+from .decoding import decode_json
 from .edits import RowEdit
 from .operator_output import (
     format_conflicts,
@@ -111,7 +112,7 @@
 ) -> ControllerResponse:
     try:
         async with session.request(method, url, **options) as response:
-            body = msgspec.json.decode(await response.read())
+            body = decode_json(await response.read())
             if not isinstance(body, dict):
                 return ControllerResponse(
                     0, {"detail": "malformed answer", "ran": "unknown"}
--- a/sequoiafall/order_client.py
+++ b/sequoiafall/order_client.py
@@ -15,6 +15,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from .decoding import decode_json
 from .engine_client import BrokenResponseError, EngineClient, NotSentError
 from .pool_state import ORDER_TTL_S, RunningRequest, ServerReport
 from .prefix_index import CacheEvent
@@ -238,7 +239,7 @@
         if isinstance(result, Failure):
             return result
         try:
-            return Success(msgspec.json.decode(result.unwrap(), type=response_type))
+            return Success(decode_json(result.unwrap(), response_type))
         except msgspec.DecodeError as error:
             return Failure(EngineError(str(error), was_sent=True))
 
@@ -277,7 +278,7 @@
 
 def _reason_in(body: bytes) -> str:
     try:
-        values: Any = msgspec.json.decode(body)
+        values: Any = decode_json(body)
     except msgspec.DecodeError:
         return ""
     return str(values.get("reason", "")) if isinstance(values, dict) else ""
--- a/sequoiafall/platform/engines.py
+++ b/sequoiafall/platform/engines.py
@@ -9,6 +9,7 @@
 
 from ..backend_registry import BackendEntry
 from ..boot_clock import boot_time
+from ..decoding import decode_json
 from ..engine_client import StrictConnector
 from ..engine_pool import EngineReport
 from ..log import log_warning
@@ -85,7 +86,7 @@
             log_warning("report_failed", server=entry.name, error=type(error).__name__)
             return None
         try:
-            report = msgspec.json.decode(content, type=_Report)
+            report = decode_json(content, _Report)
         except msgspec.DecodeError as error:
             log_warning("report_unreadable", server=entry.name, error=error)
             return None
--- a/sequoiafall/platform/node_file.py
+++ b/sequoiafall/platform/node_file.py
@@ -11,6 +11,7 @@
 from returns.result import Failure, Result, Success
 from ruamel.yaml import YAML, YAMLError
 
+from ..decoding import decode_json
 from ..node_settings import NodeSettings, SettingsSource
 from ..settings import Finding
 
@@ -103,7 +104,7 @@
         content = _decode(Path(path).read_bytes())
     except OSError as error:
         return Failure([Finding(path, f"a readable file ({error.strerror})")])
-    except (YAMLError, ValueError) as error:
+    except (YAMLError, ValueError, RecursionError) as error:
         # A date or text that cannot be decoded raises ValueError.
         return Failure([Finding(path, "YAML", str(error).replace("\n", " "))])
     if not isinstance(content, Mapping):
@@ -142,6 +143,6 @@
 def _decode(content: bytes) -> Any:
     """Decode JSON or YAML; JSON is tried first, as it takes a hundredth of the time."""
     try:
-        return msgspec.json.decode(content)
+        return decode_json(content)
     except msgspec.DecodeError:
         return YAML(typ="safe", pure=True).load(content.decode())
--- a/sequoiafall/platform/rows.py
+++ b/sequoiafall/platform/rows.py
@@ -18,6 +18,7 @@
     ServiceRoute,
     TokenLimit,
 )
+from ..decoding import decode_json
 from ..row_store import StoreRow
 from ..serving_ports import RowDecoder
 from . import names
@@ -147,8 +148,8 @@
 
 def _decode(row: StoreRow, kind: Any) -> Result[Any, str]:
     try:
-        return Success(msgspec.json.decode(row.value, type=kind))
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        return Success(decode_json(row.value, kind))
+    except msgspec.DecodeError as error:
         return Failure(str(error))
 
 
--- a/sequoiafall/platform/store.py
+++ b/sequoiafall/platform/store.py
@@ -9,6 +9,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from ..decoding import decode_json
 from ..log import log_event
 from ..row_store import (
     VERSIONS_PER_ERA,
@@ -301,10 +302,10 @@
 
 def _decode(path: str, content: bytes, era: int) -> Result[_StoreResponse, str]:
     try:
-        response = msgspec.json.decode(content, type=_StoreResponse)
+        response = decode_json(content, _StoreResponse)
         response.era = era
         return Success(response)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except msgspec.DecodeError as error:
         reason = str(error)[:MAX_REASON_CHARS]
         log_event(
             "store_answer_unreadable", path=path, bytes=len(content), reason=reason
--- a/sequoiafall/platform_client.py
+++ b/sequoiafall/platform_client.py
@@ -12,6 +12,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from .decoding import decode_json
 from .store_results import Unavailable, Unknown
 
 # Well below HEAD_MAX_AGE_S (2 s), so that there is time left to confirm the head
@@ -313,7 +314,7 @@
         if raw:
             return Success((response.status, body))
         try:
-            return Success((response.status, msgspec.json.decode(body)))
+            return Success((response.status, decode_json(body)))
         except msgspec.DecodeError:
             return Failure(Unknown(f"malformed answer, status {response.status}"))
 
--- a/sequoiafall/pool_service.py
+++ b/sequoiafall/pool_service.py
@@ -17,6 +17,7 @@
 from mode import Service
 from returns.result import Success
 
+from .decoding import decode_json
 from .drain import MOVE_AFTER_S
 from .engine_client import EngineClient
 from .load_budget import BORROW_INTERVAL_S, LoadLimits
@@ -201,7 +202,7 @@
     def accept_handover(self, pool_state: str) -> bool:
         """Apply the state from the previous owner; return whether it is well-formed."""
         try:
-            handover = msgspec.json.decode(pool_state, type=_PoolHandover)
+            handover = decode_json(pool_state, _PoolHandover)
         except msgspec.DecodeError as error:
             log_warning("bad_pool_handover", pool=self.pool, detail=str(error))
             return False
--- a/sequoiafall/records.py
+++ b/sequoiafall/records.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from .decoding import decode_json
 from .wire.gen.ttypes import Change, Edit, Head, Member, View
 
 HEAD_KEY = "head"
@@ -131,7 +132,7 @@
 
 def decode_optional(text: str) -> dict[str, Any] | None:
     """Decode a JSON object; an empty string stands for None."""
-    return msgspec.json.decode(text) if text else None
+    return decode_json(text) if text else None
 
 
 def _encode_view(view: View) -> dict[str, Any]:
--- a/sequoiafall/replay_outcomes.py
+++ b/sequoiafall/replay_outcomes.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from .decoding import decode_json
 from .replay_policy import ReplayPolicy
 from .replay_result import ReplayResult, RequestRecord
 from .replay_session import dedicated_share_trace, replay
@@ -75,7 +76,7 @@
     path = outcomes_path(trace_path)
     if not path.exists():
         return list(SAFETY_OUTCOMES)
-    return msgspec.json.decode(path.read_bytes(), type=list[Outcome])
+    return decode_json(path.read_bytes(), list[Outcome])
 
 
 def write_outcomes(outcomes: list[Outcome], trace_path: Path) -> None:
--- a/sequoiafall/replay_report.py
+++ b/sequoiafall/replay_report.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from .decoding import decode_json
 from .replay_outcomes import Outcome, ReplayMetrics
 from .reports import render_png, write_image
 
@@ -115,4 +116,4 @@
     msgspec.MsgspecError
         The file is not a valid report.
     """
-    return msgspec.json.decode(path.read_bytes(), type=Report)
+    return decode_json(path.read_bytes(), Report)
--- a/sequoiafall/secret_scan.py
+++ b/sequoiafall/secret_scan.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from .decoding import decode_json
+
 # The encoded form of a shorter secret can occur by chance in other text.
 MIN_ENCODED_SECRET_BYTES = 8
 
@@ -145,8 +147,8 @@
 
 def _json_contains(scanner: _SecretScanner, data: bytes) -> bool:
     try:
-        value = msgspec.json.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        value = decode_json(data)
+    except msgspec.DecodeError:
         return json.dumps(scanner.secret)[1:-1].encode() in data
     return scanner.matches(_joined_strings(value))
 
--- a/sequoiafall/status.py
+++ b/sequoiafall/status.py
@@ -17,6 +17,7 @@
 from returns.result import Failure, Success
 
 from .admission import MODEL_SEPARATOR, Admission, Caller, ResolvedModel
+from .decoding import decode_json
 from .owner_client import OWNER_RETRY_AFTER_S
 from .ownership import organisation_resource, owner_of, pool_resource
 from .refusal import Reason, Refusal, RunStatus
@@ -376,7 +377,7 @@
     if not isinstance(result, Success):
         return None
     try:
-        report = msgspec.json.decode(result.unwrap().body)
+        report = decode_json(result.unwrap().body)
     except msgspec.DecodeError:
         return None
     return report if isinstance(report, dict) else None
--- a/sequoiafall/stored_evidence.py
+++ b/sequoiafall/stored_evidence.py
@@ -22,6 +22,7 @@
     ServerStart,
     SuspectEvidence,
 )
+from .decoding import decode_json
 from .lease import LEASE_TABLE
 from .log import log_event, log_warning
 from .row_store import RowStore, StoreRow
@@ -227,13 +228,13 @@
         return False
 
     def _apply_harmful(self, value: bytes) -> frozenset[Hashable]:
-        stored = msgspec.json.decode(value, type=list[StoredPart])
+        stored = decode_json(value, list[StoredPart])
         now = boot_time()
         self._evidence.merge([from_stored(part, now) for part in stored], now)
         return frozenset((part.part, part.failed_trials) for part in stored)
 
     def _apply_repeated(self, value: bytes) -> frozenset[Hashable]:
-        stored = msgspec.json.decode(value, type=StoredSuspects)
+        stored = decode_json(value, StoredSuspects)
         now = boot_time()
         # A response that has begun since the write clears a suspect, which the row may
         # still hold. The age of its crashes tells which came first.
--- a/sequoiafall/stored_streams.py
+++ b/sequoiafall/stored_streams.py
@@ -17,6 +17,7 @@
 from returns.result import Success
 
 from .boot_clock import boot_time
+from .decoding import decode_json, decode_msgpack
 from .lease import LEASE_TABLE
 from .log import log_event, log_warning
 from .row_store import Rejected, RowStore, StoreRow
@@ -199,7 +200,7 @@
         if row is not None and not row.deleted:
             self._row_version = row.version
             try:
-                stored = msgspec.json.decode(row.value, type=StoredVersions)
+                stored = decode_json(row.value, StoredVersions)
             except msgspec.DecodeError as error:
                 self._is_row_readable = False
                 log_warning("software_versions_unreadable", reason=str(error))
@@ -512,7 +513,7 @@
     msgspec.DecodeError
         If the row cannot be decoded.
     """
-    row = msgspec.msgpack.decode(value, type=StoredStreamsRow)
+    row = decode_msgpack(value, StoredStreamsRow)
     if any(len(group.origins) % _ORIGIN.size for group in row.groups):
         raise msgspec.DecodeError("a stream is incomplete")
     origins = [
--- a/sequoiafall/table.py
+++ b/sequoiafall/table.py
@@ -9,6 +9,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from .decoding import decode_json
 from .settings import Finding
 from .wire.gen.ttypes import Change, Edit, Snapshot
 from .wire.gen.ttypes import Row as WireRow
@@ -403,7 +404,11 @@
     ValueError
         If the value does not conform to the schema.
     """
-    match parse_row(kind, msgspec.json.decode(value), kind):
+    try:
+        decoded = decode_json(value)
+    except msgspec.DecodeError as error:
+        raise ValueError(f"{kind}: {error}") from error
+    match parse_row(kind, decoded, kind):
         case Success(row):
             return row
         case Failure(findings):
--- a/sequoiafall/traces.py
+++ b/sequoiafall/traces.py
@@ -17,6 +17,7 @@
 
 import msgspec
 
+from .decoding import decode_json
 from .table import BackendServer, Organisation
 
 SCHEMA = "sequoiafall-trace"
@@ -170,17 +171,16 @@
     if not lines:
         raise TraceError(f"{path}: expected a header, found an empty file")
     try:
-        header = msgspec.json.decode(lines[0], type=Header)
+        header = decode_json(lines[0], Header)
     except msgspec.MsgspecError as error:
         raise TraceError(f"{path}, line 1: {error}") from error
     if (header.schema, header.version) != (SCHEMA, SCHEMA_VERSION):
         expected = f"{SCHEMA} version {SCHEMA_VERSION}"
         raise TraceError(f"{path}, line 1: expected {expected}")
-    decoder = msgspec.json.Decoder(Event)
     events = []
     for number, line in enumerate(lines[1:], start=2):
         try:
-            events.append(decoder.decode(line))
+            events.append(decode_json(line, Event))
         except msgspec.MsgspecError as error:
             raise TraceError(f"{path}, line {number}: {error}") from error
     if any(a.at > b.at for a, b in itertools.pairwise(events)):
