Refuse entries whose values break a later step

Cause: an entry was taken if its JSON types fit. Its address, name and numbers raised UnicodeError, ValueError or an error of the message format wherever they were used first. Change: the adapter takes an entry only if its name can be sent in a header, its address is an IPv4 address and port, and its texts and numbers fit into messages. The engine client reports a malformed address as a failed call, as for any other error of a call.

--- a/sequoiafall/platform/engines.py
+++ b/sequoiafall/platform/engines.py
@@ -24,6 +24,15 @@
 # A report with 96 running requests and 48 adapters has 10 KB.
 MAX_RESPONSE_BYTES = 256 * 1024
 
+# The client library raises ValueError and OverflowError for malformed addresses.
+_CALL_ERRORS = (
+    aiohttp.ClientError,
+    TimeoutError,
+    OSError,
+    ValueError,
+    OverflowError,
+)
+
 _RESPONSES_BY_STATUS = {
     200: OrderResponse.DONE,
     202: OrderResponse.ACCEPTED,
@@ -82,7 +91,7 @@
                 self._pass_notice_on(entry, response, "report", sent_at)
                 if response.status != 200:
                     return None
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        except _CALL_ERRORS as error:
             log_warning("report_failed", server=entry.name, error=type(error).__name__)
             return None
         try:
@@ -135,7 +144,7 @@
             ) as response:
                 await _read_up_to(response, MAX_RESPONSE_BYTES)
                 self._pass_notice_on(entry, response, "order", sent_at)
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        except _CALL_ERRORS as error:
             log_warning("order_failed", server=entry.name, error=type(error).__name__)
             return OrderResponse.NO_RESPONSE
         return _RESPONSES_BY_STATUS.get(response.status, OrderResponse.INVALID)
--- a/sequoiafall/platform/rows.py
+++ b/sequoiafall/platform/rows.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import Any
+import ipaddress
+from typing import Annotated, Any
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -23,6 +24,15 @@
 from ..serving_ports import RowDecoder
 from . import names
 
+# Longest text of a name, an address or a version.
+MAX_TEXT_CHARS = 200
+MAX_PORT = 65535
+
+# Messages between instances hold numbers of 32 and 64 bits.
+_Number = Annotated[int, msgspec.Meta(ge=0, le=2**31 - 1)]
+_Time = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+_Text = Annotated[str, msgspec.Meta(max_length=MAX_TEXT_CHARS)]
+
 
 class _Split(msgspec.Struct):
     service: str
@@ -86,20 +96,20 @@
 
 
 class _Version(msgspec.Struct):
-    adapter: str
-    version: int
+    adapter: _Text
+    version: _Number
 
 
 class _Entry(msgspec.Struct):
-    service: str
-    address: str
-    zone: str
-    slots: int
+    service: _Text
+    address: _Text
+    zone: _Text
+    slots: _Number
     # `ready` or `draining`; entries with any other state are unusable.
-    state: str
-    born: int = 0
+    state: _Text
+    born: _Time = 0
     # Version of the software, not of the weights.
-    version: str = ""
+    version: _Text = ""
 
 
 _STATES = ("ready", "draining")
@@ -132,6 +142,10 @@
         entry = decoded.unwrap()
         if entry.state not in _STATES:
             return Failure(f"state {entry.state!r} is not one of {_STATES}")
+        if not _is_header_value(row.key):
+            return Failure("the name is no value for a header")
+        if not _is_address(entry.address):
+            return Failure(f"address {entry.address!r} is not an IPv4 address and port")
         return Success(
             BackendEntry(
                 row.key,
@@ -153,6 +167,23 @@
         return Failure(str(error))
 
 
+def _is_header_value(name: str) -> bool:
+    """Whether a server's name can be sent in the header of each request."""
+    is_visible = name.isascii() and name.isprintable() and " " not in name
+    return is_visible and 0 < len(name) <= MAX_TEXT_CHARS
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    if not (port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT):
+        return False
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return True
+
+
 def _catalog(configuration: _Configuration) -> Catalog:
     return Catalog.from_parts(
         configuration.version,
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -8,10 +8,13 @@
 from parameterized import parameterized
 from returns.result import Failure
 
+from sequoiafall.backend_registry import BackendEntry
 from sequoiafall.mirror import Mirror
 from sequoiafall.platform import names
+from sequoiafall.platform.engines import PlatformEngines
 from sequoiafall.platform.rows import PlatformRows
 from sequoiafall.row_store import Rows, StoreRow
+from sequoiafall.serving_ports import EngineOrder, OrderResponse
 
 from .events import until
 from .platform_case import PlatformCase, configuration
@@ -153,3 +156,78 @@
             writer.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await writer
+
+
+# Values of one field that name no server that could be used.
+UNUSABLE_VALUES = [
+    ("address", ""),
+    ("address", ".kuldiga:8126"),
+    ("address", "kuldiga.example:8126"),
+    ("address", "10.1.0.25"),
+    ("address", "10.1.0.25:"),
+    ("address", "10.1.0.25:0"),
+    ("address", "10.1.0.25:70000"),
+    ("address", "10.1.0.25:\u0668\u0661"),
+    ("address", "10.1.0.25:8126/x"),
+    ("address", "10.1.0.25:8126\r\nX: y"),
+    ("address", "user@10.1.0.25:8126"),
+    ("address", "256.1.0.25:8126"),
+    ("address", "9" * 300),
+    ("slots", -1),
+    ("slots", 2**31),
+    ("born", -1),
+    ("born", 2**63),
+    ("born", 10**30),
+    ("version", "v" * 300),
+    ("service", "s" * 300),
+    ("zone", "z" * 300),
+]
+
+
+class UnusableEntryTest(unittest.IsolatedAsyncioTestCase):
+    """An entry whose values break a later step is refused when it is decoded."""
+
+    @parameterized.expand(UNUSABLE_VALUES)
+    def test_value(self, field, value):
+        content = json.dumps({**SOUND_ENTRY, field: value}).encode()
+        row = StoreRow(names.BACKEND_TABLE, "i-foreign", content, 1)
+        self.assertIsInstance(PlatformRows().backend(row), Failure)
+
+    @parameterized.expand(["", "a b", "a\r\nX: y", "\u0161\u0137", "a" * 300])
+    def test_name(self, name):
+        """The name is sent in a header of each request."""
+        content = json.dumps(SOUND_ENTRY).encode()
+        row = StoreRow(names.BACKEND_TABLE, name, content, 1)
+        self.assertIsInstance(PlatformRows().backend(row), Failure)
+
+    @parameterized.expand([".kuldiga:8126", "10.1.0.25:70000", "[::1", "a b:80"])
+    async def test_report_and_order(self, address):
+        """A malformed address is a failure of its call, not of the leader's term."""
+        engines = PlatformEngines()
+        entry = BackendEntry("i-foreign", "assist", address, "z1", 64, False, 1)
+        self.assertIsNone(await engines.report(entry))
+        order = EngineOrder("base", "a1", True, "node-1", 1, -1, 0)
+        self.assertIs(await engines.order(entry, order), OrderResponse.NO_RESPONSE)
+        await engines.close()
+
+
+class LeaderTermTest(PlatformCase):
+    """A foreign entry does not end the leader's term."""
+
+    async def test_entries_of_all_kinds(self):
+        nodes = await self.start_fleet(2)
+        terms = sum(node.metrics.terms_begun for node in nodes)
+        for number, (field, value) in enumerate(UNUSABLE_VALUES):
+            self.store.put(
+                names.BACKEND_TABLE, f"a-{number:02}", {**SOUND_ENTRY, field: value}
+            )
+        for number in range(REQUESTS):
+            for route in ("draft", "look"):
+                status, body, _ = await self.call(
+                    nodes[number % 2],
+                    f"/{route}/x",
+                    adapter="a1" if route == "draft" else "",
+                )
+                self.assertEqual(status, 200, body)
+        self.assertEqual(sum(node.metrics.terms_begun for node in nodes), terms)
+        self.assertTrue(all(len(node.fleet.registry) == 4 for node in nodes))
