Show that entries that lead nowhere take the calls of a plain service

Two nodes restart beside 30 entries of the engines and 30 of the plain service whose address takes no connection: most of 24 calls get 503, one after the other, as each call tries other entries.

--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import socket
 import unittest
 
 from parameterized import parameterized
@@ -97,7 +98,7 @@
         self.assertEqual(applied, ["a", "c"])
 
 
-class RestartTest(PlatformCase):
+class RestartCase(PlatformCase):
     """All instances restart while foreign entries stand among the servers."""
 
     async def rewrite(self, entries):
@@ -129,6 +130,10 @@
         ]
         return sum(status == 200 for status, _, _ in await asyncio.gather(*calls))
 
+
+class RestartTest(RestartCase):
+    """Entries that cannot be decoded hide no server from instances that restart."""
+
     # Guards against an entry that ends each read of the table before the entries of
     # the servers, so that nothing is served after a restart.
     @parameterized.expand(
@@ -231,3 +236,75 @@
                 self.assertEqual(status, 200, body)
         self.assertEqual(sum(node.metrics.terms_begun for node in nodes), terms)
         self.assertTrue(all(len(node.fleet.registry) == 4 for node in nodes))
+
+
+class SilentAddress:
+    """A loopback address that takes no connection: its queue is full."""
+
+    def __init__(self):
+        self._listener = socket.socket()
+        self._listener.bind(("127.0.0.1", 0))
+        self._listener.listen(0)
+        self.address = "{}:{}".format(*self._listener.getsockname())
+        self._fillers = []
+        for _ in range(4):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self._listener.getsockname())
+            self._fillers.append(filler)
+
+    def close(self):
+        for opened in (self._listener, *self._fillers):
+            opened.close()
+
+
+class UnreachableEntryTest(RestartCase):
+    """Entries that look sound and lead nowhere, many beside few servers."""
+
+    ENTRIES_PER_SERVICE = 30
+
+    def silent_entries(self):
+        silent = SilentAddress()
+        self.addCleanup(silent.close)
+        return [
+            (
+                f"{place}-{service}-{number:02}",
+                {**SOUND_ENTRY, "service": service, "address": silent.address},
+            )
+            # Before and behind the servers in the order of keys.
+            for place in ("a", "x")
+            for service in ("assist", "desk")
+            for number in range(self.ENTRIES_PER_SERVICE // 2)
+        ]
+
+    # Guards against calls that are spent on finding out which entries lead nowhere:
+    # each takes the timeout of a connection and a retry, at each instance anew.
+    async def test_calls_after_a_restart(self):
+        await self.start_fleet(2)
+        for key, value in self.silent_entries():
+            self.store.put(names.BACKEND_TABLE, key, value)
+        await self.restart_all()
+        await until(self._servers_are_known)
+        await until(self._own_engines_are_synced)
+        statuses = []
+        for number in range(REQUESTS):
+            for route in ("order", "look"):
+                status, _, _ = await self.call(
+                    self.nodes[number % len(self.nodes)], f"/{route}/x"
+                )
+                statuses.append(status)
+        self.assertEqual(statuses, [200] * len(statuses))
+
+    def _own_engines_are_synced(self):
+        if self.leader is None:
+            return False
+        planner = self.leader.fleet.duties.planners_by_service["assist"]
+        engines = planner.pool.engines_by_name
+        return all(name in engines and engines[name].is_synced for name in ("e1", "e2"))
+
+    def _servers_are_known(self):
+        return all(
+            node.fleet.registry.find(name) is not None
+            for node in self.nodes
+            for name in ("e1", "e2", "d1", "d2")
+        )
