Prove servers of plain services by connections of our own

Cause: an announced server got the estimate of the quickest known one, and whether it exists was found out by callers' calls, each with the timeout of a connection and a retry of the budget, at each instance anew. Change: an instance connects to announced plain servers itself, beside the calls; only those that it reached get calls, as long as there are any.

--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import xxhash
@@ -147,6 +147,8 @@
             self._on_backends_changed,
         )
         self.registry = self.tables.registry
+        # Called when entries of backend servers have changed.
+        self.server_listeners: list[Callable[[], None]] = []
         self.stream_versions = StreamVersions()
         self._stored_streams = StoredStreams(self.stream_versions, self._store)
         self._store_reached_at = -NEWS_TTL_S
@@ -321,6 +323,8 @@
         return [row.peer_address for row in self.members if row.instance != own]
 
     def _on_backends_changed(self) -> None:
+        for listener in self.server_listeners:
+            listener()
         before = self.stream_versions.revision
         self.stream_versions.set_announced(
             self.registry.software_by_service(), boot_time()
--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -9,6 +9,7 @@
 import contextlib
 import functools
 import random
+from collections.abc import Callable
 
 from aiohttp import web
 from multidict import CIMultiDict
@@ -32,6 +33,8 @@
 from .node_settings import NodeSettings
 from .place_source import GatewayPlace, PendingPlacement, PlaceSource
 from .plain_routing import PlainChoice, PlainRouting
+from .reachability import Reachability
+from .reachability_monitor import ReachabilityMonitor
 from .refusal import Reason, Refusal, RunStatus, secret_refusal
 from .request_ends import EndCause, OpenRequest, RequestEnds, StreamedResponse
 from .request_identity import request_identity
@@ -143,6 +146,9 @@
         self._metrics = metrics
         self._generator = generator
         self._plain = PlainRouting(settings.zone, generator, fleet.notices.ramp_up_left)
+        self._reachability = Reachability()
+        self._server_monitor = ReachabilityMonitor(fleet, self._reachability)
+        fleet.server_listeners.append(self._server_monitor.wake)
         self._permits = places.permits
         self._settings = settings
         self._budgets_by_service: dict[str, RetryBudget] = {}
@@ -182,6 +188,10 @@
         """Number of requests in progress."""
         return self._ends.open_count
 
+    async def monitor_servers(self, should_stop: Callable[[], bool]) -> None:
+        """Check which servers of plain services can be reached, until a stop."""
+        await self._server_monitor.run(should_stop)
+
     async def wait_idle(self, timeout_s: float) -> None:
         """Wait until no request is in progress, or until the timeout in seconds."""
         await self._ends.wait_idle(timeout_s)
@@ -465,7 +475,7 @@
                 exchange.is_charged = True
             entries = self._fleet.registry.active_servers(exchange.service)
             choice = await self._choose_plain(
-                exchange, self._fleet.notices.usable(entries)
+                exchange, self._usable_plain(exchange, entries)
             )
             if isinstance(choice, Refusal):
                 return choice
@@ -481,6 +491,29 @@
         finally:
             trials.end(request, exchange.service, server, admission, run)
 
+    def _usable_plain(
+        self, exchange: Exchange, entries: list[BackendEntry]
+    ) -> list[BackendEntry]:
+        """Return the servers that do not pause and that were reached, if there are."""
+        left = [
+            entry
+            for entry in self._fleet.notices.usable(entries)
+            if entry.name not in exchange.excluded
+        ]
+        return self._reachability.usable(left)
+
+    def _record_reach(self, entry: BackendEntry, outcome: Outcome, now: float) -> None:
+        """Record whether a request has reached its server."""
+        if outcome.name in ("cancelled", "withheld", "moved", "broken"):
+            return
+        is_reached = (
+            outcome.name != "unreachable"
+            and outcome.detail != ResponseKind.WRONG_SERVER.value
+        )
+        self._reachability.on_end(entry, is_reached, now)
+        if not is_reached:
+            self._server_monitor.wake()
+
     async def _send_plain(self, exchange: Exchange, entry: BackendEntry) -> Outcome:
         now = boot_time()
         outcome = Outcome("cancelled")
@@ -490,6 +523,7 @@
             outcome = await self._send(exchange, place)
         finally:
             ended_at = boot_time()
+            self._record_reach(entry, outcome, ended_at)
             pause_s = self._plain.on_end(
                 entry.name, outcome.name, ended_at - now, ended_at
             )
--- a/sequoiafall/node.py
+++ b/sequoiafall/node.py
@@ -122,6 +122,7 @@
         address = f"{self.settings.address}:{self.settings.metrics_port}"
         await self._listen(metrics, address)
         self.add_future(self._monitor())
+        self.add_future(self.forwarder.monitor_servers(lambda: self.should_stop))
         log_event(
             "started",
             instance=self.settings.instance,
