--- a/sequoiafall/fleet_leader.py
+++ b/sequoiafall/fleet_leader.py
@@ -31,6 +31,7 @@
 )
 from .prompt_quarantine import PromptQuarantine
 from .refusal import Reason
+from .report_schedule import ReportSchedule
 from .request_allowance import Permit, RequestAllowance, update_allowances
 from .run_id import caller_request_id
 from .server_limits import ServerLimits
@@ -133,6 +134,7 @@
         self._quarantine = PromptQuarantine(evidence)
         self._trial_queue = TrialQueue(self._quarantine, evidence)
         self._checked_at_by_server: dict[str, float] = {}
+        self._report_schedule = ReportSchedule()
         self.allowances_by_server: dict[str, RequestAllowance] = {}
         self.planners_by_service: dict[str, EnginePlanner] = {}
         self.members_by_instance: dict[str, MemberRecord] = {}
@@ -725,10 +727,16 @@
                 for name in self.planners_by_service
                 for entry in self._registry.all_servers(name)
             ]
+            now = boot_time()
+            self._report_schedule.keep({entry.name for entry in entries})
             for entry in entries:
-                if self._admit_report(entry):
+                is_due = self._report_schedule.is_due(entry.name, now)
+                if is_due and self._admit_report(entry):
                     self._spawn(self._report(entry))
-            has_few_engines = len(entries) <= FEW_ENGINES
+            likely = [
+                row for row in entries if self._report_schedule.may_exist(row.name)
+            ]
+            has_few_engines = len(likely) <= FEW_ENGINES
             await asyncio.sleep(
                 REPORT_INTERVAL_S if has_few_engines else REPORT_INTERVAL_MANY_S
             )
@@ -737,6 +745,7 @@
         planner = self.planners_by_service[entry.service]
         report = await self._control.report(entry)
         now = boot_time()
+        self._report_schedule.on_read(entry.name, report is not None, now)
         engine = planner.pool.engines_by_name.get(entry.name)
         worker = self._worker(entry)
         if report is not None and engine is not None:
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -10,6 +10,7 @@
 from returns.result import Failure
 
 from sequoiafall.backend_registry import BackendEntry
+from sequoiafall.fleet_leader import REPORT_INTERVAL_MANY_S
 from sequoiafall.mirror import Mirror
 from sequoiafall.platform import names
 from sequoiafall.platform.engines import PlatformEngines
@@ -295,6 +296,29 @@
                 statuses.append(status)
         self.assertEqual(statuses, [200] * len(statuses))
 
+    # Guards against reports of entries that lead nowhere which take the places of the
+    # client's connections, so that the reports of sound engines time out.
+    async def test_streams_beside_hundreds_of_entries(self):
+        await self.start_fleet(2)
+        silent = SilentAddress()
+        self.addCleanup(silent.close)
+        for number in range(400):
+            entry = {**SOUND_ENTRY, "address": silent.address}
+            self.store.put(names.BACKEND_TABLE, f"a-{number:03}", entry)
+        await self.restart_all()
+        await until(self._servers_are_known)
+        await until(self._own_engines_are_synced)
+        planner = self.leader.fleet.duties.planners_by_service["assist"]
+        missed = 0
+        for _ in range(REQUESTS):
+            status, body, _ = await self.call(self.nodes[0], "/draft/x", adapter="a1")
+            self.assertEqual(status, 200, body)
+            for name in ("e1", "e2"):
+                engine = planner.pool.engines_by_name[name]
+                missed += engine.missed_reports
+            await asyncio.sleep(REPORT_INTERVAL_MANY_S / 2.0)
+        self.assertEqual(missed, 0)
+
     def _own_engines_are_synced(self):
         if self.leader is None:
             return False
