Ask servers who they are when an entry names another one's address

Cause: an entry whose address belongs to another server passes the check by a connection. Change: a response of another server makes the instance ask the servers of that service that have not responded yet for their health, with the name that it expects, before they get calls. Without such a response nothing more is sent than before.

--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -116,7 +116,7 @@
         self._metrics = metrics
         self._store: RowStore = InstrumentedRowStore(store, metrics)
         self._decoder = decoder
-        self._control = control
+        self.control = control
         self.incarnation = int(boot_time() * 1e3) * 1000 + random.randrange(1000)
         self._keeper = LeaseKeeper(
             settings,
@@ -772,7 +772,7 @@
             self.settings,
             self.lease,
             self.registry,
-            self._control,
+            self.control,
             self._metrics,
             self.server_limits,
             self.crash_evidence,
--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -506,11 +506,12 @@
         """Record whether a request has reached its server."""
         if outcome.name in ("cancelled", "withheld", "moved", "broken"):
             return
-        is_reached = (
-            outcome.name != "unreachable"
-            and outcome.detail != ResponseKind.WRONG_SERVER.value
-        )
-        self._reachability.on_end(entry, is_reached, now)
+        is_reached = outcome.name != "unreachable"
+        if outcome.detail == ResponseKind.WRONG_SERVER.value:
+            self._reachability.on_wrong_server(entry, now)
+            is_reached = False
+        else:
+            self._reachability.on_end(entry, is_reached, now)
         if not is_reached:
             self._server_monitor.wake()
 
--- a/sequoiafall/platform/engines.py
+++ b/sequoiafall/platform/engines.py
@@ -149,6 +149,19 @@
             return OrderResponse.NO_RESPONSE
         return _RESPONSES_BY_STATUS.get(response.status, OrderResponse.INVALID)
 
+    async def is_at_address(self, entry: BackendEntry, health_path: str) -> bool:
+        """Ask for the health of a server, which another one rejects."""
+        try:
+            async with self._get_session().get(
+                f"http://{entry.address}{health_path}",
+                headers={names.EXPECTED_SERVER: entry.name},
+            ) as response:
+                await _read_up_to(response, MAX_RESPONSE_BYTES)
+                return response.status != WRONG_SERVER_STATUS
+        except _CALL_ERRORS as error:
+            log_warning("health_failed", server=entry.name, error=type(error).__name__)
+            return False
+
     def _pass_notice_on(
         self,
         entry: BackendEntry,
--- a/sequoiafall/reachability.py
+++ b/sequoiafall/reachability.py
@@ -40,11 +40,13 @@
     unless there is no other one. Times are seconds of any steady clock.
     """
 
-    __slots__ = ("_in_check", "_states_by_server")
+    __slots__ = ("_in_check", "_states_by_server", "_uncertain_services")
 
     def __init__(self) -> None:
         self._states_by_server: dict[str, _ServerState] = {}
         self._in_check: set[str] = set()
+        # Services with an entry that names the address of another server.
+        self._uncertain_services: set[str] = set()
 
     def usable(self, entries: Iterable[BackendEntry]) -> list[BackendEntry]:
         """Return the servers that were reached.
@@ -81,6 +83,11 @@
         ]
         return min(times, default=None)
 
+    def needs_identity(self, entry: BackendEntry) -> bool:
+        """Return whether a check has to ask which server listens at the address."""
+        is_uncertain = entry.service in self._uncertain_services
+        return is_uncertain and not self._state(entry).has_responded
+
     def begin_check(self, entry: BackendEntry) -> None:
         """Record that a check begins."""
         self._in_check.add(entry.name)
@@ -102,10 +109,7 @@
         return state.failures
 
     def on_end(self, entry: BackendEntry, is_reached: bool, now: float) -> None:
-        """Record whether a request has reached the server.
-
-        A process that listens at the address of another server counts as not reached.
-        """
+        """Record whether a request has reached the server."""
         state = self._state(entry)
         if is_reached:
             state.is_reached = state.has_responded = True
@@ -113,10 +117,24 @@
         else:
             _record_failure(state, now)
 
+    def on_wrong_server(self, entry: BackendEntry, now: float) -> None:
+        """Record that another server listens at an address.
+
+        Servers of the service that have not responded yet are checked again, as their
+        entries may be of the same kind.
+        """
+        self.on_end(entry, False, now)
+        self._uncertain_services.add(entry.service)
+        for state in self._states_by_server.values():
+            if state.entry.service == entry.service and not state.has_responded:
+                state.is_reached = False
+
     def keep(self, names: Collection[str]) -> None:
         """Forget all servers but those with these names."""
         for name in [name for name in self._states_by_server if name not in names]:
             del self._states_by_server[name]
+        services = {state.entry.service for state in self._states_by_server.values()}
+        self._uncertain_services &= services
 
     def _state(self, entry: BackendEntry) -> _ServerState:
         state = self._states_by_server.get(entry.name)
--- a/sequoiafall/reachability_monitor.py
+++ b/sequoiafall/reachability_monitor.py
@@ -1,4 +1,4 @@
-"""Checks by connections whether servers of plain services can be reached."""
+"""Checks whether servers of plain services can be reached."""
 
 from __future__ import annotations
 
@@ -26,7 +26,7 @@
     Parameters
     ----------
     fleet : Fleet
-        Configuration and backend servers.
+        Configuration, backend servers and the client that asks who they are.
     reachability : Reachability
         Decides what to check, and learns the results.
     """
@@ -92,20 +92,35 @@
         self.wake()
 
     async def _check(self, entry: BackendEntry) -> None:
-        host, _, port = entry.address.rpartition(":")
-        error_name = ""
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, writer = await asyncio.open_connection(host, int(port))
-            writer.close()
-        except (OSError, ValueError, OverflowError) as error:
-            error_name = type(error).__name__
-        failures = self._reachability.end_check(entry, not error_name, boot_time())
-        if error_name and failures == 1:
+        error = ""
+        path = self._health_path(entry)
+        if not path or not self._reachability.needs_identity(entry):
+            error = await _connect(entry.address)
+        elif not await self._fleet.control.is_at_address(entry, path):
+            error = "another server or no response"
+        failures = self._reachability.end_check(entry, not error, boot_time())
+        if error and failures == 1:
             log_event(
                 "server_not_reached",
                 server=entry.name,
                 service=entry.service,
                 address=entry.address,
-                error=error_name,
+                error=error,
             )
+
+    def _health_path(self, entry: BackendEntry) -> str:
+        catalog = self._fleet.catalog
+        service = catalog.services_by_name.get(entry.service) if catalog else None
+        return service.health_path if service is not None else ""
+
+
+async def _connect(address: str) -> str:
+    """Make a connection and close it; return the name of the error, if any."""
+    host, _, port = address.rpartition(":")
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except (OSError, ValueError, OverflowError) as error:
+        return type(error).__name__
+    writer.close()
+    return ""
--- a/sequoiafall/serving_ports.py
+++ b/sequoiafall/serving_ports.py
@@ -264,6 +264,10 @@
     async def order(self, entry: BackendEntry, order: EngineOrder) -> OrderResponse:
         """Send an order once, without retries, and return the response to it."""
 
+    @abc.abstractmethod
+    async def is_at_address(self, entry: BackendEntry, health_path: str) -> bool:
+        """Return whether a server, and no other one, listens at its address."""
+
     @abc.abstractmethod
     async def close(self) -> None:
         """Close all connections."""
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -296,6 +296,26 @@
                 statuses.append(status)
         self.assertEqual(statuses, [200] * len(statuses))
 
+    # Guards against calls that find out, one by one, which entries name an address at
+    # which another server listens; each is rejected and takes a retry of the budget.
+    async def test_calls_beside_entries_with_the_address_of_another_server(self):
+        await self.start_fleet(2)
+        address = self.engines["e1"].address
+        for number in range(self.ENTRIES_PER_SERVICE):
+            key = f"{'ax'[number % 2]}-desk-{number:02}"
+            entry = {**SOUND_ENTRY, "service": "desk", "address": address}
+            self.store.put(names.BACKEND_TABLE, key, entry)
+        await self.restart_all()
+        await until(self._servers_are_known)
+        statuses = []
+        for number in range(REQUESTS):
+            for route in ("order", "look"):
+                status, _, _ = await self.call(
+                    self.nodes[number % len(self.nodes)], f"/{route}/x"
+                )
+                statuses.append(status)
+        self.assertEqual(statuses, [200] * len(statuses))
+
     # Guards against reports of entries that lead nowhere which take the places of the
     # client's connections, so that the reports of sound engines time out.
     async def test_streams_beside_hundreds_of_entries(self):
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -105,6 +105,25 @@
         started = entry("silent", **changes)
         self.assertEqual(self.reachability.due([started], 0.1), [started])
 
+    def test_another_server_at_an_address(self):
+        """Entries of the same kind are asked who they are, instead of called."""
+        for server in ALL:
+            self.check(server, True, 0.0)
+        self.reachability.on_end(SOUND, True, 1.0)
+        self.assertFalse(self.reachability.needs_identity(SILENT))
+        self.reachability.on_wrong_server(SILENT, 1.0)
+        self.assertEqual(self.reachability.usable(ALL), [SOUND])
+        self.assertEqual(self.reachability.due(ALL, 1.0), [NEW])
+        asked = [row for row in ALL if self.reachability.needs_identity(row)]
+        self.assertEqual(asked, [SILENT, NEW])
+        self.check(NEW, True, 1.0)
+        self.assertEqual(self.reachability.usable(ALL), [SOUND, NEW])
+
+    def test_server_that_responded_and_another_one_at_its_address(self):
+        self.reachability.on_end(SOUND, True, 0.0)
+        self.reachability.on_wrong_server(SOUND, 1.0)
+        self.assertEqual(self.reachability.usable([SOUND, NEW]), [NEW])
+
     def test_servers_that_are_gone_are_forgotten(self):
         self.check(SILENT, False, 0.0)
         self.reachability.keep({"sound"})
