Log an unreadable entry once and keep no value of it

Cause: an entry of another writer that is written each 0.4 s was logged each time, and the mirror kept its value of up to 64 KiB for as long as it stood, at the leader and at each instance that reads the store itself. Change: each content of an entry is logged once, with at most 200 characters of the reason; the mirror keeps the version without the value. Measured: 99 writes of one content give one log line (99 before).

--- a/sequoiafall/fleet_tables.py
+++ b/sequoiafall/fleet_tables.py
@@ -37,6 +37,9 @@
 RETURNING_ENTRY_S = 4.0
 # Configurations that an instance remembers, so that it recognizes older ones.
 MAX_KNOWN_CONFIGURATIONS = 256
+# Unreadable entries that an instance remembers, so that it logs each one once.
+MAX_UNREADABLE_ENTRIES = 1000
+MAX_DETAIL_CHARS = 200
 
 
 class FleetTables:
@@ -95,6 +98,8 @@
         self._drop_at_by_server: dict[str, float] = {}
         # Entries that may be of a copy only, and when they count.
         self._returning_by_server: dict[str, tuple[float, StoreRow]] = {}
+        # Digests of the entries that were logged as unreadable.
+        self._unreadable_digests_by_server: dict[str, int] = {}
         self._outage_at = -ENTRY_RETURN_S
         self._backends_changed = False
         self._is_stopped = False
@@ -306,8 +311,9 @@
             return True
         decoded = self._decoder.backend(row)
         if not isinstance(decoded, Success):
-            log_warning("entry_unreadable", server=row.key, detail=decoded.failure())
+            self._on_unreadable_entry(row, decoded.failure())
             return False
+        self._unreadable_digests_by_server.pop(row.key, None)
         entry = decoded.unwrap()
         was_dropped = self._drop_at_by_server.pop(row.key, None) is not None
         before = self.registry.find(row.key)
@@ -326,6 +332,20 @@
             )
         return True
 
+    def _on_unreadable_entry(self, row: StoreRow, detail: str) -> None:
+        """Log an entry that cannot be read, once for each content."""
+        # The values of other writers would stay in memory as long as their entries.
+        self.mirror.drop_value(row)
+        digests = self._unreadable_digests_by_server
+        if digests.get(row.key) == _digest(row):
+            return
+        if len(digests) >= MAX_UNREADABLE_ENTRIES:
+            digests.clear()
+        digests[row.key] = _digest(row)
+        log_warning(
+            "entry_unreadable", server=row.key, detail=detail[:MAX_DETAIL_CHARS]
+        )
+
     async def drop_removed(self) -> None:
         """Drop backend servers some time after their entries were removed.
 
--- a/sequoiafall/mirror.py
+++ b/sequoiafall/mirror.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Sequence
+from dataclasses import replace
 
 from .log import innermost_frames, log_warning
 from .row_store import Rows, StoreRow
@@ -103,6 +104,11 @@
             self._revisions_by_row[row.table, row.key] = self.revision
         return True
 
+    def drop_value(self, row: StoreRow) -> None:
+        """Keep the version of a row without its value, which cannot be used."""
+        known = self._rows_by_table[row.table]
+        known[row.key] = replace(known[row.key], value=b"")
+
     def _replaces(self, before: StoreRow, row: StoreRow) -> bool:
         return self._is_newer is None or self._is_newer(before, row)
 
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -5,12 +5,14 @@
 import json
 import socket
 import unittest
+from unittest.mock import patch
 
 from parameterized import parameterized
 from returns.result import Failure
 
 from sequoiafall.backend_registry import BackendEntry
 from sequoiafall.fleet_leader import REPORT_INTERVAL_MANY_S
+from sequoiafall.fleet_tables import FleetTables
 from sequoiafall.mirror import Mirror
 from sequoiafall.platform import names
 from sequoiafall.platform.engines import PlatformEngines
@@ -99,6 +101,39 @@
         self.assertEqual(applied, ["a", "c"])
 
 
+class UnreadableEntryTest(unittest.TestCase):
+    """An unreadable entry that is written again and again costs little."""
+
+    def setUp(self):
+        self.tables = FleetTables(
+            None, PlatformRows(), bool, lambda *_: None, lambda: None
+        )
+
+    def write(self, version, value):
+        row = StoreRow(names.BACKEND_TABLE, "i-foreign", value, version)
+        self.tables.mirror.apply([row])
+
+    def test_log(self):
+        """Each content is logged once, so that a writer cannot fill the log."""
+        with patch("sequoiafall.fleet_tables.log_warning") as log:
+            for version in range(1, 100):
+                self.write(version, DEEP_ENTRIES[0][1])
+            self.assertEqual(log.call_count, 1)
+            self.write(200, b"{")
+            self.assertEqual(log.call_count, 2)
+
+    def test_memory(self):
+        """The values of other writers must not fill the memory of an instance."""
+        self.write(1, DEEP_ENTRIES[0][1])
+        (row,) = self.tables.mirror.rows(names.BACKEND_TABLE)
+        self.assertEqual((row.version, row.value), (1, b""))
+
+    def test_entry_that_becomes_readable(self):
+        self.write(1, b"{")
+        self.write(2, json.dumps(SOUND_ENTRY).encode())
+        self.assertIsNotNone(self.tables.registry.find("i-foreign"))
+
+
 class RestartCase(PlatformCase):
     """All instances restart while foreign entries stand among the servers."""
 
