Bound the numbers of stored evidence and read each suspect for itself

Cause: the rows were decoded without bounds, and one unreadable suspect dropped all others of its row. Change: the numbers have bounds that fit into messages, the time of a trial is clamped as ages are, and each suspect is decoded for itself.

--- a/sequoiafall/evidence_exchange.py
+++ b/sequoiafall/evidence_exchange.py
@@ -216,6 +216,10 @@
     return int(min(max(0.0, (now - at) * 1e3), MAX_AGE_MS))
 
 
+def _period_ms(period_s: float) -> int:
+    return int(min(max(-MAX_AGE_MS, period_s * 1e3), MAX_AGE_MS))
+
+
 def _to_wire(row: SuspectEvidence, now: float) -> Any:
     has_begun = row.begun_at > NEVER
     return ttypes.PartEvidence(
@@ -230,7 +234,7 @@
             for start, crash in row.crashes_by_start.items()
         ],
         begun_age_ms=_age_ms(row.begun_at, now) if has_begun else -1,
-        trial_in_ms=int((row.trial_at - now) * 1e3) if row.is_harmful else None,
+        trial_in_ms=_period_ms(row.trial_at - now) if row.is_harmful else None,
         failed_trials=row.failed_trials,
     )
 
--- a/sequoiafall/stored_evidence.py
+++ b/sequoiafall/stored_evidence.py
@@ -9,6 +9,7 @@
 
 import time
 from collections.abc import Callable, Hashable, Mapping, Sequence
+from typing import Annotated, Any
 
 import msgspec
 from returns.result import Success
@@ -37,14 +38,21 @@
 # The wall clock makes a stored crash at most this old, so that a clock that jumps
 # forward does not let a suspect be forgotten.
 MAX_AGED_S = 0.5 * CRASH_TTL_S
+# Largest age of a crash, and time until a trial.
+MAX_PERIOD_S = 2_000_000.0
+
+# Messages between instances hold numbers of 32 and 64 bits, and times in milliseconds.
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**31 - 1)]
+_UnixMs = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+_PeriodS = Annotated[float, msgspec.Meta(ge=-MAX_PERIOD_S, le=MAX_PERIOD_S)]
 
 
 class StoredCrash(msgspec.Struct):
     """Crash of a server, `age_s` seconds before the row was written."""
 
     server: str
-    born: int
-    age_s: float
+    born: _UnixMs
+    age_s: _PeriodS
 
 
 class StoredPart(msgspec.Struct):
@@ -52,8 +60,8 @@
 
     part: str
     crashes: list[StoredCrash]
-    failed_trials: int
-    trial_in_s: float
+    failed_trials: _Count
+    trial_in_s: _PeriodS
 
 
 class StoredSuspect(msgspec.Struct):
@@ -67,7 +75,8 @@
     """Content of the row of suspects with two crashes, and its time in Unix seconds."""
 
     written_at: float
-    suspects: list[StoredSuspect]
+    # Each one is a `StoredSuspect`, decoded for itself.
+    suspects: list[msgspec.Raw]
 
 
 class _Row:
@@ -228,7 +237,8 @@
         return False
 
     def _apply_harmful(self, value: bytes) -> frozenset[Hashable]:
-        stored = decode_json(value, list[StoredPart])
+        items = decode_json(value, list[msgspec.Raw])
+        stored = _decode_each(HARMFUL_PARTS_KEY, items, StoredPart)
         now = boot_time()
         self._evidence.merge([from_stored(part, now) for part in stored], now)
         return frozenset((part.part, part.failed_trials) for part in stored)
@@ -243,7 +253,9 @@
             SuspectEvidence(
                 suspect.suspect, _crashes_by_start(suspect.crashes, now, elapsed_s)
             )
-            for suspect in stored.suspects
+            for suspect in _decode_each(
+                REPEATED_SUSPECTS_KEY, stored.suspects, StoredSuspect
+            )
         ]
         self._evidence.merge(rows, now)
         return _repeated_state(rows, now)
@@ -290,6 +302,20 @@
     }
 
 
+def _decode_each(key: str, items: Sequence[msgspec.Raw], kind: Any) -> list[Any]:
+    """Decode suspects; one that cannot be read does not affect the others."""
+    decoded = []
+    left_out = 0
+    for item in items:
+        try:
+            decoded.append(decode_json(bytes(item), kind))
+        except msgspec.DecodeError:
+            left_out += 1
+    if left_out:
+        log_warning("suspects_unreadable", key=key, count=left_out)
+    return decoded
+
+
 def _harmful_state(rows: Sequence[SuspectEvidence]) -> frozenset[Hashable]:
     return frozenset((row.key, row.failed_trials) for row in rows)
 
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -8,9 +8,11 @@
 from parameterized import parameterized
 from returns.result import Failure
 
+from sequoiafall.channel import encode_struct
 from sequoiafall.completion_bodies import CHAT_PATH, parse_completion
 from sequoiafall.crash_evidence import CrashEvidence
 from sequoiafall.decoding import decode_json, decode_msgpack
+from sequoiafall.evidence_exchange import EvidenceExchange
 from sequoiafall.lease import LEASE_KEY, LEASE_TABLE, LeaseRecord
 from sequoiafall.operator_api import parse_edit_request
 from sequoiafall.row_store import StoreRow
@@ -23,6 +25,7 @@
 from sequoiafall.stored_streams import SOFTWARE_VERSIONS_KEY, StoredStreams
 from sequoiafall.stream_versions import StreamVersions
 from sequoiafall.table import decode_row
+from sequoiafall.wire.gen import ttypes
 
 from .test_harmful_prompts import MemoryStore
 
@@ -114,3 +117,56 @@
         stored = StoredEvidence(CrashEvidence(), store)
         await stored.load()
         self.assertTrue(stored.is_loaded)
+
+
+def suspect(**changes):
+    """Return a suspect as it is stored, whose crash has some other values."""
+    crash = {"server": "s1", "born": 1, "age_s": 1.0}
+    values = {"part": "p1", "failed_trials": 0, "trial_in_s": 1.0}
+    for name, value in changes.items():
+        (crash if name in crash else values)[name] = value
+    return {
+        **values,
+        "suspect": values["part"],
+        "crashes": [crash, {**crash, "born": 2}],
+    }
+
+
+class OddEvidenceTest(unittest.IsolatedAsyncioTestCase):
+    """Stored numbers that do not fit into messages must not reach one.
+
+    A member whose polls could not be encoded stayed out of the fleet.
+    """
+
+    @parameterized.expand(
+        [
+            (key, name, value)
+            for key in (HARMFUL_PARTS_KEY, REPEATED_SUSPECTS_KEY)
+            for name, value in (
+                ("born", 10**30),
+                ("born", -(10**30)),
+                ("age_s", 1e308),
+                ("age_s", -1e308),
+                ("failed_trials", 10**30),
+                ("trial_in_s", 1e308),
+                ("trial_in_s", -1e308),
+            )
+        ]
+    )
+    async def test_one_odd_suspect(self, key, name, value):
+        odd, sound = suspect(part="odd", **{name: value}), suspect(part="sound")
+        content = [odd, sound]
+        if key == REPEATED_SUSPECTS_KEY:
+            content = {"written_at": -1e308, "suspects": content}
+        store = MemoryStore()
+        encoded = msgspec.json.encode(content)
+        store.rows_by_key[key] = StoreRow(LEASE_TABLE, key, encoded, 3)
+        evidence = CrashEvidence()
+        exchange = EvidenceExchange(evidence, store, b"", bool, bool, list)
+        await exchange.load()
+        self.assertTrue(exchange.is_known)
+        sent = exchange.since_revision(0)
+        self.assertIn("sound", [row.part for row in sent])
+        for row in sent:
+            notice = ttypes.EvidenceNotice(evidence=[row])
+            self.assertTrue(encode_struct(notice))
