Check the heads of all HTTP answers before they are used

What callers saw: answers with statuses such as 000, of other protocols, or with lines that are no fields, and signatures joined to other lines. Reports, orders and the store's and platform's clients used such answers. Cause: only the client library's parser read heads. It is lenient about answers, and the C and the Python one differ in what they accept. Change: ResponseHeadReader checks the status line and fields by RFC 9112 before the parser gets a byte; interim answers are checked and left out. StrictConnector uses it, and is used by every HTTP client of the product. A malformed head counts as an answer that broke off: 502 with 'unknown', or a retry of an idempotent request. response_head_malformed names the sender and what was wrong.

--- a/sequoiafall/engine_client.py
+++ b/sequoiafall/engine_client.py
@@ -21,6 +21,9 @@
 from aiohttp.connector import Connection
 from yarl import URL
 
+from .log import log_warning
+from .response_head import ResponseHeadError, ResponseHeadReader
+
 CONNECT_TIMEOUT_S = 0.5
 
 # An engine that sends nothing for this long is considered lost and the stream is
@@ -79,7 +82,8 @@
     aiohttp treats a connection reset like a regular close, so that a response
     without a length seems complete. It also takes bytes that arrive on an idle
     connection, such as a duplicate of the last response, for the response to the next
-    request; such a connection is closed here.
+    request; such a connection is closed here. Its parser gets the bytes of a response
+    only when `ResponseHeadReader` has accepted the head.
 
     Attributes
     ----------
@@ -94,10 +98,13 @@
         self.is_idle = False
         self.is_cut = False
         self._received_bytes = 0
+        # None once the head of the current response has been accepted.
+        self._head_reader: ResponseHeadReader | None = None
 
     def set_response_params(self, **options: Any) -> None:
         """Prepare for the response to the next request."""
         self._received_bytes = 0
+        self._head_reader = ResponseHeadReader()
         super().set_response_params(**options)
 
     def data_received(self, data: bytes) -> None:
@@ -107,19 +114,37 @@
             self.abort()
             return
         self._received_bytes += len(data)
+        if self._head_reader is not None:
+            data = self._read_head(self._head_reader, data)
+            if not data:
+                return
         super().data_received(data)
         payload = self._payload
         body_bytes = payload.total_bytes if payload is not None else 0
         if self._received_bytes > 2 * body_bytes + MAX_FRAMING_BYTES:
-            self._abort_response()
+            error = aiohttp.ClientPayloadError("too many bytes outside of the body")
+            self._abort_response(error)
 
-    def _abort_response(self) -> None:
-        """Abort a response with too many bytes outside its body."""
+    def _read_head(self, reader: ResponseHeadReader, data: bytes) -> bytes:
+        """Return the bytes for the parser, empty until the head is complete."""
+        try:
+            accepted = reader.feed(data)
+        except ResponseHeadError as error:
+            peer = self.transport.get_extra_info("peername") if self.transport else None
+            address = f"{peer[0]}:{peer[1]}" if peer else "unknown"
+            log_warning("response_head_malformed", address=address, detail=error)
+            self._abort_response(error)
+            return b""
+        if accepted:
+            self._head_reader = None
+        return accepted
+
+    def _abort_response(self, error: aiohttp.ClientError) -> None:
+        """End the current response with an error and close the connection."""
         payload, transport = self._payload, self.transport
         if payload is not None and payload.is_eof():
             # Surplus bytes after a complete response; do not reuse the connection.
             self.force_close()
-        error = aiohttp.ClientPayloadError("too many bytes outside of the body")
         self.set_exception(error)
         if payload is not None and not payload.is_eof():
             payload.set_exception(error)
@@ -145,7 +170,10 @@
 
 
 class StrictConnector(aiohttp.TCPConnector):
-    """Connection pool that never reuses a connection that got bytes while idle."""
+    """Connection pool of all HTTP clients, which rejects malformed responses.
+
+    It never reuses a connection that got bytes while idle.
+    """
 
     def __init__(self, **options: Any) -> None:
         super().__init__(**options)
--- a/sequoiafall/operator_session.py
+++ b/sequoiafall/operator_session.py
@@ -17,6 +17,7 @@
 
 from .decoding import decode_json
 from .edits import RowEdit
+from .engine_client import StrictConnector
 from .operator_output import (
     format_conflicts,
 )
@@ -93,7 +94,9 @@
         headers = {"Authorization": f"Bearer {self.token.decode()}"}
         last_response = ControllerResponse(0, {"detail": "no controller answers"})
         unknown_outcome: ControllerResponse | None = None
-        async with aiohttp.ClientSession(timeout=timeout, headers=headers) as session:
+        async with aiohttp.ClientSession(
+            connector=StrictConnector(), timeout=timeout, headers=headers
+        ) as session:
             for number in range(MAX_ROUNDS * len(self.urls)):
                 if number and number % len(self.urls) == 0:
                     await asyncio.sleep(ROUND_PAUSE_S)
--- a/sequoiafall/platform/store.py
+++ b/sequoiafall/platform/store.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from ..decoding import decode_json
+from ..engine_client import StrictConnector
 from ..log import log_event
 from ..row_store import (
     VERSIONS_PER_ERA,
@@ -274,7 +275,7 @@
         if self._session is None:
             source = (self._source, 0) if self._source else None
             self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(local_addr=source),
+                connector=StrictConnector(local_addr=source),
                 cookie_jar=aiohttp.DummyCookieJar(),
                 auto_decompress=False,
             )
--- a/sequoiafall/platform_client.py
+++ b/sequoiafall/platform_client.py
@@ -13,6 +13,7 @@
 from returns.result import Failure, Result, Success
 
 from .decoding import decode_json
+from .engine_client import StrictConnector
 from .store_results import Unavailable, Unknown
 
 # Well below HEAD_MAX_AGE_S (2 s), so that there is time left to confirm the head
@@ -321,7 +322,7 @@
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             self._session = aiohttp.ClientSession(
-                headers={"X-Client": self.client_name}
+                connector=StrictConnector(), headers={"X-Client": self.client_name}
             )
         return self._session
 
--- a/sequoiafall/standins/engine.py
+++ b/sequoiafall/standins/engine.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 from mode import Service
 
+from ..engine_client import StrictConnector
 from ..prefix_index import PREFIX_BLOCK_WORDS, prefix_hashes
 from ..process import run_service
 from ..settings import (
@@ -306,7 +307,7 @@
         if self.config.platform_url is None:
             return self.config.load_seconds
         url = f"{self.config.platform_url}/weights/{key[0]}/{key[1]}"
-        async with aiohttp.ClientSession() as session:
+        async with aiohttp.ClientSession(connector=StrictConnector()) as session:
             for _ in range(LOAD_ATTEMPTS):
                 try:
                     async with session.post(url) as response:
--- a/tests/test_malformed_heads.py
+++ b/tests/test_malformed_heads.py
@@ -239,12 +239,16 @@
 
     async def fetch(self, client_type, content, is_slow=False):
         self.server = RawServer(content, is_slow)
-        address = await self.server.start(self)
+        self.address = await self.server.start(self)
         client = client_type()
         if isinstance(client, EngineClient):
             self.addAsyncCleanup(client.close)
         async with client.request(
-            "POST", f"http://{address}/", {names.REQUEST_ID: "r1"}, b"", lambda: None
+            "POST",
+            f"http://{self.address}/",
+            {names.REQUEST_ID: "r1"},
+            b"",
+            lambda: None,
         ) as response:
             body = await response.read_up_to(READ_LIMIT_BYTES)
             return response.status, response.headers, body
@@ -309,6 +313,19 @@
         if isinstance(client, EngineClient):
             await client.close()
 
+    async def test_log_line(self):
+        """A line names the server and quotes what was wrong, bounded and escaped."""
+        with (
+            patch.object(engine_client, "log_warning") as log_warning,
+            self.assertRaises(BrokenResponseError),
+        ):
+            await self.fetch(SingleSendClient, answer(b"X\x01A: " + b"b" * 1000))
+        log_warning.assert_called_once()
+        (event,), fields = log_warning.call_args
+        self.assertEqual(event, "response_head_malformed")
+        self.assertEqual(fields["address"], self.address)
+        self.assertRegex(str(fields["detail"]), r"^field line b'X\\x01A: b+'\.\.\.$")
+
     async def test_kept_connection(self):
         """Each answer of a connection is checked, and sound ones keep it open."""
         answers = [SOUND[-1][1], answer(), answer(b"X A: b"), answer()]
