Show that malformed answers make a request count as harmful

What callers saw: a sound request whose servers answer with malformed heads is refused with 503 ('awaits a trial') within twelve tries, as if it had crashed them. Cause: BrokenResponseError.is_cut holds for every error but a timeout, and each cut before a response began counts as a crash of the server.

--- a/tests/test_malformed_heads.py
+++ b/tests/test_malformed_heads.py
@@ -313,6 +313,23 @@
         if isinstance(client, EngineClient):
             await client.close()
 
+    @parameterized.expand(
+        [
+            (f"{kind} {name}", client_type, content, is_cut)
+            for name, content, is_cut in (
+                ("status 000", answer(status_line=b"HTTP/1.1 000 Zero"), False),
+                ("other bytes", b"\x00" * 100, False),
+                ("connection closed", answer().partition(LENGTH)[0], True),
+            )
+            for kind, client_type in CLIENTS
+        ]
+    )
+    async def test_is_cut(self, _name, client_type, content, is_cut):
+        """A server that sends a malformed head runs, so nothing has crashed it."""
+        with self.assertRaises(BrokenResponseError) as context:
+            await self.fetch(client_type, content)
+        self.assertIs(context.exception.is_cut, is_cut)
+
     async def test_log_line(self):
         """A line names the server and quotes what was wrong, bounded and escaped."""
         with (
@@ -539,6 +556,8 @@
         requests.close()
 
 
+# A request counts as harmful after three crashes; some are refuted meanwhile.
+REPEATED_CALLS = 12
 NODE_SHAPES = [
     ("status_000", answer(status_line=b"HTTP/1.1 000 Zero")),
     ("status_600", answer(status_line=b"HTTP/1.1 600 High")),
@@ -575,7 +594,7 @@
         return sum(front.request_count for front in self.fronts)
 
     def check_unknown(self, status, body, headers):
-        self.assertEqual(status, 502)
+        self.assertEqual(status, 502, body)
         self.assertIn(b"unknown", body)
         self.assertNotIn(names.NOT_RUN, headers)
         self.assertNotIn(names.SIGNATURE, headers)
@@ -618,3 +637,16 @@
         self.assertEqual(status, 200)
         self.assertIn(b"id: 5", body)
         self.assertEqual(self.count_requests(), 1)
+
+    @parameterized.expand([NODE_SHAPES[0], NODE_SHAPES[4]])
+    async def test_request_is_not_taken_for_harmful(self, _name, content):
+        """Malformed answers to one request must not get it refused."""
+        node = await self.start(*[content] * REPEATED_CALLS)
+        for number in range(REPEATED_CALLS):
+            request_id = f"same-{number}"
+            self.check_unknown(
+                *await self.call(node, "/order/x", body=b"same", request_id=request_id)
+            )
+        status, body, _ = await self.call(node, "/order/x", body=b"same")
+        self.assertEqual(status, 200, body)
+        self.assertIn(b"done:same", body)
