Do not take a malformed answer for a crash of its server

What callers saw: a sound request whose servers answer with malformed heads was refused with 503 ('awaits a trial'). Cause: BrokenResponseError.is_cut held for every error but a timeout. Change: a malformed head is no cut. A connection that ends inside the head still is one.

--- a/sequoiafall/engine_client.py
+++ b/sequoiafall/engine_client.py
@@ -60,7 +60,8 @@
     Attributes
     ----------
     is_cut : bool
-        Whether the connection ended, as opposed to a timeout.
+        Whether the connection ended, as opposed to a timeout or a malformed head. A
+        cut may be a crash of the server; one that sends a malformed head still runs.
     """
 
     is_cut = False
@@ -549,5 +550,5 @@
     # The text of the error may contain parts of the request, its type does not.
     name = type(error).__name__
     broken = BrokenResponseError(f"the backend server's answer broke off ({name})")
-    broken.is_cut = not isinstance(error, TimeoutError)
+    broken.is_cut = not isinstance(error, (TimeoutError, ResponseHeadError))
     return broken
