Follow no redirects in calls to engines, the store and the platform

Cause: the client library follows redirects by default, so that an answer in trouble could send an order, a read of a report or a write on to another address (found by reading in the review of malformed answers). Change: these calls take a redirect as the status that it is.

--- a/sequoiafall/platform/engines.py
+++ b/sequoiafall/platform/engines.py
@@ -89,6 +89,7 @@
             async with self._get_session().get(
                 f"http://{entry.address}{names.REPORT_PATH}",
                 headers={names.EXPECTED_SERVER: entry.name},
+                allow_redirects=False,
             ) as response:
                 content = await _read_up_to(response, MAX_RESPONSE_BYTES)
                 self._pass_notice_on(entry, response, "report", sent_at)
@@ -141,6 +142,7 @@
                     "Content-Type": "application/json",
                     names.EXPECTED_SERVER: entry.name,
                 },
+                allow_redirects=False,
                 timeout=aiohttp.ClientTimeout(
                     total=ORDER_TIMEOUT_S, sock_connect=ORDER_TIMEOUT_S
                 ),
@@ -161,6 +163,7 @@
             async with self._get_session().get(
                 f"http://{entry.address}{health_path}",
                 headers={names.EXPECTED_SERVER: entry.name},
+                allow_redirects=False,
             ) as response:
                 await _read_up_to(response, MAX_RESPONSE_BYTES)
         except _CALL_ERRORS as error:
--- a/sequoiafall/platform/store.py
+++ b/sequoiafall/platform/store.py
@@ -189,6 +189,7 @@
                 self._base_url + names.TRANSACTION_PATH,
                 data=msgspec.json.encode(body),
                 headers={"Content-Type": "application/json"},
+                allow_redirects=False,
                 timeout=_timeout(RESPONSE_TIMEOUT_S),
             ) as response:
                 content = await response.read()
@@ -227,7 +228,10 @@
         self.calls += 1
         try:
             async with self._get_session().get(
-                self._base_url + path, params=query, timeout=_timeout(timeout_s)
+                self._base_url + path,
+                params=query,
+                allow_redirects=False,
+                timeout=_timeout(timeout_s),
             ) as response:
                 content = await response.read()
                 counts, era = self._observe_era(response), self.era
--- a/sequoiafall/platform_client.py
+++ b/sequoiafall/platform_client.py
@@ -305,7 +305,11 @@
         )
         try:
             async with self._get_session().request(
-                method, self.base_url + path, timeout=timeout, **options
+                method,
+                self.base_url + path,
+                allow_redirects=False,
+                timeout=timeout,
+                **options,
             ) as response:
                 body = await response.read()
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -10,18 +10,27 @@
 import unittest
 from pathlib import Path
 
+from aiohttp import web
 from multidict import CIMultiDict
 from parameterized import parameterized
 from returns.result import Failure, Success
 from ruamel.yaml import YAML
 
+from sequoiafall.backend_registry import BackendEntry
 from sequoiafall.catalog import RepeatPolicy
 from sequoiafall.platform import names
 from sequoiafall.platform.dialect import MAX_PROMPT_PARTS, PlatformDialect
+from sequoiafall.platform.engines import PlatformEngines
 from sequoiafall.platform.node_file import NodeFile, read_node_file
 from sequoiafall.platform.rows import PlatformRows
+from sequoiafall.platform.store import PlatformRowStore
 from sequoiafall.row_store import StoreRow
-from sequoiafall.serving_ports import Attempt, ResponseKind
+from sequoiafall.serving_ports import (
+    Attempt,
+    EngineOrder,
+    OrderResponse,
+    ResponseKind,
+)
 
 from .platform_case import configuration
 
@@ -313,3 +322,46 @@
     def test_request_without_identity(self):
         with self.assertRaises(ValueError):
             PlatformDialect().read_request("GET", "/", CIMultiDict(), b"")
+
+
+class RedirectTest(unittest.IsolatedAsyncioTestCase):
+    """A faulty server must not send reports, orders or writes on to another one."""
+
+    async def asyncSetUp(self):
+        self.followed = []
+        application = web.Application()
+        application.router.add_route("*", "/elsewhere", self.on_followed)
+        application.router.add_route("*", "/{path:.*}", self.on_request)
+        runner = web.AppRunner(application)
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        self.address = "{}:{}".format(*runner.addresses[0][:2])
+
+    async def on_request(self, _request):
+        return web.Response(status=307, headers={"Location": "/elsewhere"})
+
+    async def on_followed(self, request):
+        self.followed.append(request.method)
+        return web.json_response({})
+
+    async def test_engines(self):
+        engines = PlatformEngines()
+        entry = BackendEntry("e1", "assist", self.address, "z1", 64, False, 1)
+        self.assertIsNone(await engines.report(entry))
+        self.assertFalse(await engines.is_at_address(entry, "/healthz"))
+        order = EngineOrder(True, "base", "a1", 1, -1, "node-1", 1)
+        self.assertIs(await engines.order(entry, order), OrderResponse.INVALID)
+        await engines.close()
+        self.assertEqual(self.followed, [])
+
+    async def test_store(self):
+        store = PlatformRowStore(self.address)
+        for call in (
+            store.scan("servers"),
+            store.changes("servers", 1, 0.0),
+            store.replace("fleet", "leader", b"{}", 0),
+        ):
+            self.assertIsInstance(await call, Failure)
+        await store.close()
+        self.assertEqual(self.followed, [])
