Start a node of the soak once after two faults that end it

Cause: two stops (or a stop and a kill) may wait for the same process. Both found the ended process among the running ones and started the node. The second process ended with status 1 for lack of the ports and took the first one's place in the records, so the first one was neither disturbed any more nor ended after the run. Change: Soak.restart_node starts a node only if no other fault does so.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -119,8 +119,7 @@
         await process.wait()
         await asyncio.sleep(self._soak.random.uniform(0.0, 1.0))
         self._soak.disturb(number)
-        if self._soak.processes[number] is process:
-            await self._soak.start_node(number)
+        await self._soak.restart_node(number, process)
 
     async def stop_node(self) -> None:
         """Stop a node with SIGTERM, as the platform does, and start it again."""
@@ -133,8 +132,7 @@
         process.send_signal(signal.SIGTERM)
         await process.wait()
         self._soak.disturb(number)
-        if self._soak.processes[number] is process:
-            await self._soak.start_node(number)
+        await self._soak.restart_node(number, process)
 
     async def stop_node_beside_streams(self) -> None:
         """Stop a node, and send it streams at the slowest pace until it ends."""
@@ -154,8 +152,7 @@
             await self._late_streams.send(session, number, process)
         await process.wait()
         self._soak.disturb(number)
-        if self._soak.processes[number] is process:
-            await self._soak.start_node(number)
+        await self._soak.restart_node(number, process)
 
     async def pause_node(self) -> None:
         """Suspend a node for up to 4 s, which can outlast a lease."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -121,6 +121,7 @@
         self.relays: dict[str, FaultyRelay] = {}
         self.processes: dict[int, asyncio.subprocess.Process] = {}
         self.paused: set[int] = set()
+        self._restarting: set[int] = set()
         self.findings: list[str] = []
         self.counts_by_status: Counter[str] = Counter()
         self.configuration = Configuration()
@@ -337,6 +338,22 @@
                 },
             )
 
+    async def restart_node(
+        self, number: int, ended: asyncio.subprocess.Process
+    ) -> None:
+        """Start a node again whose process has ended, unless another fault does so.
+
+        Two stops may have waited for the same process. A second process would end
+        for lack of the ports, and the first one would remain after the run.
+        """
+        if self.processes[number] is not ended or number in self._restarting:
+            return
+        self._restarting.add(number)
+        try:
+            await self.start_node(number)
+        finally:
+            self._restarting.discard(number)
+
     async def stop(self) -> None:
         """Stop all processes, relays and stand-ins."""
         for number, process in self.processes.items():
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,7 +6,7 @@
 import tempfile
 import unittest
 from pathlib import Path
-from unittest.mock import patch
+from unittest.mock import Mock, patch
 
 import aiohttp
 from parameterized import parameterized
@@ -157,6 +157,26 @@
         self.assertEqual(len(check.findings()), int(is_found))
 
 
+class RestartTest(unittest.IsolatedAsyncioTestCase):
+    """Two faults that end a process start its node again once."""
+
+    async def test_two_stops_of_one_process(self):
+        """Guards against a second process, which ends, and a first that is left."""
+        soak = Soak(1, Path())
+        ended = soak.processes[1] = Mock(returncode=0)
+        started = []
+
+        async def start_node(number):
+            await asyncio.sleep(0.0)
+            started.append(number)
+            soak.processes[number] = Mock(returncode=None)
+
+        with patch.object(soak, "start_node", start_node):
+            await asyncio.gather(*(soak.restart_node(1, ended) for _ in range(2)))
+            await soak.restart_node(1, ended)
+        self.assertEqual(started, [1])
+
+
 class CheckTest(unittest.TestCase):
     """Each check of a response reports a violation."""
 
