Play foreign entries, malformed answers and stalled clients in the soak

In all seeds a node process that ends by itself is a finding, as are 408 and 421 for a request that ran and may run once.

--- a/soak/calls.py
+++ b/soak/calls.py
@@ -51,6 +51,10 @@
         Name of the error that ended the call; empty after a complete response.
     was_sent : bool
         Whether a connection to the node was made.
+    signature : str
+        Signature of the backend server that the response carries; empty for none.
+    retry_after_s : float
+        Seconds after which a refused caller may return; 0 if that is not said.
     """
 
     request_id: str
@@ -71,6 +75,8 @@
     received: bytes = b""
     error: str = ""
     was_sent: bool = True
+    signature: str = ""
+    retry_after_s: float = 0.0
 
     @property
     def is_complete(self) -> bool:
@@ -120,6 +126,8 @@
                 ) as response,
             ):
                 self.status = response.status
+                self.signature = response.headers.get(names.SIGNATURE, "")
+                self.retry_after_s = float(response.headers.get(names.RETRY_AFTER, 0))
                 async for chunk in response.content.iter_any():
                     self.received += chunk
         except aiohttp.ClientConnectorError as error:
--- a/soak/crash_budget.py
+++ b/soak/crash_budget.py
@@ -46,6 +46,11 @@
         times = self._disturbed_at_by_node[node] + self._disturbed_at_by_node[0]
         return any(at - CONTACT_S <= disturbed_at <= at for disturbed_at in times)
 
+    def was_disturbed_since(self, at: float, node: int) -> bool:
+        """Return whether a node or the store was disturbed before a time or since."""
+        times = self._disturbed_at_by_node[node] + self._disturbed_at_by_node[0]
+        return any(disturbed_at >= at - CONTACT_S for disturbed_at in times)
+
     def late_arrivals(self, cause: str) -> list[tuple[float, int]]:
         """Return time and node of the arrivals after a cause is known everywhere."""
         crashes = self.crashed_at_by_cause[cause]
--- a/soak/endings.py
+++ b/soak/endings.py
@@ -25,6 +25,8 @@
 SETTINGS_NEWS_S = 1.0
 # Events this long around a request are named in a finding.
 CONTEXT_S = 1.0
+# Events of this last time are named beside the end of a process.
+RECENT_S = 5.0
 # Delay with which a caller sees what happened to a node or a server.
 SIGHT_S = 0.1
 
@@ -109,6 +111,21 @@
         self._stops_by_node[node].append(_Stop(now, self._grace_s(node, now)))
         self.note(f"stop of node-{node}")
 
+    def is_end_expected(self, node: int, since: float) -> bool:
+        """Return whether a node was killed or asked to stop since a time."""
+        stops = [stop.begun_at for stop in self._stops_by_node[node]]
+        return any(at >= since for at in [*self._kills_by_node[node], *stops])
+
+    def recent_events(self) -> str:
+        """Return the events of the last seconds, for a finding."""
+        least = time.monotonic() - RECENT_S
+        texts = [
+            f"{text} {at - least - RECENT_S:+.2f}s"
+            for at, text in self._events
+            if at >= least
+        ]
+        return ", ".join(texts) or "nothing"
+
     def record_grace(self, node: int, grace_s: float) -> None:
         """Record the grace period of a node's settings, in seconds."""
         self._graces_by_node[node].append((time.monotonic(), grace_s))
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -31,6 +31,8 @@
 FIRST_SEED_WITH_LATE_STREAMS = 5000
 # And servers of several versions serve, and callers take streams up, from here on.
 FIRST_SEED_WITH_VERSIONS = 7000
+# And foreign entries, malformed answers and stalled clients come from here on.
+FIRST_SEED_WITH_BAD_INPUT = 8000
 
 
 class FaultInjector:
--- a/soak/run.py
+++ b/soak/run.py
@@ -40,15 +40,23 @@
 )
 from .deadly_requests import DeadlyRequests
 from .endings import EndingCheck
-from .faults import FIRST_SEED_WITH_VERSIONS, FaultInjector
+from .faults import (
+    FIRST_SEED_WITH_BAD_INPUT,
+    FIRST_SEED_WITH_VERSIONS,
+    FaultInjector,
+)
+from .foreign_entries import ForeignEntries
 from .further_faults import FurtherFaults
 from .limits import LimitCheck
+from .malformed_answers import AnswerCheck, MalformedAnswers
+from .processes import MEMORY_MB, ProcessCheck
 from .prompts import PromptCheck
 from .relay import FaultyRelay
 from .request_counters import counter_findings
 from .servers import RecordingEngine, ServerObserver
 from .software_versions import SoftwareVersions, StreamCheck
 from .sound_requests import SoundRequestCheck
+from .stalled_clients import StalledClients
 
 ROOT = Path(__file__).resolve().parent.parent
 PEER_SECRET = "secret of the soak's nodes"
@@ -139,6 +147,11 @@
         self.limits = LimitCheck()
         self.prompts = PromptCheck(seed)
         self.streams = StreamCheck()
+        self.answers = AnswerCheck()
+        self.process_check = ProcessCheck(self)
+        self._process_task: asyncio.Task[None] | None = None
+        self.foreign_entries = ForeignEntries(self)
+        self.stalled_clients = StalledClients(self)
         self.removed_engines: set[AdapterEngine] = set()
         self.nodes_by_request: dict[str, int] = {}
         # Last responses to a valid and to a withdrawn key, for the findings.
@@ -185,6 +198,7 @@
             await relay.start()
             self.relays[f"peer-{number}"] = relay
             await self.start_node(number)
+        self._process_task = asyncio.create_task(self.process_check.run())
 
     async def _start_engine(self, name: str, model: str) -> RecordingEngine:
         engine = RecordingEngine(name, model, observer=self)
@@ -199,6 +213,11 @@
         """Whether servers of several versions serve, and callers take streams up."""
         return self.seed >= FIRST_SEED_WITH_VERSIONS and not self.is_series
 
+    @property
+    def has_bad_input(self) -> bool:
+        """Whether other writers, servers in trouble and stalled clients take part."""
+        return self.seed >= FIRST_SEED_WITH_BAD_INPUT and not self.is_series
+
     @property
     def all_engines(self) -> list[RecordingEngine]:
         """Servers of all services."""
@@ -254,6 +273,17 @@
         """Record a request whose connection was closed before its end."""
         self.endings.record_left(server, request_id)
 
+    def on_signature(self, request_id: str, signature: str) -> None:
+        """Record the signature of an answer."""
+        self.answers.record_signature(request_id, signature)
+
+    def on_malformed(
+        self, server: str, request_id: str, signature: str, head: str
+    ) -> None:
+        """Record an answer with a malformed head, which completes no request."""
+        self.answers.record_malformed(request_id, signature, head)
+        self.endings.record_broken(server, request_id)
+
     def end_limit(self, engine: AdapterEngine) -> None:
         """End a server's limit, as a restart does."""
         engine.limit_per_s = -1.0
@@ -265,6 +295,10 @@
         self.prompts.disturb(node)
         self.deadly.disturb(node)
 
+    def was_disturbed(self, node: int, since: float) -> bool:
+        """Return whether a node or the store was disturbed around a time or since."""
+        return self.prompts.was_disturbed_since(since, node)
+
     def register_engine(self, engine: AdapterEngine, state: str = "ready") -> None:
         """Write the entry of a backend server to the store, unless it was removed."""
         if engine in self.removed_engines:
@@ -309,6 +343,7 @@
         """Write the settings file of a node."""
         self.endings.record_grace(number, grace_s)
         host = f"{self.subnet}.{number}"
+        limits = f"limits: {{memory_mb: {MEMORY_MB}}}\n" if self.has_bad_input else ""
         # Other nodes reach this node through its relay; only the seeds bypass it.
         (self.folder / f"node-{number}.yaml").write_text(
             f'node: "node-{number}"\nzone: "z1"\nip: "{host}"\n'
@@ -316,6 +351,7 @@
             f'directory: "{host}:18220"}}\ninternal_ports: [17600, 17615]\n'
             f'seeds: ["{self.subnet}.1:1", "{self.subnet}.2:1"]\n'
             f"bounds: {{grace_s: {grace_s}}}\n"
+            f"{limits}"
             f'platform: {{address: "{self.relays[f"store-{number}"].address}"}}\n'
         )
 
@@ -337,6 +373,7 @@
                     "SEQUOIAFALL_PEER_ADVERTISE": self.relays[f"peer-{number}"].address,
                 },
             )
+        self.process_check.record_start(self.processes[number].pid)
 
     async def restart_node(
         self, number: int, ended: asyncio.subprocess.Process
@@ -356,6 +393,9 @@
 
     async def stop(self) -> None:
         """Stop all processes, relays and stand-ins."""
+        if self._process_task is not None:
+            self._process_task.cancel()
+        self.foreign_entries.close()
         for number, process in self.processes.items():
             if process.returncode is None:
                 if number in self.paused:
@@ -420,6 +460,10 @@
         self.endings.record_end(call)
         self.sound_requests.record_end(call)
         self.streams.record_end(call)
+        if self.has_bad_input and (wrong := self.answers.find(call)):
+            self.add_finding(
+                f"{call.request_id} ({call.route}) at node-{call.node} {wrong}"
+            )
         status = call.status if call.is_complete else 0
         is_denial_expected = self.configuration.is_denial_expected(call.route, call.key)
         self._check_response(
@@ -447,7 +491,7 @@
         runs = sum(engine.runs[request_id] for engine in self.all_engines)
         if route in SINGLE_RUN_ROUTES and runs > 1:
             self.add_finding(f"{request_id}: a {route} ran {runs} times")
-        if status in (429, 503) and runs and route in SINGLE_RUN_ROUTES:
+        if status in (408, 421, 429, 503) and runs and route in SINGLE_RUN_ROUTES:
             self.add_finding(f"{request_id}: answered {status} and ran")
         if status == 200 and route in STREAM_ROUTES:
             event_ids = [row for row in body.split(b"\n") if row.startswith(b"id:")]
@@ -512,8 +556,25 @@
             runs = [FurtherFaults(self).run(session, end_at)]
             if self.has_versions:
                 runs.append(SoftwareVersions(self).run(session, end_at))
+            if self.has_bad_input:
+                runs.append(self.foreign_entries.run(end_at))
+                runs.append(MalformedAnswers(self).run(end_at))
+                runs.append(self.stalled_clients.run(session, end_at))
             await asyncio.gather(*runs)
 
+    def describe_bad_input(self) -> str:
+        """Return the counts of bad input in one line."""
+        entries = " ".join(
+            f"{kind.replace(' ', '_')}={count}"
+            for kind, count in sorted(self.foreign_entries.counts_by_kind.items())
+        )
+        return (
+            f"{entries} lasting={len(self.foreign_entries.standing)} "
+            f"malformed={self.answers.counts_by_head.total()} "
+            f"crowds={self.stalled_clients.crowd_count} "
+            f"peak_mb={self.process_check.peak_mb:.0f}"
+        )
+
     # Final checks
 
     async def check_recovery(self) -> None:
@@ -534,11 +595,16 @@
         for number in waiting:
             self.add_finding(
                 f"node-{number} not serving {RECOVERY_TIMEOUT_S} s after the faults, "
-                f"statuses {self.recovery_statuses_by_node.get(number)}"
+                f"statuses {self.recovery_statuses_by_node.get(number)}, "
+                f"{len(self.foreign_entries.standing)} foreign entries"
             )
+        self.findings += self.sound_requests.findings(*self.traffic_span_s)
+        async with self.caller_session() as session:
+            self.findings += await self.foreign_entries.findings(session)
+        self.findings += self.process_check.findings()
+        self.findings += self.stalled_clients.findings()
         self.findings += self.endings.findings() + self.deadly.findings()
         self.findings += self.limits.findings() + self.prompts.findings()
-        self.findings += self.sound_requests.findings(*self.traffic_span_s)
         self.findings += self.streams.findings()
         await self._check_counters()
         for engine in self.all_engines:
@@ -717,6 +783,8 @@
             )
             if soak.has_versions:
                 typer.echo(f"  {soak.streams.describe()}")
+            if soak.has_bad_input:
+                typer.echo(f"  {soak.describe_bad_input()}")
             if excused:
                 typer.echo(f"  excused {excused}")
             for finding in soak.findings[:10]:
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -12,6 +12,7 @@
 from sequoiafall.standins.adapter_engine import AdapterEngine
 
 from .late_streams import SLOW_INTERVAL_S, SLOW_PATH
+from .malformed_answers import MalformedHead
 
 # Identifier of the request that the current task handles.
 _current_request_id: ContextVar[str] = ContextVar("current_request_id", default="")
@@ -35,6 +36,14 @@
     def on_left(self, server: str, request_id: str) -> None:
         """Handle a request whose connection the node has closed before its end."""
 
+    def on_signature(self, request_id: str, signature: str) -> None:
+        """Handle the begin of an answer that carries a signature."""
+
+    def on_malformed(
+        self, server: str, request_id: str, signature: str, head: str
+    ) -> None:
+        """Handle an answer with a malformed head in place of a sound one."""
+
 
 class RecordingEngine(AdapterEngine):
     """Engine stand-in that records the holders of fencing tokens and its requests.
@@ -43,6 +52,13 @@
     ----------
     observer : ServerObserver or None
         Receives arrivals, crashes and requests that are broken off.
+
+    Attributes
+    ----------
+    malformed_heads : list of MalformedHead
+        Heads of the next answers, in place of sound ones.
+    malforms_control : bool
+        Whether these are also heads of answers to report requests and orders.
     """
 
     def __init__(
@@ -53,6 +69,8 @@
         self.holders_by_token: dict[int, set[str]] = defaultdict(set)
         self._causes_by_request: dict[str, list[str]] = {}
         self._open_requests: set[str] = set()
+        self.malformed_heads: list[MalformedHead] = []
+        self.malforms_control = False
 
     async def _on_request(self, request: web.Request) -> web.StreamResponse:
         request_id = request.headers.get(names.REQUEST_ID, "")
@@ -91,6 +109,36 @@
             return SLOW_INTERVAL_S
         return super()._interval_s(request)
 
+    async def _on_prepare(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        await super()._on_prepare(request, response)
+        request_id = request.headers.get(names.REQUEST_ID, "")
+        signature = response.headers.get(names.SIGNATURE, "")
+        is_control = request.path in (names.REPORT_PATH, names.ORDER_PATH)
+        is_malformed = signature or (is_control and self.malforms_control)
+        if self.malformed_heads and is_malformed and request.transport is not None:
+            head = self.malformed_heads.pop()
+            self._open_requests.discard(request_id)
+            self._observer.on_malformed(self.name, request_id, signature, head.name)
+            body = b"done:" + await request.read()
+            if self.model:
+                body = self._events(request)
+            request.transport.write(head.answer(response.headers, body))
+            request.transport.close()
+            raise ConnectionResetError("the connection ends with the malformed answer")
+        if signature:
+            self._observer.on_signature(request_id, signature)
+
+    def _events(self, request: web.Request) -> bytes:
+        """Return the whole stream that answers a request."""
+        first = int(request.headers.get(names.LAST_EVENT, "0")) + 1
+        text = f" of {self.software}" if self.software else ""
+        return "".join(
+            f"id: {number}\ndata: piece {number}{text}\n\n"
+            for number in range(first, self.events_per_stream + 1)
+        ).encode()
+
     async def crash(self) -> None:
         """Crash, and report the requests that the server broke off."""
         crashes = len(self.crashed_at)
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import json
-import socket
 import unittest
 
 from parameterized import parameterized
@@ -16,12 +15,15 @@
 from sequoiafall.platform.rows import PlatformRows
 from sequoiafall.row_store import Rows, StoreRow
 from sequoiafall.serving_ports import EngineOrder, OrderResponse
+from sequoiafall.standins.foreign_entries import (
+    UNUSABLE_VALUES,
+    SilentAddress,
+    deep_row_value,
+)
 
 from .events import until
 from .platform_case import PlatformCase, configuration
 
-# Inside the size that the store accepts for a row.
-NESTING = 8000
 SOUND_ENTRY = {
     "service": "assist",
     "address": "127.0.0.1:1",
@@ -38,20 +40,6 @@
 REQUESTS = 12
 
 
-def deep_value(nesting=NESTING, is_cut=False):
-    """Return JSON text of nested arrays, without its ends if it is broken off."""
-    return b"[" * nesting if is_cut else b"[" * nesting + b"]" * nesting
-
-
-def deep_row_value(fields, field, is_cut=False):
-    """Return an encoded row with one deeply nested field."""
-    encoded = json.dumps({**fields, field: 0}).encode()
-    name = json.dumps(field).encode()
-    head, _, tail = encoded.rpartition(name + b": 0")
-    value = head + name + b": " + deep_value(is_cut=is_cut)
-    return value if is_cut else value + tail
-
-
 DEEP_ENTRIES = [
     *((field, deep_row_value(SOUND_ENTRY, field)) for field in FIELDS),
     ("broken_off", deep_row_value(SOUND_ENTRY, "note", is_cut=True)),
@@ -163,32 +151,6 @@
                 await writer
 
 
-# Values of one field that name no server that could be used.
-UNUSABLE_VALUES = [
-    ("address", ""),
-    ("address", ".kuldiga:8126"),
-    ("address", "kuldiga.example:8126"),
-    ("address", "10.1.0.25"),
-    ("address", "10.1.0.25:"),
-    ("address", "10.1.0.25:0"),
-    ("address", "10.1.0.25:70000"),
-    ("address", "10.1.0.25:\u0668\u0661"),
-    ("address", "10.1.0.25:8126/x"),
-    ("address", "10.1.0.25:8126\r\nX: y"),
-    ("address", "user@10.1.0.25:8126"),
-    ("address", "256.1.0.25:8126"),
-    ("address", "9" * 300),
-    ("slots", -1),
-    ("slots", 2**31),
-    ("born", -1),
-    ("born", 2**63),
-    ("born", 10**30),
-    ("version", "v" * 300),
-    ("service", "s" * 300),
-    ("zone", "z" * 300),
-]
-
-
 class UnusableEntryTest(unittest.IsolatedAsyncioTestCase):
     """An entry whose values break a later step is refused when it is decoded."""
 
@@ -238,26 +200,6 @@
         self.assertTrue(all(len(node.fleet.registry) == 4 for node in nodes))
 
 
-class SilentAddress:
-    """A loopback address that takes no connection: its queue is full."""
-
-    def __init__(self):
-        self._listener = socket.socket()
-        self._listener.bind(("127.0.0.1", 0))
-        self._listener.listen(0)
-        self.address = "{}:{}".format(*self._listener.getsockname())
-        self._fillers = []
-        for _ in range(4):
-            filler = socket.socket()
-            filler.setblocking(False)
-            filler.connect_ex(self._listener.getsockname())
-            self._fillers.append(filler)
-
-    def close(self):
-        for opened in (self._listener, *self._fillers):
-            opened.close()
-
-
 class UnreachableEntryTest(RestartCase):
     """Entries that look sound and lead nowhere, many beside few servers."""
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,7 +3,9 @@
 import asyncio
 import json
 import random
+import re
 import tempfile
+import time
 import unittest
 from pathlib import Path
 from unittest.mock import Mock, patch
@@ -17,13 +19,17 @@
 from soak.configuration import CHANGING_KEYS, Configuration
 from soak.deadly_requests import DeadlyRequests
 from soak.endings import EndingCheck
+from soak.faults import FIRST_SEED_WITH_BAD_INPUT
 from soak.limits import LimitCheck
+from soak.malformed_answers import MALFORMED_HEADS, AnswerCheck, MalformedHead
+from soak.processes import MEMORY_MB, failure_findings
 from soak.prompts import PromptCheck
 from soak.request_counters import counter_findings
 from soak.run import Soak, run_seed
 from soak.servers import RecordingEngine
 from soak.software_versions import StreamCheck
 from soak.sound_requests import SoundRequestCheck
+from soak.stalled_clients import KINDS
 from tests.events import until
 
 TRAFFIC_S = 4.0
@@ -157,26 +163,6 @@
         self.assertEqual(len(check.findings()), int(is_found))
 
 
-class RestartTest(unittest.IsolatedAsyncioTestCase):
-    """Two faults that end a process start its node again once."""
-
-    async def test_two_stops_of_one_process(self):
-        """Guards against a second process, which ends, and a first that is left."""
-        soak = Soak(1, Path())
-        ended = soak.processes[1] = Mock(returncode=0)
-        started = []
-
-        async def start_node(number):
-            await asyncio.sleep(0.0)
-            started.append(number)
-            soak.processes[number] = Mock(returncode=None)
-
-        with patch.object(soak, "start_node", start_node):
-            await asyncio.gather(*(soak.restart_node(1, ended) for _ in range(2)))
-            await soak.restart_node(1, ended)
-        self.assertEqual(started, [1])
-
-
 class CheckTest(unittest.TestCase):
     """Each check of a response reports a violation."""
 
@@ -221,6 +207,184 @@
     return call
 
 
+class ProcessCheckTest(unittest.TestCase):
+    """Processes that end by themselves or outgrow their machine are reported."""
+
+    @parameterized.expand(
+        [
+            ("by itself", None, True),
+            ("killed", "record_kill", False),
+            ("stopped", "record_stop", False),
+        ]
+    )
+    def test_end(self, _name, event, is_found):
+        soak = Soak(1, Path())
+        now = 99.0
+        with patch("time.monotonic", lambda: now):
+            soak.endings.record_grace(1, 4.0)
+            # The process before this one was killed.
+            soak.endings.record_kill(1)
+            now = 100.0
+            soak.process_check.record_start(7)
+            now = 101.0
+            if event:
+                getattr(soak.endings, event)(1)
+            soak.process_check.record_end(1, 7, -9)
+        self.assertEqual(len(soak.process_check.findings()), int(is_found))
+
+    @parameterized.expand([("within", -1.0, 0), ("beyond", 0.0, 1)])
+    def test_memory(self, _name, more_mb, expected):
+        with tempfile.TemporaryDirectory() as folder:
+            soak = Soak(FIRST_SEED_WITH_BAD_INPUT, Path(folder), node_count=1)
+            (Path(folder) / "node-1.log").write_text("event=started\n")
+            # The peak counts, whatever is measured later.
+            for peak_mb in (60.0, MEMORY_MB + more_mb, 70.0):
+                soak.process_check.record_peak(1, 7, peak_mb)
+            self.assertEqual(len(soak.process_check.findings()), expected)
+
+    @parameterized.expand(
+        [("leader_failed", 1), ("table_failed", 1), ("leader_joined", 0)]
+    )
+    def test_log(self, event, expected):
+        with tempfile.TemporaryDirectory() as folder:
+            log = Path(folder) / "node-1.log"
+            log.write_text(f"time=x level=warning event={event} term=1\n" * 2)
+            self.assertEqual(len(failure_findings(log)), expected)
+
+
+class RestartTest(unittest.IsolatedAsyncioTestCase):
+    """Two faults that end a process start its node again once."""
+
+    async def test_two_stops_of_one_process(self):
+        """Guards against a second process, which ends, and a first that is left."""
+        soak = Soak(1, Path())
+        ended = soak.processes[1] = Mock(returncode=0)
+        started = []
+
+        async def start_node(number):
+            await asyncio.sleep(0.0)
+            started.append(number)
+            soak.processes[number] = Mock(returncode=None)
+
+        with patch.object(soak, "start_node", start_node):
+            await asyncio.gather(*(soak.restart_node(1, ended) for _ in range(2)))
+            await soak.restart_node(1, ended)
+        self.assertEqual(started, [1])
+
+
+class AnswerCheckTest(unittest.TestCase):
+    """What a caller gets of an answer whose head is none is reported."""
+
+    @parameterized.expand(
+        [
+            ("sound answer", {"status": 200, "signature": "d1.1"}, False),
+            ("refusal", {"status": 502}, False),
+            ("cut", {"error": "ServerDisconnectedError"}, False),
+            ("malformed answer", {"status": 200, "signature": "d2.1"}, True),
+            ("no signature", {"status": 200}, True),
+            ("cut after a head", {"status": 200, "error": "ClientPayloadError"}, True),
+            ("status", {"status": 600, "signature": "d2.1"}, True),
+            ("unreadable head", {"error": "ClientResponseError"}, True),
+        ]
+    )
+    def test_answer(self, _name, fields, is_found):
+        check = AnswerCheck()
+        check.record_malformed("r1", "d2.1", "status 600")
+        check.record_signature("r1", "d1.1")
+        finding = check.find(_call(**fields))
+        self.assertEqual(bool(finding), is_found, finding)
+        if is_found:
+            self.assertIn("status 600", finding)
+
+
+class BadInputTest(unittest.IsolatedAsyncioTestCase):
+    """The stand-ins send what the faults announce."""
+
+    async def _answer(self, engine, head, path):
+        """Return all that a server with a malformed head answers."""
+        engine.malformed_heads = [head]
+        address = await engine.listen("127.0.0.1")
+        self.addAsyncCleanup(engine.close)
+        host, _, port = address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        writer.write(
+            f"POST {path} HTTP/1.1\r\nHost: x\r\n{names.REQUEST_ID}: r1\r\n"
+            "Content-Length: 1\r\n\r\nb".encode()
+        )
+        return await reader.read()
+
+    @parameterized.expand([(head.name, head) for head in MALFORMED_HEADS])
+    async def test_malformed_answer(self, _name, head):
+        """The request has run, and the answer is whole but for its head."""
+        engine = RecordingEngine("d1")
+        received = await self._answer(engine, head, "/order/x")
+        answer_head, _, body = received.partition(b"\r\n\r\n")
+        self.assertTrue(answer_head.startswith(head.status_line + b"\r\n"))
+        self.assertIn(head.first_line, answer_head)
+        self.assertIn(head.last_line, answer_head)
+        self.assertIn(b"d1.1", answer_head)
+        self.assertEqual(answer_head.lower().count(b"content-length"), 1)
+        self.assertEqual(body, b"done:b")
+        self.assertEqual(engine.runs["r1"], 1)
+
+    async def test_malformed_stream(self):
+        engine = RecordingEngine("e1", "base")
+        head = MalformedHead("status 000", b"HTTP/1.1 000 OK")
+        _, _, body = (await self._answer(engine, head, "/draft/x")).partition(
+            b"\r\n\r\n"
+        )
+        self.assertEqual(body.count(b"id: "), engine.events_per_stream)
+        self.assertEqual(engine.runs["r1"], 1)
+
+    @parameterized.expand(KINDS)
+    def test_stalled_request(self, kind):
+        """A server that runs such a request has got one that no client sent."""
+        soak = Soak(FIRST_SEED_WITH_BAD_INPUT, Path())
+        head, body = soak.stalled_clients._request(kind)
+        is_head = not body
+        self.assertNotEqual(is_head, b"\r\n\r\n" in head)
+        self.assertFalse(bytes(body).endswith(b"0\r\n\r\n"))
+        if match := re.search(rb"Content-Length: (\d+)", head):
+            self.assertLess(len(body), int(match[1]))
+        self.assertEqual(soak.stalled_clients.findings(), [])
+        engine = RecordingEngine("d1")
+        soak.engines.append(engine)
+        engine.runs[f"s{FIRST_SEED_WITH_BAD_INPUT}-u1"] = 1
+        self.assertEqual(len(soak.stalled_clients.findings()), 1)
+
+    async def test_crowd_at_a_node_that_does_not_answer(self):
+        """A node that takes connections and answers none of them is reported."""
+        soak = Soak(FIRST_SEED_WITH_BAD_INPUT, Path(), node_count=1)
+        server = await asyncio.start_server(lambda _reader, _writer: None, "127.0.0.1")
+        self.addCleanup(server.close)
+        address = "{}:{}".format(*server.sockets[0].getsockname())
+        soak.processes[1] = Mock(returncode=None)
+        with (
+            patch.object(soak, "caller_address", lambda _number: address),
+            patch("soak.stalled_clients.MIN_STAY_S", 0.1),
+            patch("soak.stalled_clients.MAX_STAY_S", 0.1),
+        ):
+            async with soak.caller_session() as session:
+                session._timeout = aiohttp.ClientTimeout(total=0.2)
+                await soak.stalled_clients._send_crowd(session)
+        self.assertEqual(len(soak.findings), 1)
+        self.assertIn("answered none", soak.findings[0])
+
+    async def test_foreign_entries(self):
+        soak = Soak(FIRST_SEED_WITH_BAD_INPUT, Path(), node_count=0)
+        self.addCleanup(soak.foreign_entries.close)
+        await soak.foreign_entries.run(time.monotonic() + 0.1)
+        self.assertEqual(sum(soak.foreign_entries.counts_by_kind.values()), 1)
+        copy = soak.store.copy()
+        soak.foreign_entries.remove()
+        soak.store.restore(copy)
+        soak.store.put(names.BACKEND_TABLE, "e1", {})
+        soak.foreign_entries.remove()
+        rows = [row.key for row in soak.store.rows.values() if not row.deleted]
+        self.assertEqual(rows, ["e1"])
+
+
 # Events of runs in which a call lasts from second 100 to 101.
 GRACE = (90.0, "record_grace", 1, 4.0)
 REACHED = (100.1, "record_arrival", "e1", "r1")
