Change settings only of soak nodes that have started

Cause: the soak wrote an invalid settings file, or sent SIGHUP, while a node process was starting. The process then exits with status 2, as documented, or ends by the signal before the program can ignore it, and the soak does not start it again. The platform would. Change: change_settings leaves out both until the node's log says that its process has started.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -190,17 +190,22 @@
         """Rewrite the settings file of a node.
 
         At random, an invalid file is written first, and SIGHUP is sent afterwards.
+        Both end a process that has not started yet: it exits with status 2 for the
+        file, and the signal comes before the program can ignore it.
         """
         number = self._random_node()
         process = self._soak.processes[number]
         if process.returncode is not None or number in self._soak.paused:
             return
         path = self._soak.folder / f"node-{number}.yaml"
+        has_started = self._soak.has_started(number)
         if self._soak.random.random() < 0.3:
-            path.write_text("node: [")
+            if has_started:
+                path.write_text("node: [")
             await asyncio.sleep(self._soak.random.uniform(0.1, 0.8))
         self._soak.write_settings(number, self._soak.random.randint(3, 5))
-        if self._soak.random.random() < 0.5 and process.returncode is None:
+        sends_signal = self._soak.random.random() < 0.5
+        if sends_signal and has_started and process.returncode is None:
             process.send_signal(signal.SIGHUP)
 
     async def disrupt_backend_link(self) -> None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -130,6 +130,8 @@
         self.processes: dict[int, asyncio.subprocess.Process] = {}
         self.paused: set[int] = set()
         self._restarting: set[int] = set()
+        # Size of the log of each node when its process was started.
+        self._log_bytes_by_node: dict[int, int] = {}
         self.findings: list[str] = []
         self.counts_by_status: Counter[str] = Counter()
         self.configuration = Configuration()
@@ -335,6 +337,11 @@
         text = (self.folder / f"node-{number}.log").read_text(errors="replace")
         return f"request_id={request_id} " in text
 
+    def has_started(self, number: int) -> bool:
+        """Return whether the log of a node says that its last process has started."""
+        content = (self.folder / f"node-{number}.log").read_bytes()
+        return b" event=started " in content[self._log_bytes_by_node[number] :]
+
     def caller_address(self, number: int) -> str:
         """Return the address at which a node accepts callers."""
         return f"{self.subnet}.{number}:18221"
@@ -359,6 +366,7 @@
         """Start or restart the process of a node."""
         self.write_settings(number)
         with (self.folder / f"node-{number}.log").open("ab") as log:
+            self._log_bytes_by_node[number] = log.tell()
             self.processes[number] = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -19,7 +19,7 @@
 from soak.configuration import CHANGING_KEYS, Configuration
 from soak.deadly_requests import DeadlyRequests
 from soak.endings import EndingCheck
-from soak.faults import FIRST_SEED_WITH_BAD_INPUT
+from soak.faults import FIRST_SEED_WITH_BAD_INPUT, FaultInjector
 from soak.limits import LimitCheck
 from soak.malformed_answers import MALFORMED_HEADS, AnswerCheck, MalformedHead
 from soak.processes import MEMORY_MB, failure_findings
@@ -272,6 +272,28 @@
         self.assertEqual(started, [1])
 
 
+class StartTest(unittest.IsolatedAsyncioTestCase):
+    """A process that has not started gets neither invalid settings nor a signal."""
+
+    @parameterized.expand([("before", 0, False), ("started", 1, True)])
+    async def test_change_of_settings(self, _name, started, is_signalled):
+        """Guards against nodes that end at their start and never come back."""
+        with tempfile.TemporaryDirectory() as folder:
+            soak = Soak(1, Path(folder), node_count=1)
+            soak.relays["store-1"] = Mock(address="127.0.0.1:1")
+            former = b"level=info event=started instance=node-1\n"
+            (Path(folder) / "node-1.log").write_bytes(former * (1 + started))
+            soak._log_bytes_by_node[1] = len(former)
+            process = soak.processes[1] = Mock(returncode=None)
+            soak.random = Mock(random=lambda: 0.0, uniform=lambda *_: 0.0)
+            soak.random.randint = lambda first, _last: first
+            with patch.object(Path, "write_text") as write_text:
+                await FaultInjector(soak, 1).change_settings()
+            written = [call.args[0] for call in write_text.call_args_list]
+        self.assertEqual("node: [" in written, is_signalled)
+        self.assertEqual(process.send_signal.called, is_signalled)
+
+
 class AnswerCheckTest(unittest.TestCase):
     """What a caller gets of an answer whose head is none is reported."""
 
