--- a/soak/faults.py
+++ b/soak/faults.py
@@ -31,6 +31,8 @@
 FIRST_SEED_WITH_LATE_STREAMS = 5000
 # And servers of several versions serve, and callers take streams up, from here on.
 FIRST_SEED_WITH_VERSIONS = 7000
+# And foreign entries, malformed answers and stalled clients come from here on.
+FIRST_SEED_WITH_BAD_INPUT = 8000
 
 
 class FaultInjector:
@@ -119,8 +121,7 @@
         await process.wait()
         await asyncio.sleep(self._soak.random.uniform(0.0, 1.0))
         self._soak.disturb(number)
-        if self._soak.processes[number] is process:
-            await self._soak.start_node(number)
+        await self._soak.restart_node(number, process)
 
     async def stop_node(self) -> None:
         """Stop a node with SIGTERM, as the platform does, and start it again."""
@@ -133,8 +134,7 @@
         process.send_signal(signal.SIGTERM)
         await process.wait()
         self._soak.disturb(number)
-        if self._soak.processes[number] is process:
-            await self._soak.start_node(number)
+        await self._soak.restart_node(number, process)
 
     async def stop_node_beside_streams(self) -> None:
         """Stop a node, and send it streams at the slowest pace until it ends."""
@@ -154,8 +154,7 @@
             await self._late_streams.send(session, number, process)
         await process.wait()
         self._soak.disturb(number)
-        if self._soak.processes[number] is process:
-            await self._soak.start_node(number)
+        await self._soak.restart_node(number, process)
 
     async def pause_node(self) -> None:
         """Suspend a node for up to 4 s, which can outlast a lease."""
@@ -191,17 +190,22 @@
         """Rewrite the settings file of a node.
 
         At random, an invalid file is written first, and SIGHUP is sent afterwards.
+        Both end a process that has not started yet: it exits with status 2 for the
+        file, and the signal comes before the program can ignore it.
         """
         number = self._random_node()
         process = self._soak.processes[number]
         if process.returncode is not None or number in self._soak.paused:
             return
         path = self._soak.folder / f"node-{number}.yaml"
+        has_started = self._soak.has_started(number)
         if self._soak.random.random() < 0.3:
-            path.write_text("node: [")
+            if has_started:
+                path.write_text("node: [")
             await asyncio.sleep(self._soak.random.uniform(0.1, 0.8))
         self._soak.write_settings(number, self._soak.random.randint(3, 5))
-        if self._soak.random.random() < 0.5 and process.returncode is None:
+        sends_signal = self._soak.random.random() < 0.5
+        if sends_signal and has_started and process.returncode is None:
             process.send_signal(signal.SIGHUP)
 
     async def disrupt_backend_link(self) -> None:
