Order no more adapters onto an engine than its memory holds

What callers saw: with adapters of which four fit beside the base model, six were ordered onto each engine. Cause: weights_mb and adapter_size_mb of the configuration were not decoded, and the planner counted slots only. Change: the rows' adapter decodes both. Service.max_adapters is the smaller of adapter_slots and of what fits beside the first base model, and the planner gets it as the number of slots, so adapters on their way, orders without a response and unconfirmed unloads count alike. A size that is missing or not positive sets no limit.

--- a/sequoiafall/catalog.py
+++ b/sequoiafall/catalog.py
@@ -101,10 +101,14 @@
         Name of the base model.
     adapters : int
         Number of adapters.
+    weights_mb, adapter_mb : float, default=0.0
+        Size in MB of the base model's weights and of one adapter, 0 if unknown.
     """
 
     name: str
     adapters: int
+    weights_mb: float = 0.0
+    adapter_mb: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -118,10 +122,13 @@
     models : tuple of ServedModel
         Base models of its engines.
     adapter_slots : int
-        Largest number of adapters that an engine holds.
+        Number of adapter slots of an engine, whatever the size of the adapters.
     weight_loads_per_s : float
         Number of base model loads per second that the weight store can start, 0 if
         unknown.
+    memory_mb : float, default=0.0
+        Room of an engine for the weights of base models and adapters together, in
+        MB; 0 if unknown.
     """
 
     name: str
@@ -129,12 +136,30 @@
     models: tuple[ServedModel, ...] = ()
     adapter_slots: int = 0
     weight_loads_per_s: float = 0.0
+    memory_mb: float = 0.0
 
     @property
     def is_engine(self) -> bool:
         """Whether the backend servers are model engines."""
         return bool(self.models)
 
+    @property
+    def max_adapters(self) -> int:
+        """Largest number of adapters that an engine may hold or be loading.
+
+        It is `adapter_slots`, or less if the engine's memory holds fewer beside the
+        first base model, the only one that is loaded. An engine that is ordered to
+        load more than its memory holds crashes.
+        """
+        if not self.models:
+            return 0
+        model = self.models[0]
+        if self.memory_mb <= 0.0 or model.adapter_mb <= 0.0:
+            return self.adapter_slots
+        room_mb = max(0.0, self.memory_mb - max(0.0, model.weights_mb))
+        # The quotient may be too large for an integer conversion.
+        return int(min(float(self.adapter_slots), room_mb / model.adapter_mb))
+
 
 @dataclass(slots=True, frozen=True)
 class TokenLimit:
--- a/sequoiafall/fleet_leader.py
+++ b/sequoiafall/fleet_leader.py
@@ -227,7 +227,7 @@
         entries = self._registry.all_servers(service.name)
         self._apply(
             planner,
-            planner.set_entries(list(entries), service.adapter_slots, now),
+            planner.set_entries(list(entries), service.max_adapters, now),
         )
 
     def on_backends_changed(self) -> None:
--- a/sequoiafall/platform/rows.py
+++ b/sequoiafall/platform/rows.py
@@ -63,10 +63,14 @@
     name: str
     # Number of adapters, which are named a1, a2 and so on.
     adapters: int = 0
+    weights_mb: float = 0.0
+    adapter_size_mb: float = 0.0
 
 
 class _Engine(msgspec.Struct):
     models: list[_Model] = []
+    # Room for the weights of base models and adapters together.
+    weights_mb: float = 0.0
     adapter_slots: int = 0
     # Loads of base models that the weight store starts per second, for all engines.
     loads_per_s: float = 0.0
@@ -223,7 +227,8 @@
     if service.engine is None:
         return Service(service.name, service.health_path)
     models = tuple(
-        ServedModel(model.name, model.adapters) for model in service.engine.models
+        ServedModel(model.name, model.adapters, model.weights_mb, model.adapter_size_mb)
+        for model in service.engine.models
     )
     return Service(
         service.name,
@@ -231,6 +236,7 @@
         models,
         service.engine.adapter_slots,
         service.engine.loads_per_s,
+        service.engine.weights_mb,
     )
 
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -191,6 +191,37 @@
         self.assertTrue(catalog.services_by_name["assist"].is_engine)
         self.assertFalse(catalog.services_by_name["desk"].is_engine)
 
+    @parameterized.expand(
+        [
+            ("data sheet", (74600.0, 72700.0, 66.0, 6), 6),
+            ("memory holds fewer", (74600, 72700, 450, 6), 4),
+            ("slots hold fewer", (74600, 72700, 450, 3), 3),
+            ("memory holds just as many", (1300, 1000, 50, 8), 6),
+            ("nothing fits beside the model", (74600, 74600, 66, 6), 0),
+            ("model does not fit", (70000, 72700, 66, 6), 0),
+            ("tiny adapters", (74600, 72700, 5e-324, 6), 6),
+            ("without the room of an engine", (None, 72700, 450, 6), 6),
+            ("without the size of an adapter", (74600, 72700, None, 6), 6),
+            ("without the size of the model", (2000, None, 450, 6), 4),
+            ("sizes that are 0", (0, 0, 0, 6), 6),
+            ("negative sizes", (-74600, -72700, -450, 6), 6),
+        ]
+    )
+    def test_adapters_of_an_engine(self, _name, sizes, expected):
+        """More adapters than an engine's memory holds make it crash."""
+        memory_mb, weights_mb, adapter_mb, slots = sizes
+        model = {"name": "m", "weights_mb": weights_mb, "adapter_size_mb": adapter_mb}
+        engine = {
+            "models": [{key: x for key, x in model.items() if x is not None}],
+            "adapter_slots": slots,
+        }
+        if memory_mb is not None:
+            engine["weights_mb"] = memory_mb
+        value = configuration(8, services=[{"name": "assist", "engine": engine}])
+        catalog = PlatformRows().catalog(self._row("config", value)).unwrap()
+        service = catalog.services_by_name["assist"]
+        self.assertEqual(service.max_adapters, expected)
+
     def test_longest_prefix_decides(self):
         value = configuration(8)
         value["routes"].append(
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -39,6 +39,15 @@
 from .gateway_case import capture_log
 from .platform_case import KEY, PlatformCase, configuration
 
+# Two adapters fit beside the model, although an engine has more slots.
+ENGINE_OF_FEW_ADAPTERS = {
+    "models": [
+        {"name": "base", "weights_mb": 72_700, "adapters": 100, "adapter_size_mb": 700}
+    ],
+    "weights_mb": 74_600,
+    "adapter_slots": 6,
+}
+
 
 class ServingTest(PlatformCase):
     """Requests of callers while no faults occur."""
@@ -550,6 +559,47 @@
         self.assertFalse(any(e.exceeded_slots for e in self.engines.values()))
         self.assertGreater(sum(status == 200 for status, _, _ in responses), 0)
 
+    @parameterized.expand(
+        [
+            ("adapters on their way", 0, 0),
+            ("orders without a response", 2, 0),
+            ("new versions", 0, 2),
+        ]
+    )
+    async def test_engine_whose_memory_holds_fewer_adapters_than_slots(
+        self, _name, unanswered, version
+    ):
+        """An engine that is ordered to load more than its memory holds crashes."""
+        fits = 2
+        node, _ = await self.start_fleet()
+        services = configuration(2)["services"]
+        services[0]["engine"] = ENGINE_OF_FEW_ADAPTERS
+        self.configure(2, services=services)
+        await until(lambda: self.leader.fleet.catalog.version == 2)
+        engines = [self.engines["e1"], self.engines["e2"]]
+        for engine in engines:
+            engine.adapter_slots = fits
+            engine.unanswered_orders = unanswered
+        for first in range(0, 12, 4):
+            calls = [
+                self.call(node, "/draft/x", adapter=f"a{number % 6}")
+                for number in range(first, first + 4)
+            ]
+            responses = await asyncio.gather(*calls)
+            self.assertFalse(any(engine.exceeded_slots for engine in engines))
+            if version:
+                for number in range(6):
+                    self.declare_version(f"a{number}", version + first)
+        self.assertGreater(sum(status == 200 for status, _, _ in responses), 0)
+        self.assertTrue(all(len(engine.resident) == fits for engine in engines))
+
+    def declare_version(self, adapter, version):
+        self.store.put(
+            names.CONFIGURATION_TABLE,
+            f"{names.VERSION_KEY_PREFIX}base.{adapter}",
+            {"model": "base", "adapter": adapter, "version": version},
+        )
+
     async def test_end_that_the_leader_missed_is_reported_again(self):
         """Guards against an adapter that cannot be evicted for the rest of the term."""
         nodes = await self.start_fleet()
@@ -587,9 +637,7 @@
     async def test_declared_version_is_loaded(self):
         node, _ = await self.start_fleet()
         await self.call(node, "/draft/x", adapter="a1")
-        key = f"{names.VERSION_KEY_PREFIX}base.a1"
-        value = {"model": "base", "adapter": "a1", "version": 2}
-        self.store.put(names.CONFIGURATION_TABLE, key, value)
+        self.declare_version("a1", 2)
         await until(lambda: self.leader.fleet.versions_by_adapter.get("a1") == 2)
         status, _, _ = await self.call(node, "/draft/x", adapter="a1")
         self.assertEqual(status, 200)
