Tell the leader's loss of the store from an outage of the store

Cause: members took the leader's loss for an outage of the store, after which removed entries count for 2.2 s more, as entries of live servers lapse in an outage and come back. Change: StoreContact holds when the store last answered, here or at the leader, which tells it as an age in its answers (store_age_ms, servers_age_ms, optional). No entry can lapse within two heartbeat intervals of an answer, so only after a longer gap do removed entries count for 2.2 s. Otherwise they count for 0.8 s, but no longer than drain_ms less 0.3 s after the last read that showed them. heartbeat_ms and bounds.drain_ms are read from the settings.

--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -35,12 +35,15 @@
 from .server_limits import ServerLimits
 from .server_notices import ServerNotices
 from .serving_ports import EngineControl, RowDecoder
+from .store_contact import StoreContact
 from .stored_streams import SOFTWARE_VERSIONS_KEY, StoredStreams
 from .stream_versions import StreamOrigin, StreamVersions
 from .token_bucket import RecentTokenUse
 from .transport import MessageKind, WireClient, WireServer
 from .wire.gen import ttypes
 
+# Longest time since an answer of the store that is told to members.
+MAX_STORE_AGE_MS = 3_600_000
 # On the first start, instances that are not listed as peer hints wait this long
 # before their first election step. When many instances start together, each then
 # reads the lease row only once.
@@ -145,6 +148,7 @@
             self._on_store_restored,
             lambda: self.evidence_exchange.ensure_known(),
             self._on_backends_changed,
+            StoreContact(settings.heartbeat_s, settings.drain_s),
         )
         self.registry = self.tables.registry
         self.stream_versions = StreamVersions()
@@ -455,6 +459,8 @@
             evidence=evidence,
             evidence_revision=evidence_revision,
             software_by_service=self._versions_to_wire(),
+            store_age_ms=_age_ms(self.tables.contact.seen_at),
+            servers_age_ms=_age_ms(self.tables.contact.read_at),
         )
 
     def _versions_to_wire(self) -> dict[str, list[str]] | None:
@@ -712,14 +718,23 @@
             self._keeper.on_leader_version(
                 reply.lease_version, self._link.last_reply_at
             )
-        else:
-            self.tables.record_outage()
+        now, contact = boot_time(), self.tables.contact
+        if not reply.reaches_store:
+            contact.record_loss(now)
+        # A leader of an earlier build does not tell when the store answered it.
+        age_if_unknown_ms = 0 if reply.reaches_store else MAX_STORE_AGE_MS
+        store_age_ms, servers_age_ms = (
+            age_if_unknown_ms if age_ms is None else age_ms
+            for age_ms in (reply.store_age_ms, reply.servers_age_ms)
+        )
+        contact.record_answer(now - store_age_ms / 1e3, now)
         for member in reply.members:
             self.members_by_instance[member.instance] = member
         self.notice_exchange.apply_leaving(reply.left, reply.leader_address)
         self.notice_exchange.apply_limits(reply.limits, reply.leader_address)
         self.over_limit = frozenset(reply.over_limit)
         self._apply_rows(reply.rows)
+        contact.record_read(now - servers_age_ms / 1e3, now)
         if reply.software_by_service is not None:
             self._apply_versions(reply.software_by_service)
             self.stream_versions.is_known = True
@@ -935,10 +950,12 @@
         return not self._leader_lost_at or self._is_rank_delay_over()
 
     def _on_store_contact(self, reached: bool, detail: str) -> None:
-        if not reached:
-            self.tables.record_outage()
+        now = boot_time()
         if reached:
-            self._store_reached_at = boot_time()
+            self._store_reached_at = now
+            self.tables.contact.record_answer(now, now)
+        else:
+            self.tables.contact.record_loss(now)
         if reached == self.reaches_store:
             return
         self.reaches_store = reached
@@ -948,6 +965,11 @@
             log_warning("store_lost", detail=detail)
 
 
+def _age_ms(at: float) -> int:
+    """Return the milliseconds since a time, as messages hold them."""
+    return int(min(MAX_STORE_AGE_MS, max(0.0, 1e3 * (boot_time() - at))))
+
+
 def ranked_members(members: Sequence[Any], term: int) -> list[str]:
     """Return the names of instances in the order of their candidacy.
 
--- a/sequoiafall/fleet_tables.py
+++ b/sequoiafall/fleet_tables.py
@@ -15,8 +15,10 @@
 from .fleet_leader import POLL_INTERVAL_S, LeaderDuties
 from .log import log_event, log_warning
 from .mirror import Mirror
+from .node_settings import DRAIN_S, HEARTBEAT_S
 from .row_store import HistoryLost, RowStore, StoreRow, era_of, max_version
 from .serving_ports import RowDecoder
+from .store_contact import StoreContact
 
 # Long-poll time of a change feed at the store. A dead connection is noticed only
 # at the end of this time.
@@ -27,11 +29,6 @@
 STORE_RETRY_S = 0.3
 # Above this number of backend servers, the pause between reads doubles.
 MANY_BACKENDS = 20
-# A removed entry stays valid for this long, as some are removed by mistake. A
-# server that left without notice keeps serving for 2 s.
-DROP_DELAY_S = 0.8
-# Entries that expired during a store outage are written again within 2 s after it.
-ENTRY_RETURN_S = 2.2
 # An entry that was removed, and is there again when the store comes back from a copy,
 # counts after this time: the store removes those of silent servers earlier.
 RETURNING_ENTRY_S = 4.0
@@ -62,6 +59,8 @@
         without a leader sends no request that is known as harmful.
     on_backends_changed : callable, default=no-op
         Called when entries of backend servers have changed.
+    contact : StoreContact or None, default=None
+        When the store answered; None for one with the intervals of the data sheets.
     """
 
     def __init__(
@@ -74,7 +73,9 @@
         on_restored: Callable[[], None] = lambda: None,
         load_evidence: Callable[[], Awaitable[bool]] | None = None,
         on_backends_changed: Callable[[], None] = lambda: None,
+        contact: StoreContact | None = None,
     ) -> None:
+        self.contact = contact or StoreContact(HEARTBEAT_S, DRAIN_S)
         self._on_restored = on_restored
         self._load_evidence = load_evidence
         self._on_backends_changed = on_backends_changed
@@ -95,7 +96,6 @@
         self._drop_at_by_server: dict[str, float] = {}
         # Entries that may be of a copy only, and when they count.
         self._returning_by_server: dict[str, tuple[float, StoreRow]] = {}
-        self._outage_at = -ENTRY_RETURN_S
         self._backends_changed = False
         self._is_stopped = False
 
@@ -103,10 +103,6 @@
         """End `follow` and `drop_removed` at their next step."""
         self._is_stopped = True
 
-    def record_outage(self) -> None:
-        """Record that the store is unreachable now, from here or from the leader."""
-        self._outage_at = boot_time()
-
     def configuration_age_s(self) -> float:
         """Return the seconds since the configuration was last received."""
         return boot_time() - self._configuration_seen_at
@@ -134,7 +130,7 @@
                 self._store.scan(table), self._has_evidence_for(table)
             )
             if not isinstance(scanned, Success):
-                self._on_store_contact(False, str(scanned.failure()))
+                self._on_failed_read(table, str(scanned.failure()))
                 await asyncio.sleep(STORE_RETRY_S)
                 return -1
             self._on_store_contact(True, "")
@@ -143,6 +139,7 @@
                 return -1
             rows = scanned.unwrap()
             self.mirror.apply_scan(table, rows)
+            self._on_read(table)
             self._notify_duties()
             return rows.version
         changed = await self._store.changes(table, cursor, FEED_WAIT_S)
@@ -150,16 +147,27 @@
             self._on_store_contact(True, "")
             rows = changed.unwrap()
             self.mirror.apply(rows.rows)
+            self._on_read(table)
             self._notify_duties()
             return max(cursor, rows.version, max_version(rows.rows))
         failure = changed.failure()
         if isinstance(failure, HistoryLost):
             log_event("history_lost", table=table, after=cursor)
             return -1
-        self._on_store_contact(False, str(failure))
+        self._on_failed_read(table, str(failure))
         await asyncio.sleep(STORE_RETRY_S)
         return cursor
 
+    def _on_read(self, table: str) -> None:
+        if table == self._decoder.backend_table:
+            now = boot_time()
+            self.contact.record_read(now, now)
+
+    def _on_failed_read(self, table: str, detail: str) -> None:
+        if table == self._decoder.backend_table:
+            self.contact.record_failed_read()
+        self._on_store_contact(False, detail)
+
     async def _has_evidence_for(self, table: str) -> bool:
         if self._load_evidence is None or table != self._decoder.configuration_table:
             return True
@@ -225,7 +233,7 @@
     def _on_row(self, row: StoreRow) -> bool:
         if era_of(row.version) > self._era:
             self._era = era_of(row.version)
-            self.record_outage()
+            self.contact.record_return(boot_time())
             log_event("store_came_back_older", era=self._era, table=row.table)
             self._on_restored()
         if row.table == self._decoder.backend_table:
@@ -301,8 +309,7 @@
     def _on_backend_row(self, row: StoreRow) -> bool:
         if row.deleted:
             if self.registry.find(row.key) is not None:
-                due = max(boot_time() + DROP_DELAY_S, self._outage_at + ENTRY_RETURN_S)
-                self._drop_at_by_server[row.key] = due
+                self._drop_at_by_server[row.key] = self.contact.drop_at(boot_time())
             return True
         decoded = self._decoder.backend(row)
         if not isinstance(decoded, Success):
--- a/sequoiafall/node_settings.py
+++ b/sequoiafall/node_settings.py
@@ -14,6 +14,9 @@
 # link. Derived from the slopes in docs/CAPACITY.md.
 LEADER_CORE_SHARE = 0.6
 LEADER_LINK_MBPS = 40.0
+# Used if the settings do not name them; those of the standard sites do.
+HEARTBEAT_S = 1.2
+DRAIN_S = 2.0
 
 # Settings that can change at run time; the others need a restart.
 RELOADABLE = (
@@ -66,6 +69,10 @@
         Bandwidth of the network link in Mbit/s.
     is_first_start : bool
         Whether the whole system is started for the first time.
+    heartbeat_s : float
+        Interval in seconds at which backend servers write their entries.
+    drain_s : float
+        Time in seconds for which a backend server goes on after its entry was removed.
     """
 
     instance: str
@@ -88,6 +95,8 @@
     core_share: float = 1.0
     link_mbps: float = 1000.0
     is_first_start: bool = False
+    heartbeat_s: float = HEARTBEAT_S
+    drain_s: float = DRAIN_S
 
     @property
     def peer_address(self) -> str:
--- a/sequoiafall/platform/node_file.py
+++ b/sequoiafall/platform/node_file.py
@@ -12,7 +12,7 @@
 from ruamel.yaml import YAML, YAMLError
 
 from ..decoding import decode_json
-from ..node_settings import NodeSettings, SettingsSource
+from ..node_settings import DRAIN_S, HEARTBEAT_S, NodeSettings, SettingsSource
 from ..settings import Finding
 
 
@@ -136,6 +136,8 @@
         core_share=reader.get("limits.cpu_share", float, 1.0),
         link_mbps=reader.get("limits.link_mbps", float, 1000.0),
         is_first_start=reader.get("bootstrap", bool, False),
+        heartbeat_s=reader.get("heartbeat_ms", float, 1e3 * HEARTBEAT_S) / 1e3,
+        drain_s=reader.get("bounds.drain_ms", float, 1e3 * DRAIN_S) / 1e3,
     )
     return Failure(reader.findings) if reader.findings else Success(settings)
 
--- a/sequoiafall/wire/gen/ttypes.py
+++ b/sequoiafall/wire/gen/ttypes.py
@@ -5157,6 +5157,8 @@
      - evidence
      - evidence_revision
      - software_by_service
+     - store_age_ms
+     - servers_age_ms
 
     """
 
@@ -5179,10 +5181,12 @@
         'evidence',
         'evidence_revision',
         'software_by_service',
+        'store_age_ms',
+        'servers_age_ms',
     )
 
 
-    def __init__(self, leads=None, term=None, revision=None, rows=None, members=None, over_limit=None, reaches_store=None, newest_by_table=None, leader_address=None, lease_version=None, members_revision=None, left=None, left_revision=None, limits=None, limits_revision=None, evidence=None, evidence_revision=None, software_by_service=None,):
+    def __init__(self, leads=None, term=None, revision=None, rows=None, members=None, over_limit=None, reaches_store=None, newest_by_table=None, leader_address=None, lease_version=None, members_revision=None, left=None, left_revision=None, limits=None, limits_revision=None, evidence=None, evidence_revision=None, software_by_service=None, store_age_ms=None, servers_age_ms=None,):
         self.leads = leads
         self.term = term
         self.revision = revision
@@ -5201,6 +5205,8 @@
         self.evidence = evidence
         self.evidence_revision = evidence_revision
         self.software_by_service = software_by_service
+        self.store_age_ms = store_age_ms
+        self.servers_age_ms = servers_age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5353,6 +5359,16 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.I32:
+                    self.store_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.I32:
+                    self.servers_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5464,6 +5480,14 @@
                 oprot.writeListEnd()
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.store_age_ms is not None:
+            oprot.writeFieldBegin('store_age_ms', TType.I32, 19)
+            oprot.writeI32(self.store_age_ms)
+            oprot.writeFieldEnd()
+        if self.servers_age_ms is not None:
+            oprot.writeFieldBegin('servers_age_ms', TType.I32, 20)
+            oprot.writeI32(self.servers_age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6876,6 +6900,8 @@
     (16, TType.LIST, 'evidence', (TType.STRUCT, [PartEvidence, None], False), None, ),  # 16
     (17, TType.I64, 'evidence_revision', None, None, ),  # 17
     (18, TType.MAP, 'software_by_service', (TType.STRING, 'UTF8', TType.LIST, (TType.STRING, 'UTF8', False), False), None, ),  # 18
+    (19, TType.I32, 'store_age_ms', None, None, ),  # 19
+    (20, TType.I32, 'servers_age_ms', None, None, ),  # 20
 )
 all_structs.append(EngineAsk)
 EngineAsk.thrift_spec = (
--- a/sequoiafall/wire/sequoiafall.thrift
+++ b/sequoiafall/wire/sequoiafall.thrift
@@ -412,6 +412,10 @@
   // Software versions that may have streams, of services with several of them; absent
   // as long as the leader has not read what was stored.
   18: optional map<string, list<string>> software_by_service
+  // Milliseconds since the store is last known to have been in use, and since the
+  // leader knew all entries of servers; absent from leaders of earlier builds.
+  19: optional i32 store_age_ms
+  20: optional i32 servers_age_ms
 }
 
 // Asks for a place of a request at an engine. `on_time_ms` is the time left in
