Take no lease from a holder that refuses connections and renews

Cause: a refused connection was taken for the end of the holder's process, and 0.2 s without a renewal for proof, while a sound leader renews each 0.5 s. Change: the row has to miss one renewal (REFUSED_TAKEOVER_S, 0.8 s). LeaderLink.is_refused is named for what was seen.

--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -677,7 +677,7 @@
         if isinstance(result, Failure):
             error = result.failure()
             self._origins_alone += origins[:MAX_ORIGINS_ALONE]
-            link.has_holder_ended = error.refused
+            link.is_refused = error.refused
             self._restore_tokens(tokens)
             if not client.connected:
                 # The next poll shows whether a process still listens there.
@@ -697,7 +697,7 @@
                 await link.set_address(reply.leader_address, "redirected")
                 return
             # A new process listens at the address of the lease holder.
-            link.has_holder_ended = True
+            link.is_refused = True
             link.on_leader_lost("the process at its address does not lead")
             return
         self._on_reply(reply)
@@ -749,7 +749,7 @@
 
         An instance that is leaving only follows: its streams may need a place.
         """
-        reading = await self._keeper.observe(self._link.has_holder_ended)
+        reading = await self._keeper.observe(self._link.is_refused)
         if reading is None:
             if not self.has_leader:
                 await self._ask_peers()
--- a/sequoiafall/leader_link.py
+++ b/sequoiafall/leader_link.py
@@ -70,9 +70,9 @@
         Whether the leader reported that it reaches the store.
     last_reply_at : float
         Time of the last reply in seconds, suspensions included.
-    has_holder_ended : bool
-        Whether the leader's process has ended: its address refuses connections, or
-        belongs to a process that does not lead.
+    is_refused : bool
+        Whether the leader's address refuses connections, or belongs to a process that
+        does not lead. Its process may have ended, or a cut refuses connections to it.
     lost_address : str
         Address of a leader that stopped replying, until another one replies.
     should_poll : bool
@@ -98,7 +98,7 @@
         self.grants_permits = False
         self.reaches_store = False
         self.last_reply_at = 0.0
-        self.has_holder_ended = False
+        self.is_refused = False
         self.lost_address = ""
         self.should_poll = False
         # A request for a place found the connection closed.
@@ -128,7 +128,7 @@
         old, self.client = self.client, None
         self._metrics.leader_changes += bool(address)
         self._forget()
-        self.has_holder_ended = False
+        self.is_refused = False
         if old is not None:
             await old.close()
         if address and address != self._own_address:
@@ -190,7 +190,7 @@
         self.grants_permits = reply.limits_revision is not None
         self.reaches_store = reply.reaches_store
         self.last_reply_at = boot_time()
-        self.is_connection_lost = self.has_holder_ended = False
+        self.is_connection_lost = self.is_refused = False
         return is_new
 
     def on_leader_lost(self, detail: str) -> None:
--- a/sequoiafall/lease.py
+++ b/sequoiafall/lease.py
@@ -28,8 +28,10 @@
 # Where backend servers check fencing tokens, two missed renewals are enough: they
 # refuse orders of the former holder.
 FENCED_TAKEOVER_S = 1.2
-# Takeover time when the holder's port refuses connections: its process has ended.
-ENDED_TAKEOVER_S = 0.2
+# Takeover time when the holder's port refuses connections. Its process may have ended,
+# or a cut refuses them while it goes on to renew the lease. So one renewal has to be
+# missed, with 0.3 s for the store's response to a call.
+REFUSED_TAKEOVER_S = RENEW_INTERVAL_S + 0.3
 
 
 class LeaseRecord(msgspec.Struct, frozen=True):
@@ -89,7 +91,7 @@
         self.version = -1
 
     def observe(
-        self, row: StoreRow | None, has_ended: bool, now: float
+        self, row: StoreRow | None, is_refused: bool, now: float
     ) -> tuple[LeaseStep, LeaseRecord | None]:
         """Return the next step after a read of the row, with the decoded row.
 
@@ -97,8 +99,9 @@
         ----------
         row : StoreRow or None
             The row that was just read.
-        has_ended : bool
-            Whether the holder's process refuses connections.
+        is_refused : bool
+            Whether the holder's address refuses connections, or a process that does
+            not lead replied there. It may hold the lease nevertheless.
         now : float
             Time in seconds, including suspension.
         """
@@ -119,7 +122,7 @@
             return LeaseStep.TAKE, record
         if record.instance == self.instance:
             return LeaseStep.TAKE, record
-        wait_s = ENDED_TAKEOVER_S if has_ended else self.takeover_s
+        wait_s = REFUSED_TAKEOVER_S if is_refused else self.takeover_s
         if now - self.seen_at >= wait_s:
             return LeaseStep.TAKE, record
         return LeaseStep.WAIT, record
--- a/sequoiafall/lease_keeper.py
+++ b/sequoiafall/lease_keeper.py
@@ -84,13 +84,14 @@
         self.lease.on_lost()
         self._watch.reset()
 
-    async def observe(self, has_ended: bool) -> Reading | None:
+    async def observe(self, is_refused: bool) -> Reading | None:
         """Read the row and choose the next step; None if the store does not respond.
 
         Parameters
         ----------
-        has_ended : bool
-            Whether the holder's process refuses connections.
+        is_refused : bool
+            Whether the holder's address refuses connections, or a process that does
+            not lead replied there.
         """
         result = await self._read()
         if not isinstance(result, Success):
@@ -100,7 +101,7 @@
         self._failed_at = -LEASE_BLOCKED_S
         self._on_store_contact(True, "")
         row = result.unwrap()
-        step, record = self._watch.observe(row, has_ended, boot_time())
+        step, record = self._watch.observe(row, is_refused, boot_time())
         return step, row, record
 
     async def _read(self) -> Result[StoreRow | None, Unavailable]:
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -7,11 +7,11 @@
 
 from sequoiafall import boot_clock
 from sequoiafall.lease import (
-    ENDED_TAKEOVER_S,
     FENCED_TAKEOVER_S,
     LEASE_KEY,
     LEASE_TABLE,
     LEASE_TTL_S,
+    REFUSED_TAKEOVER_S,
     RENEW_INTERVAL_S,
     TAKEOVER_S,
     LeaseRecord,
@@ -51,19 +51,46 @@
     @parameterized.expand(
         [
             ("silent", False, TAKEOVER_S),
-            ("ended", True, ENDED_TAKEOVER_S),
+            ("refused", True, REFUSED_TAKEOVER_S),
         ]
     )
     def test_unchanged_row_is_taken_after_the_takeover_time(
-        self, _name, has_ended, wait_s
+        self, _name, is_refused, wait_s
     ):
         watch = LeaseWatch("me", 2)
-        watch.observe(row(5), has_ended, 10.0)
-        before = watch.observe(row(5), has_ended, 10.0 + wait_s - 0.01)
-        after = watch.observe(row(5), has_ended, 10.01 + wait_s)
+        watch.observe(row(5), is_refused, 10.0)
+        before = watch.observe(row(5), is_refused, 10.0 + wait_s - 0.01)
+        after = watch.observe(row(5), is_refused, 10.01 + wait_s)
         self.assertIs(before[0], LeaseStep.WAIT)
         self.assertIs(after[0], LeaseStep.TAKE)
 
+    @parameterized.expand(
+        [
+            (f"{name}, read each {interval_s} s", is_fenced, latency_s, interval_s)
+            for name, is_fenced, latency_s in (
+                ("quick store", True, 0.01),
+                ("slow store", True, 0.25),
+                ("no fences", False, 0.25),
+            )
+            for interval_s in (0.05, 0.15, 0.3, 0.7)
+        ]
+    )
+    def test_holder_that_refuses_connections_and_renews(
+        self, _name, is_fenced, latency_s, interval_s
+    ):
+        """A leader that was cut off, and the others, took the lease in turns.
+
+        It renews over the connection that it has, and refuses new ones.
+        """
+        watch = LeaseWatch("me", 2, FENCED_TAKEOVER_S if is_fenced else TAKEOVER_S)
+        period_s = RENEW_INTERVAL_S + latency_s
+        watch.on_leader_version(5, 10.0)
+        for number in range(1, int(12.0 / interval_s)):
+            now = 10.0 + number * interval_s
+            version = 5 + int((now - 10.0) / period_s)
+            step, _ = watch.observe(row(version), True, now)
+            self.assertIsNot(step, LeaseStep.TAKE, f"{now:.2f} s")
+
     def test_renewed_row_restarts_the_wait(self):
         watch = LeaseWatch("me", 2)
         watch.observe(row(5), False, 10.0)
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -940,6 +940,25 @@
             )
         )
 
+    async def test_leader_that_refuses_connections_keeps_the_lease(self):
+        """A member that lost its connection took the lease from a sound leader."""
+        nodes = await self.start_fleet(3)
+        leader = self.leader
+        lease = leader.fleet.lease
+        token = lease.token
+        member = next(node for node in nodes if node is not leader)
+        leader.fleet._server._server.close()
+        await member.fleet._link.client.close()
+        await until(lambda: member.fleet._link.is_refused or not lease.leads)
+        for _ in range(4):
+            version = lease.version
+            await until(
+                lambda before=version: lease.version != before or not lease.leads
+            )
+            self.assertTrue(lease.leads)
+            self.assertFalse(member.fleet.lease.leads)
+        self.assertEqual(lease.token, token)
+
     async def test_leader_that_stops_hands_over(self):
         nodes = await self.start_fleet(3)
         leader = self.leader
