Keep removed entries out when another instance reads the copy first

What callers saw: after the store came back from a copy, requests could go to a server whose entry had been removed before. Cause: the instance that reads the copy first tells the others that the entry is still removed, under the version of the copy. One that heard this before its own read had no record of the wait of 4 s, and took the entry from the copy. Change: a removed entry that is carried over into a new era begins the wait at the instance that hears of it, too.

--- a/sequoiafall/fleet_tables.py
+++ b/sequoiafall/fleet_tables.py
@@ -213,12 +213,18 @@
         """
         is_read_again = row.version == before.version
         is_of_same_era = era_of(row.version) == era_of(before.version)
+        due = boot_time() + RETURNING_ENTRY_S
+        if row.deleted and before.deleted and row.written_version:
+            # Another instance has found the entry in the copy first.
+            self._returning_by_server.setdefault(row.key, (due, row))
         if row.deleted or (is_of_same_era and not is_read_again):
             return True
         if before.deleted and is_read_again:
-            return row.key not in self._returning_by_server
+            returning = self._returning_by_server.get(row.key)
+            if returning is not None:
+                self._returning_by_server[row.key] = (returning[0], row)
+            return returning is None
         if before.deleted:
-            due = boot_time() + RETURNING_ENTRY_S
             self._returning_by_server[row.key] = (due, row)
             log_event("backend_server_may_be_gone", server=row.key)
             return False
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -211,14 +211,19 @@
             self.assertEqual(await self.statuses("/look/x"), {200})
         self.assertEqual(len(server.received_request_ids), arrived)
 
-    async def test_server_that_is_gone(self):
-        """Its entry was removed; the store removes it again some time later."""
+    @parameterized.expand([(0.0,), (0.2,), (0.4,), (0.55,)])
+    async def test_server_that_is_gone(self, delay_s):
+        """Its entry was removed; the store removes it again some time later.
+
+        Which instance reads the copy first depends on when the store goes away.
+        """
         await self.start()
         server = self.engines["d1"]
         self.store.remove(names.BACKEND_TABLE, "d1")
         await until(
             lambda: all(node.fleet.registry.find("d1") is None for node in self.nodes)
         )
+        await asyncio.sleep(delay_s)
         await self.restore()
         arrived = len(server.received_request_ids)
         ends_at = time.monotonic() + 2.0
@@ -503,6 +508,33 @@
         self.tables._returning_by_server.clear()
         self.assertIsNotNone(self.scan(copy))
 
+    def test_removed_entry_that_another_instance_finds_in_the_copy_first(self):
+        """An instance that heard of it before its own read used the server again."""
+        removed = StoreRow("servers", "d1", b"", 9, deleted=True)
+        self.tables.mirror.apply([self.entry_row("ready", 5), removed])
+        self.tables.registry.drop("d1")
+        version = VERSIONS_PER_ERA + 5
+        carried = StoreRow("servers", "d1", b"", version, True, 9)
+        self.tables.mirror.apply([carried])
+        copy = self.entry_row("ready", 5, 1)
+        for _ in range(3):
+            self.assertIsNone(self.scan(copy))
+        # A server that lives writes its entry again.
+        self.assertIsNotNone(self.scan(self.entry_row("ready", 12, 1)))
+
+    def test_entry_of_a_live_server_counts_after_the_wait(self):
+        """It is still in the store when the store would have removed it."""
+        removed = StoreRow("servers", "d1", b"", 9, deleted=True)
+        self.tables.mirror.apply([self.entry_row("ready", 5), removed])
+        self.tables.registry.drop("d1")
+        carried = StoreRow("servers", "d1", b"", VERSIONS_PER_ERA + 5, True, 9)
+        self.tables.mirror.apply([carried])
+        copy = self.entry_row("ready", 5, 1)
+        self.assertIsNone(self.scan(copy))
+        _, row = self.tables._returning_by_server.pop("d1")
+        self.tables.mirror.apply([row])
+        self.assertIsNotNone(self.tables.registry.find("d1"))
+
     def version_row(self, number, version, era=0):
         value = json.dumps({"model": "base", "adapter": "a1", "version": number})
         version += era * VERSIONS_PER_ERA
