Bound memory and connections of callers that stop short

Callers saw a node end: it ran out of memory when many callers sent large bodies at once and stopped short of the end.

Cause: bytes from outside were bounded one by one and not together. Limits of the configuration and of the settings were not read. A request and its exchange referred to each other, so that bodies stayed until the next garbage collection.

Change: MemoryBudget grants memory to bodies before they are read and to answers before they are taken from their servers, with a part for short ones; a body over the budget gets 503, one without progress 408, one that is too large 413. ConnectionGuard bounds the connections of all listeners, the size and time of heads (431, 408), pauses in bodies and in taking responses, and bodies in very small chunks. Large bodies and answers are written in pieces and dropped when their request ends.

--- a/sequoiafall/catalog.py
+++ b/sequoiafall/catalog.py
@@ -8,6 +8,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from .caller_limits import DEFAULT_CALLER_LIMITS, CallerLimits
+
 
 class RepeatPolicy(enum.StrEnum):
     """Whether requests of a route may be sent to a backend server again.
@@ -177,6 +179,8 @@
     ----------
     version : int
         Increases with each change, by varying amounts.
+    caller_limits : CallerLimits
+        What callers may send, and how long they may take.
     """
 
     version: int
@@ -185,6 +189,7 @@
     organisations_by_name: dict[str, Organisation]
     _routes_by_host: dict[str, list[ServiceRoute]] = field(default_factory=dict)
     _organisations_by_key: dict[str, Organisation] = field(default_factory=dict)
+    caller_limits: CallerLimits = DEFAULT_CALLER_LIMITS
 
     @classmethod
     def from_parts(
@@ -193,6 +198,7 @@
         routes: Sequence[ServiceRoute],
         services: Sequence[Service],
         organisations: Sequence[Organisation],
+        caller_limits: CallerLimits = DEFAULT_CALLER_LIMITS,
     ) -> Catalog:
         """Build a catalog from the parts of a configuration, with its indexes."""
         routes_by_host: dict[str, list[ServiceRoute]] = {}
@@ -205,6 +211,7 @@
             {organisation.name: organisation for organisation in organisations},
             routes_by_host,
             {key: row for row in organisations for key in row.keys},
+            caller_limits,
         )
 
     def find_route(self, host: str, path: str) -> ServiceRoute | None:
--- a/sequoiafall/engine_client.py
+++ b/sequoiafall/engine_client.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import functools
+import io
 import socket
 import time
 from collections.abc import AsyncIterator, Callable, Mapping
@@ -41,6 +42,9 @@
 # has: headers take at most 32 KiB, and an event is longer than its framing.
 MAX_FRAMING_BYTES = 128 * 1024
 
+# Largest body that is given to the connection in one piece.
+MAX_WHOLE_WRITE_BYTES = 64 * 1024
+
 CANCEL_TIMEOUT_S = 1.0
 END_TIMEOUT_S = 1.0
 
@@ -281,6 +285,8 @@
 
     Attributes
     ----------
+    content_length : int or None
+        Length of the body, None if it is not known before its end.
     waiting_since : float or None
         Monotonic time at which the reader started to wait for data, in seconds;
         None while no reader waits.
@@ -291,6 +297,7 @@
     __slots__ = (
         "_idle_monitor",
         "_response",
+        "content_length",
         "headers",
         "status",
         "waited_s",
@@ -304,6 +311,7 @@
         self._idle_monitor = idle_monitor
         self.status = response.status
         self.headers: Mapping[str, str] = response.headers
+        self.content_length = response.content_length
         self.waiting_since: float | None = None
         self.waited_s = 0.0
         if idle_monitor is not None:
@@ -505,10 +513,13 @@
     headers: Mapping[str, str],
     body: bytes,
 ) -> aiohttp.ClientResponse:
+    # A large body is written in pieces, as the server takes them: the transport would
+    # copy all of it.
+    data = io.BytesIO(body) if len(body) > MAX_WHOLE_WRITE_BYTES else body or None
     try:
         async with asyncio.timeout(STREAM_IDLE_TIMEOUT_S):
             return await session.request(
-                method, url, headers=headers, data=body or None, allow_redirects=False
+                method, url, headers=headers, data=data, allow_redirects=False
             )
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
         detail = f"no connection to the backend server ({type(error).__name__})"
--- a/sequoiafall/exchange.py
+++ b/sequoiafall/exchange.py
@@ -134,6 +134,12 @@
         """Software version that the stream has to stay with, None for any."""
         return self.placement.software if self.placement is not None else None
 
+    def release(self) -> None:
+        """Drop the body and the last response of a request that has ended."""
+        self.request.body = b""
+        self.last_failure = None
+        self.open_request = None
+
     def describe_choice(self) -> dict[str, object]:
         """Return log fields on the choice of a plain server; empty for engines."""
         return self.plain_choice.describe() if self.plain_choice is not None else {}
--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import functools
+import io
 import random
 
 from aiohttp import web
@@ -16,6 +17,7 @@
 
 from .backend_registry import BackendEntry
 from .boot_clock import boot_time
+from .caller_limits import DEFAULT_CALLER_LIMITS, CallerLimits
 from .catalog import RepeatPolicy
 from .crash_evidence import ServerStart
 from .engine_client import (
@@ -28,12 +30,19 @@
 from .exchange import Exchange
 from .fleet import Fleet
 from .log import log_event, log_warning
+from .memory_budget import LARGEST_BYTES, SHORT_BYTES
 from .node_metrics import NodeMetrics
 from .node_settings import NodeSettings
 from .place_source import GatewayPlace, PendingPlacement, PlaceSource
 from .plain_routing import PlainChoice, PlainRouting
 from .refusal import Reason, Refusal, RunStatus, secret_refusal
-from .request_ends import EndCause, OpenRequest, RequestEnds, StreamedResponse
+from .request_ends import (
+    BodyRefusedError,
+    EndCause,
+    OpenRequest,
+    RequestEnds,
+    StreamedResponse,
+)
 from .request_identity import request_identity
 from .retry import RetryBudget, back_off_s
 from .run_id import RunIds
@@ -55,7 +64,7 @@
 from .trial_admission import RunEnd
 from .usual_times import UsualTimes
 
-MAX_RESPONSE_BYTES = 4 * 1024 * 1024
+MAX_RESPONSE_BYTES = LARGEST_BYTES
 # The gateway responds this long before the caller's or the route's timeout, so that
 # the response still arrives in time.
 DEADLINE_MARGIN_S = 0.02
@@ -96,6 +105,8 @@
 # before the request arrived here. What a caller says of its deadline is not a limit.
 TAKE_UP_MARGIN_S = 2.0
 MAX_TAKE_UP_S = 300.0
+# Memory of bodies that stop short is free again when their time is over.
+BODY_RETRY_AFTER_S = 1.0
 # Short, because another instance can serve the request at once.
 DRAINING_RETRY_AFTER_S = 0.05
 
@@ -147,7 +158,7 @@
         self._settings = settings
         self._budgets_by_service: dict[str, RetryBudget] = {}
         self._max_saved_retries = 0.0
-        self._ends = RequestEnds(metrics)
+        self._ends = RequestEnds(metrics, settings.memory_mb, self.caller_limits)
         self._run_ids = RunIds(settings.instance)
         self._usual_times = UsualTimes()
         self.stop_period = StopPeriod()
@@ -160,7 +171,10 @@
 
         async def serve() -> web.StreamResponse:
             nonlocal exchange
-            body = await open_request.read_body()
+            try:
+                body = await open_request.read_body()
+            except BodyRefusedError as error:
+                return self._refuse_body(open_request, error.reason)
             prepared = self._prepare(web_request, body, open_request.started_at)
             if isinstance(prepared, web.Response):
                 open_request.cause = EndCause.REFUSED
@@ -170,12 +184,29 @@
             open_request.log_end = functools.partial(self._log_end, exchange)
             return await self._serve(exchange)
 
-        return await open_request.respond(
-            serve,
-            lambda cause, detail: self._finish_unserved(
-                open_request, exchange, cause, detail
-            ),
-        )
+        try:
+            return await open_request.respond(
+                serve,
+                lambda cause, detail: self._finish_unserved(
+                    open_request, exchange, cause, detail
+                ),
+            )
+        finally:
+            # The request and the exchange refer to each other: without this, bodies
+            # stay in memory until the next garbage collection.
+            open_request.log_end = None
+            if exchange is not None:
+                exchange.release()
+
+    def caller_limits(self) -> CallerLimits:
+        """Return the operator's limits on what callers send."""
+        catalog = self._fleet.catalog
+        return catalog.caller_limits if catalog is not None else DEFAULT_CALLER_LIMITS
+
+    @property
+    def ends(self) -> RequestEnds:
+        """The open requests and the memory that they hold."""
+        return self._ends
 
     @property
     def open_requests(self) -> int:
@@ -813,12 +844,14 @@
             return Outcome("broken", detail=detail)
         if kind is ResponseKind.SUCCESS and exchange.route.is_stream:
             return await self._relay_stream(exchange, backend_response)
-        body = await backend_response.read_up_to(MAX_RESPONSE_BYTES)
+        body = await self._read_response(exchange, backend_response)
         if body is None:
             return Outcome("broken", detail="the response body is too long")
         response = web.Response(
             status=backend_response.status,
-            body=body,
+            # A large body is written in pieces, as the caller takes them: the
+            # transport would copy all of it.
+            body=body if len(body) <= SHORT_BYTES else io.BytesIO(body),
             headers=self._dialect.response_headers(backend_response.headers),
         )
         self._close_if_leaving(response)
@@ -829,6 +862,27 @@
             return Outcome("failed", response, f"status {backend_response.status}")
         return Outcome("ok", response)
 
+    async def _read_response(
+        self, exchange: Exchange, backend_response: BackendResponse
+    ) -> bytes | None:
+        """Return the complete body of a response, or None if it is too long.
+
+        It waits at the server until there is memory for it.
+        """
+        open_request, buffer, held_bytes = exchange.open_request, io.BytesIO(), 0
+        while chunk := await backend_response.read_chunk():
+            size = buffer.tell() + len(chunk)
+            if size > MAX_RESPONSE_BYTES:
+                return None
+            if size > held_bytes and open_request is not None:
+                held_bytes = SHORT_BYTES if size <= SHORT_BYTES else MAX_RESPONSE_BYTES
+                length = backend_response.content_length
+                if length is not None:
+                    held_bytes = min(length, MAX_RESPONSE_BYTES)
+                await open_request.take_response_memory(held_bytes)
+            buffer.write(chunk)
+        return buffer.getvalue()
+
     async def _relay_stream(
         self, exchange: Exchange, backend_response: BackendResponse
     ) -> Outcome:
@@ -982,6 +1036,21 @@
             exchange.route.repeat.value,
         )
 
+    def _refuse_body(self, open_request: OpenRequest, reason: Reason) -> web.Response:
+        """Refuse a request whose body is not read, and close its connection."""
+        open_request.cause = EndCause.REFUSED
+        is_temporary = reason is not Reason.BODY_TOO_LARGE
+        refusal = Refusal(
+            reason,
+            retry_after_s=BODY_RETRY_AFTER_S if is_temporary else 0.0,
+            detail="the body was not read to its end",
+        )
+        response = self._refuse(
+            open_request.request_id, refusal, open_request.started_at
+        )
+        response.force_close()
+        return response
+
     def _refuse(
         self,
         request_id: str,
--- a/sequoiafall/node.py
+++ b/sequoiafall/node.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import signal
+import socket
 from typing import Any
 
 from aiohttp import web
@@ -12,6 +13,7 @@
 from returns.result import Failure
 
 from .boot_clock import boot_time
+from .connection_guard import ConnectionGuard, GuardedRunner
 from .fleet import Fleet
 from .forwarding import Forwarder
 from .log import dropped_line_count, innermost_frames, log_event, log_warning
@@ -22,9 +24,15 @@
 from .row_store import RowStore
 from .serving_ports import Dialect, EngineControl, RowDecoder
 
-# Largest headers and bodies accepted from callers; the operator's limits are lower.
+# Largest header that the parser accepts; the guard bounds all of a head together.
 MAX_HEADER_BYTES = 16 * 1024
-MAX_BODY_BYTES = 8 * 1024 * 1024
+# Connections that wait to be accepted, and those that are accepted at once: each is
+# open before the guard can close it.
+LISTEN_BACKLOG = 512
+ACCEPTED_AT_ONCE = 64
+# Receive and send buffer of the kernel for one connection from outside, so that those
+# that are not read do not fill the memory of the machine.
+SOCKET_BUFFER_BYTES = 64 * 1024
 # Longer than callers keep idle connections open.
 KEEP_ALIVE_S = 120.0
 # Share of the time until requests are ended in which new ones are accepted: callers
@@ -100,14 +108,19 @@
         )
         self._runners: list[web.AppRunner] = []
         self._caller_runner: web.AppRunner | None = None
-        self._caller_site: web.TCPSite | None = None
+        self._caller_site: web.SockSite | None = None
+        self.guard = ConnectionGuard(
+            settings.max_descriptors,
+            self.forwarder.caller_limits,
+            lambda: self.forwarder.ends.bodies.is_short,
+        )
 
     async def on_start(self) -> None:
         """Join the fleet and start listening."""
         await self.add_runtime_dependency(self.fleet)
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self._on_reload)
-        callers = web.Application(client_max_size=MAX_BODY_BYTES)
+        callers = web.Application()
         # A dot would not match an encoded line break.
         callers.router.add_route("*", r"/{path:[\s\S]*}", self.forwarder.handle)
         self._caller_site = await self._listen(callers, self.settings.front_address)
@@ -235,10 +248,10 @@
         other_zones = [row.front_address for row in members if row.zone != zone]
         return (same_zone + other_zones)[:MAX_ADDRESSES]
 
-    async def _listen(self, application: web.Application, address: str) -> web.TCPSite:
-        runner = web.AppRunner(
+    async def _listen(self, application: web.Application, address: str) -> web.SockSite:
+        runner = GuardedRunner(
             application,
-            access_log=None,
+            self.guard,
             handler_cancellation=True,
             # Bodies are forwarded with the headers that name their encoding.
             auto_decompress=False,
@@ -251,14 +264,26 @@
         await runner.setup()
         self._runners.append(runner)
         host, _, port = address.rpartition(":")
-        site = web.TCPSite(runner, host, int(port), backlog=512)
-        await site.start()
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+                listener.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
+            listener.bind((host, int(port)))
+            site = web.SockSite(runner, listener, backlog=ACCEPTED_AT_ONCE)
+            await site.start()
+            listener.listen(LISTEN_BACKLOG)
+        except BaseException:
+            listener.close()
+            raise
         return site
 
     async def _on_metrics(self, request: web.Request) -> web.Response:
         fleet = self.fleet
         self.metrics.gauges_by_name = {
             "open_requests": self.forwarder.open_requests,
+            "open_connections": self.guard.open_count,
+            "body_memory_bytes": self.forwarder.ends.bodies.used_bytes,
             "configuration_version": fleet.catalog.version if fleet.catalog else 0,
             "leads": float(fleet.lease.leads),
             "has_leader": float(fleet.has_leader),
@@ -281,6 +306,7 @@
             "suspected_prompt_parts": fleet.crash_evidence.suspected_count(boot_time()),
             **self._leader_gauges(),
         }
+        self.metrics.limited_by_reason = self.guard.counts_by_reason
         return self.metrics.respond(request)
 
     async def _monitor(self) -> None:
@@ -292,6 +318,8 @@
             self.metrics.loop_lag_seconds.observe(
                 "all", max(0.0, loop.time() - expected_at)
             )
+            self.guard.check(loop.time())
+            self.forwarder.ends.check(boot_time())
             if self._source is not None and self._source.has_changed():
                 self._on_reload()
 
--- a/sequoiafall/node_metrics.py
+++ b/sequoiafall/node_metrics.py
@@ -30,6 +30,8 @@
         self.store_calls_by_result: Counter[tuple[str, str]] = Counter()
         # Streams that callers took up, by how the version that began them was found.
         self.take_ups_by_result: Counter[str] = Counter()
+        # Connections that were closed and bodies that were ended at a limit.
+        self.limited_by_reason: Counter[str] = Counter()
         self.leader_changes = 0
         self.terms_begun = 0
         self.gauges_by_name: dict[str, float] = {}
@@ -64,6 +66,11 @@
             "Streams taken up, by how the version that began them was found",
             registry=self.registry,
         )
+        self._limited = MetricCounter(
+            "sequoiafall_node_connections_limited_total",
+            "Connections closed and bodies ended at a limit, by reason",
+            registry=self.registry,
+        )
         self._state = Gauge(
             "sequoiafall_node_state",
             "State of the instance by name",
@@ -111,6 +118,8 @@
             self._store_calls.set({"call": call, "result": result}, count)
         for result, count in self.take_ups_by_result.items():
             self._take_ups.set({"result": result}, count)
+        for reason, count in self.limited_by_reason.items():
+            self._limited.set({"reason": reason}, count)
         for name, value in self.gauges_by_name.items():
             self._state.set({"name": name}, value)
         content, headers = render(self.registry, request.headers.getall("Accept", []))
--- a/sequoiafall/node_settings.py
+++ b/sequoiafall/node_settings.py
@@ -15,6 +15,10 @@
 LEADER_CORE_SHARE = 0.6
 LEADER_LINK_MBPS = 40.0
 
+# Memory and descriptors of a process where the settings do not name them.
+DEFAULT_MEMORY_MB = 256.0
+DEFAULT_MAX_DESCRIPTORS = 1535
+
 # Settings that can change at run time; the others need a restart.
 RELOADABLE = (
     "peer_hints",
@@ -66,6 +70,12 @@
         Bandwidth of the network link in Mbit/s.
     is_first_start : bool
         Whether the whole system is started for the first time.
+    memory_mb : float
+        Memory of the process in MB, from which the memory of bodies and answers is
+        derived.
+    max_descriptors : int
+        Descriptors of the process, from which the number of connections from outside
+        is derived.
     """
 
     instance: str
@@ -88,6 +98,8 @@
     core_share: float = 1.0
     link_mbps: float = 1000.0
     is_first_start: bool = False
+    memory_mb: float = DEFAULT_MEMORY_MB
+    max_descriptors: int = DEFAULT_MAX_DESCRIPTORS
 
     @property
     def peer_address(self) -> str:
--- a/sequoiafall/platform/node_file.py
+++ b/sequoiafall/platform/node_file.py
@@ -12,7 +12,12 @@
 from ruamel.yaml import YAML, YAMLError
 
 from ..decoding import decode_json
-from ..node_settings import NodeSettings, SettingsSource
+from ..node_settings import (
+    DEFAULT_MAX_DESCRIPTORS,
+    DEFAULT_MEMORY_MB,
+    NodeSettings,
+    SettingsSource,
+)
 from ..settings import Finding
 
 
@@ -135,6 +140,8 @@
         ends_withdrawn_streams=reader.get("bounds.strict_revocation", bool, False),
         core_share=reader.get("limits.cpu_share", float, 1.0),
         link_mbps=reader.get("limits.link_mbps", float, 1000.0),
+        memory_mb=reader.get("limits.memory_mb", float, DEFAULT_MEMORY_MB),
+        max_descriptors=reader.get("limits.max_fds", int, DEFAULT_MAX_DESCRIPTORS),
         is_first_start=reader.get("bootstrap", bool, False),
     )
     return Failure(reader.findings) if reader.findings else Success(settings)
--- a/sequoiafall/platform/rows.py
+++ b/sequoiafall/platform/rows.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import ipaddress
+import math
 from typing import Annotated, Any
 
 import msgspec
 from returns.result import Failure, Result, Success
 
 from ..backend_registry import BackendEntry
+from ..caller_limits import CallerLimits
 from ..catalog import (
     Catalog,
     Organisation,
@@ -88,11 +90,19 @@
     plain_tokens: int = 0
 
 
+class _Limits(msgspec.Struct):
+    max_header_bytes: float = 0.0
+    max_body_bytes: float = 0.0
+    header_timeout_ms: float = 0.0
+    idle_timeout_ms: float = 0.0
+
+
 class _Configuration(msgspec.Struct):
     version: int
     routes: list[_Route]
     services: list[_Service]
     tenants: list[_Tenant] = []
+    limits: _Limits | None = None
 
 
 class _Version(msgspec.Struct):
@@ -190,9 +200,30 @@
         [_route(route) for route in configuration.routes],
         [_service(service) for service in configuration.services],
         [_organisation(tenant) for tenant in configuration.tenants],
+        _caller_limits(configuration.limits),
+    )
+
+
+def _caller_limits(limits: _Limits | None) -> CallerLimits:
+    """Return the limits; one that is missing or no positive number has its default."""
+    default = CallerLimits()
+    if limits is None:
+        return default
+    header_timeout_s = _positive(
+        limits.header_timeout_ms / 1e3, default.header_timeout_s
+    )
+    return CallerLimits(
+        int(_positive(limits.max_header_bytes, default.header_bytes)),
+        int(_positive(limits.max_body_bytes, default.body_bytes)),
+        header_timeout_s,
+        _positive(limits.idle_timeout_ms / 1e3, default.idle_timeout_s),
     )
 
 
+def _positive(value: float, default: float) -> float:
+    return value if 0.0 < value < math.inf else default
+
+
 def _route(route: _Route) -> ServiceRoute:
     targets = tuple(RouteTarget(part.service, part.weight) for part in route.split)
     if not targets:
--- a/sequoiafall/refusal.py
+++ b/sequoiafall/refusal.py
@@ -38,6 +38,10 @@
     HARMFUL_REQUEST = "harmful_request"
     STREAM_VERSION_UNKNOWN = "stream_version_unknown"
     STREAM_VERSION_GONE = "stream_version_gone"
+    BODY_MEMORY_FULL = "body_memory_full"
+    BODY_STALLED = "body_stalled"
+    BODY_TOO_LARGE = "body_too_large"
+    BODY_FRAGMENTED = "body_fragmented"
 
 
 _STATUS_BY_REASON = {
@@ -47,7 +51,9 @@
     Reason.NOT_PERMITTED: 403,
     Reason.UNKNOWN_ADAPTER: 404,
     Reason.UNKNOWN_ROUTE: 404,
+    Reason.BODY_STALLED: 408,
     Reason.IN_PROGRESS: 409,
+    Reason.BODY_TOO_LARGE: 413,
     Reason.IDEMPOTENCY_MISMATCH: 422,
     Reason.RATE_EXCEEDED: 429,
     Reason.BACKEND_FAILED: 502,
--- a/sequoiafall/request_ends.py
+++ b/sequoiafall/request_ends.py
@@ -5,15 +5,21 @@
 import asyncio
 import contextlib
 import enum
+import io
 from collections import Counter
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 
 from .boot_clock import boot_time
+from .caller_limits import DEFAULT_CALLER_LIMITS, CallerLimits
+from .connection_guard import FragmentedBodyError, StalledBodyError
 from .connection_reset import abort_response
 from .log import innermost_frames, log_event, log_warning
+from .memory_budget import SHORT_BYTES, MemoryBudget
 from .node_metrics import NodeMetrics
+from .refusal import Reason
+from .response_memory import ResponseMemory
 
 # Identifiers in one log line.
 MAX_LOGGED_REQUESTS = 40
@@ -73,6 +79,20 @@
     NONE = "none"
 
 
+class BodyRefusedError(Exception):
+    """The body of a request is not read to its end; the request has not run.
+
+    Attributes
+    ----------
+    reason : Reason
+        Why it is refused.
+    """
+
+    def __init__(self, reason: Reason) -> None:
+        super().__init__(reason.value)
+        self.reason = reason
+
+
 class StreamedResponse(web.StreamResponse):
     """Streamed response that knows whether its end has been written.
 
@@ -118,9 +138,12 @@
     """
 
     __slots__ = (
+        "_body_bytes",
         "_ends",
         "_is_aborted",
         "_is_complete",
+        "_response_bytes",
+        "_response_since",
         "_scope",
         "_web_request",
         "cause",
@@ -139,6 +162,10 @@
         self._scope: asyncio.Timeout | None = None
         self._is_aborted = False
         self._is_complete = False
+        # Bytes of the budgets that this request holds.
+        self._body_bytes = 0
+        self._response_bytes = 0
+        self._response_since = 0.0
         self.request_id = request_id
         self.started_at = boot_time()
         self.cause: EndCause | None = None
@@ -147,12 +174,75 @@
         self.log_end: Callable[[str, int, str], None] | None = None
 
     async def read_body(self) -> bytes:
-        """Return the body, once it has been received."""
-        body = await self._web_request.read()
+        """Return the body, once it has been received.
+
+        Raises
+        ------
+        BodyRefusedError
+            If it is too large, there is no memory for it, or it does not come.
+        """
+        try:
+            body = await self._read_body()
+        except StalledBodyError as error:
+            raise BodyRefusedError(Reason.BODY_STALLED) from error
+        except FragmentedBodyError as error:
+            raise BodyRefusedError(Reason.BODY_FRAGMENTED) from error
         self.is_read = True
         self._ends.on_read()
         return body
 
+    async def _read_body(self) -> bytes:
+        content = self._web_request.content
+        if content.at_eof():
+            return b""
+        max_bytes = self._ends.limits().body_bytes
+        length = self._web_request.content_length
+        if length is not None and length > max_bytes:
+            raise BodyRefusedError(Reason.BODY_TOO_LARGE)
+        self._take_body_memory(length if length is not None else SHORT_BYTES)
+        first = await content.readany()
+        if content.at_eof():
+            return first
+        # Parts that are joined at the end would need the memory twice.
+        buffer = io.BytesIO()
+        buffer.write(first)
+        while chunk := await content.readany():
+            size = buffer.tell() + len(chunk)
+            if size > max_bytes:
+                raise BodyRefusedError(Reason.BODY_TOO_LARGE)
+            if size > self._body_bytes:
+                more_bytes = max(self._body_bytes, size - self._body_bytes)
+                self._take_body_memory(min(more_bytes, max_bytes - self._body_bytes))
+            buffer.write(chunk)
+        return buffer.getvalue()
+
+    def _take_body_memory(self, more_bytes: int) -> None:
+        if not self._ends.bodies.try_take(self._body_bytes, more_bytes):
+            raise BodyRefusedError(Reason.BODY_MEMORY_FULL)
+        self._body_bytes += more_bytes
+
+    async def take_response_memory(self, size_bytes: int) -> None:
+        """Wait until an answer of a backend server may take this much memory.
+
+        It is given back when the request ends.
+        """
+        held_bytes = self._response_bytes
+        responses = self._ends.responses
+        self._response_bytes = await responses.take(held_bytes, size_bytes)
+        self._response_since = boot_time()
+
+    def abort_if_slow(self, now: float, max_s: float) -> None:
+        """Abort a large response whose caller takes longer for it than `max_s`."""
+        if self._response_bytes <= SHORT_BYTES or now - self._response_since < max_s:
+            return
+        self._response_since = now
+        log_warning(
+            "slow_response_aborted",
+            request_id=self.request_id,
+            unsent_bytes=self.unsent_bytes,
+        )
+        self.abort(EndCause.CALLER_LEFT)
+
     async def respond(
         self,
         serve: Callable[[], Awaitable[web.StreamResponse]],
@@ -177,6 +267,9 @@
             return await self._serve_until_stop(serve, on_unserved)
         finally:
             self._ends.on_end(self, self._response_state())
+            self._ends.bodies.give_back(self._body_bytes)
+            self._ends.responses.give_back(self._response_bytes)
+            self._body_bytes = self._response_bytes = 0
 
     def abort(self, cause: EndCause) -> None:
         """Abort a begun response, so that the caller sees it as incomplete."""
@@ -254,6 +347,12 @@
         if not self._is_aborted:
             await response.prepare(self._web_request)
             await response.write_eof()
+            if isinstance(response, web.Response):
+                # The connection keeps its last response until the next request.
+                response.body = None
+            if self._response_bytes > SHORT_BYTES:
+                # What the transport still holds counts as memory of this request.
+                await self._web_request.writer.drain()
             self._is_complete = True
 
     def _response_state(self) -> ResponseState:
@@ -306,15 +405,31 @@
     ----------
     metrics : NodeMetrics
         Counts the requests that were read, and their ends.
+    memory_mb : float
+        Memory of the process in MB.
+    limits : callable
+        Returns the operator's limits.
 
     Attributes
     ----------
+    bodies : MemoryBudget
+        Memory of the bodies of the open requests.
+    responses : ResponseMemory
+        Memory of the answers that are held for callers.
     is_stopped : bool
         Whether the process ends and takes no request any more.
     """
 
-    def __init__(self, metrics: NodeMetrics) -> None:
+    def __init__(
+        self,
+        metrics: NodeMetrics,
+        memory_mb: float,
+        limits: Callable[[], CallerLimits] = lambda: DEFAULT_CALLER_LIMITS,
+    ) -> None:
         self._metrics = metrics
+        self.limits = limits
+        self.bodies = MemoryBudget.for_bodies(memory_mb)
+        self.responses = ResponseMemory(MemoryBudget.for_responses(memory_mb))
         self._open: set[OpenRequest] = set()
         self._idle = asyncio.Event()
         self._ends_at_stop: Counter[tuple[str, str]] = Counter()
@@ -347,6 +462,19 @@
         if not self._open:
             self._idle.set()
 
+    def check(self, now: float) -> None:
+        """End slow large responses if other answers wait for their memory.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds of `boot_time`.
+        """
+        if not self.responses.has_waiters:
+            return
+        for request in list(self._open):
+            request.abort_if_slow(now, self.limits().idle_timeout_s)
+
     def on_stopping(self) -> None:
         """Record that a planned stop begins, from which `describe_stop` counts.
 
