--- a/sequoiafall/node_settings.py
+++ b/sequoiafall/node_settings.py
@@ -18,6 +18,10 @@
 HEARTBEAT_S = 1.2
 DRAIN_S = 2.0
 
+# Memory and descriptors of a process where the settings do not name them.
+DEFAULT_MEMORY_MB = 256.0
+DEFAULT_MAX_DESCRIPTORS = 1535
+
 # Settings that can change at run time; the others need a restart.
 RELOADABLE = (
     "peer_hints",
@@ -73,6 +77,12 @@
         Interval in seconds at which backend servers write their entries.
     drain_s : float
         Time in seconds for which a backend server goes on after its entry was removed.
+    memory_mb : float
+        Memory of the process in MB, from which the memory of bodies and answers is
+        derived.
+    max_descriptors : int
+        Descriptors of the process, from which the number of connections from outside
+        is derived.
     """
 
     instance: str
@@ -97,6 +107,8 @@
     is_first_start: bool = False
     heartbeat_s: float = HEARTBEAT_S
     drain_s: float = DRAIN_S
+    memory_mb: float = DEFAULT_MEMORY_MB
+    max_descriptors: int = DEFAULT_MAX_DESCRIPTORS
 
     @property
     def peer_address(self) -> str:
