Let the first calls of an instance wait for the first check of its servers

Change: while no server of a plain service is known to exist, and a first check may still show one, a call waits for it, at most 0.3 s. An instance that reaches no server does not wait.

--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -78,6 +78,10 @@
 MAX_UNBUDGETED_SENDS = 2
 # Delay before the next send after a rejected one.
 NOT_RUN_PAUSE_S = 0.02
+# Longest wait of a call for the first check of its servers, after the start of this
+# instance, and the interval of the looks. A server responds within a few ms.
+FIRST_CHECK_WAIT_S = 0.3
+FIRST_CHECK_LOOK_S = 0.005
 # Network round trip between a gateway and a caller.
 CALLER_ROUND_TRIP_S = 0.01
 # `Retry-After` of refusals for which no better estimate is known.
@@ -507,6 +511,7 @@
                     return refused
                 exchange.is_charged = True
             entries = self._fleet.registry.active_servers(exchange.service)
+            await self._wait_for_check(entries)
             choice = await self._choose_plain(
                 exchange, self._usable_plain(exchange, entries)
             )
@@ -524,6 +529,13 @@
         finally:
             trials.end(request, exchange.service, server, admission, run)
 
+    async def _wait_for_check(self, entries: list[BackendEntry]) -> None:
+        """Wait until a server is known to exist, if this instance knows none yet."""
+        until = boot_time() + FIRST_CHECK_WAIT_S
+        while self._reachability.awaits_check(entries) and boot_time() < until:
+            self._server_monitor.wake()
+            await asyncio.sleep(FIRST_CHECK_LOOK_S)
+
     def _usable_plain(
         self, exchange: Exchange, entries: list[BackendEntry]
     ) -> list[BackendEntry]:
--- a/sequoiafall/reachability.py
+++ b/sequoiafall/reachability.py
@@ -61,6 +61,11 @@
                 return found
         return entries
 
+    def awaits_check(self, entries: Iterable[BackendEntry]) -> bool:
+        """Return whether a first check may still show which server to use."""
+        states = [self._current(entry) for entry in entries]
+        return any(map(_has_not_failed, states)) and not any(map(_is_proven, states))
+
     def due(self, entries: Iterable[BackendEntry], now: float) -> list[BackendEntry]:
         """Return the servers to check now, the longest unchecked ones first."""
         due = [row.entry for row in self._to_check(entries) if row.check_at <= now]
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -32,6 +32,17 @@
         """An instance that has just started must not refuse calls meanwhile."""
         self.assertEqual(self.reachability.due(ALL, 0.0), ALL)
 
+    def test_calls_wait_for_the_first_check_only(self):
+        """Calls of an instance that has just started went to entries that lie."""
+        self.assertTrue(self.reachability.awaits_check(ALL))
+        self.check(SILENT, False, 0.0)
+        self.assertTrue(self.reachability.awaits_check(ALL))
+        self.check(SOUND, True, 0.0)
+        self.assertFalse(self.reachability.awaits_check(ALL))
+        # One that is cut off from all servers does not wait.
+        self.assertFalse(self.reachability.awaits_check([SILENT]))
+        self.assertFalse(self.reachability.awaits_check([]))
+
     def test_servers_that_a_check_has_reached_are_used_alone(self):
         self.check(SOUND, True, 0.0)
         self.assertEqual(self.reachability.usable(ALL), [SOUND])
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -34,6 +34,7 @@
 
 TRAFFIC_S = 4.0
 # A second version comes after 6.5 s.
+BAD_INPUT_TRAFFIC_S = 8.0
 VERSIONS_TRAFFIC_S = 14.0
 
 
@@ -61,6 +62,12 @@
         self.assertEqual(soak.findings, [])
         self.assertGreater(len(soak.streams.taken_up), 0)
 
+    def test_seed_with_bad_input(self):
+        """Foreign entries, malformed answers and stalled clients take part."""
+        with tempfile.TemporaryDirectory() as folder:
+            soak = asyncio.run(run_seed(8000, Path(folder), BAD_INPUT_TRAFFIC_S))
+        self.assertEqual(soak.findings, [])
+
 
 class StreamCheckTest(unittest.TestCase):
     """Streams that are joined from two versions, or seldom go on, are reported."""
