--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -165,7 +165,6 @@
         self._server_monitor = ReachabilityMonitor(
             fleet, self._reachability, self._plain.keep
         )
-        fleet.server_listeners.append(self._server_monitor.wake)
         self._permits = places.permits
         self._settings = settings
         self._budgets_by_service: dict[str, RetryBudget] = {}
--- a/sequoiafall/reachability_monitor.py
+++ b/sequoiafall/reachability_monitor.py
@@ -53,6 +53,7 @@
 
     async def run(self, should_stop: Callable[[], bool]) -> None:
         """Check servers until the process stops."""
+        self._fleet.server_listeners.append(self.wake)
         while not should_stop():
             self._wake.clear()
             wait_s = LOOK_INTERVAL_S
--- a/tests/test_fleet_shares.py
+++ b/tests/test_fleet_shares.py
@@ -43,7 +43,11 @@
 
     def forwarder(self, fleet):
         settings = SimpleNamespace(
-            zone="a", instance="a1", retry_extra=EXTRA_RETRIES, retry_share=0.2
+            zone="a",
+            instance="a1",
+            retry_extra=EXTRA_RETRIES,
+            retry_share=0.2,
+            memory_mb=222.0,
         )
         places = SimpleNamespace(permits=None)
         return Forwarder(settings, fleet, places, None, None, random.Random(1))
