Wait for the configuration in a test of harmful requests

Trial: it fails so if the configuration is read 0.8 s late; the test waited for the leader and the servers only. It waits for the node to be ready now and prints the body of an unexpected answer; with the same delay it passes.

--- a/tests/test_harmful_requests.py
+++ b/tests/test_harmful_requests.py
@@ -201,7 +201,11 @@
         await self.start_node(1)
         node = self.nodes[0]
         await until(
-            lambda: node.fleet.has_leader and len(node.fleet.registry) == servers
+            lambda: (
+                node.is_ready
+                and node.fleet.has_leader
+                and len(node.fleet.registry) == servers
+            )
         )
         self.evidence = node.fleet.crash_evidence
         return node
@@ -291,7 +295,8 @@
         """The server answers another call within a second after the reset."""
         node = await self.start_desk()
         self.engines["d1"].drop_next = 1
-        self.assertEqual((await self.call(node, "/order/x"))[0], 502)
+        status, body, _ = await self.call(node, "/order/x")
+        self.assertEqual(status, 502, body)
         self.assertEqual(self.suspected(), 1)
         self.assertEqual((await self.call(node, "/order/other"))[0], 200)
         self.assertEqual(self.suspected(), 0)
