--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -79,8 +79,10 @@
 # Delay before the next send after a rejected one.
 NOT_RUN_PAUSE_S = 0.02
 # Longest wait of a call for the first check of its servers, after the start of this
-# instance, and the interval of the looks. A server responds within a few ms.
+# instance, the share of its remaining time that it waits at most, and the interval of
+# the looks. A server responds within a few ms.
 FIRST_CHECK_WAIT_S = 0.3
+FIRST_CHECK_SHARE = 0.25
 FIRST_CHECK_LOOK_S = 0.005
 # Network round trip between a gateway and a caller.
 CALLER_ROUND_TRIP_S = 0.01
@@ -510,7 +512,7 @@
                     return refused
                 exchange.is_charged = True
             entries = self._fleet.registry.active_servers(exchange.service)
-            await self._wait_for_check(entries)
+            await self._wait_for_check(exchange, entries)
             choice = await self._choose_plain(
                 exchange, self._usable_plain(exchange, entries)
             )
@@ -528,9 +530,13 @@
         finally:
             trials.end(request, exchange.service, server, admission, run)
 
-    async def _wait_for_check(self, entries: list[BackendEntry]) -> None:
+    async def _wait_for_check(
+        self, exchange: Exchange, entries: list[BackendEntry]
+    ) -> None:
         """Wait until a server is known to exist, if this instance knows none yet."""
-        until = boot_time() + FIRST_CHECK_WAIT_S
+        now = boot_time()
+        wait_s = FIRST_CHECK_SHARE * max(0.0, exchange.deadline - now)
+        until = now + min(FIRST_CHECK_WAIT_S, wait_s)
         while self._reachability.awaits_check(entries) and boot_time() < until:
             self._server_monitor.wake()
             await asyncio.sleep(FIRST_CHECK_LOOK_S)
