Accept the waiting connections before the listener of a stop is closed

Change: connections are accepted until none waits, for at most 9 rounds of 10 ms, before the listener is closed.

--- a/sequoiafall/connection_guard.py
+++ b/sequoiafall/connection_guard.py
@@ -197,6 +197,8 @@
 
     Attributes
     ----------
+    accepted_count : int
+        Connections that were opened since the start of the process.
     counts_by_reason : Counter
         Connections that were closed and bodies that were ended, by reason.
     """
@@ -214,6 +216,7 @@
         # In the order in which they were opened.
         self._connections: dict[GuardedConnection, None] = {}
         self._fragmented: set[GuardedConnection] = set()
+        self.accepted_count = 0
         self.counts_by_reason: Counter[str] = Counter()
         self._logged_by_reason: Counter[str] = Counter()
         self._clock = 0.0
@@ -226,6 +229,7 @@
 
     def add(self, connection: GuardedConnection) -> None:
         """Accept a connection, if necessary in place of one without a request."""
+        self.accepted_count += 1
         connection.since = connection.progress_at = self._clock
         if len(self._connections) >= self._max_connections:
             victim = self._find_unneeded()
--- a/sequoiafall/node.py
+++ b/sequoiafall/node.py
@@ -30,6 +30,8 @@
 # open before the guard can close it.
 LISTEN_BACKLOG = 512
 ACCEPTED_AT_ONCE = 64
+# Time in which the event loop accepts that many.
+ACCEPT_ROUND_S = 0.01
 # Receive and send buffer of the kernel for one connection from outside, so that those
 # that are not read do not fill the memory of the machine.
 SOCKET_BUFFER_BYTES = 64 * 1024
@@ -189,6 +191,7 @@
         """
         deadline = self.forwarder.stop_period.deadline
         if self._caller_site is not None:
+            await self._accept_waiting()
             await self._caller_site.stop()
         while self.forwarder.open_requests:
             remaining_s = deadline - boot_time()
@@ -207,6 +210,17 @@
             await self._caller_runner.cleanup()
         return open_requests
 
+    async def _accept_waiting(self) -> None:
+        """Accept the connections that wait, which the end of the listener resets.
+
+        Many may have come while the process was suspended.
+        """
+        for _ in range(LISTEN_BACKLOG // ACCEPTED_AT_ONCE + 1):
+            accepted = self.guard.accepted_count
+            await asyncio.sleep(ACCEPT_ROUND_S)
+            if self.guard.accepted_count == accepted:
+                return
+
     async def _drain_connections(self, runner: web.AppRunner, until: float) -> None:
         """Wait until callers have taken the ends of their responses.
 
