--- a/sequoiafall/memory_budget.py
+++ b/sequoiafall/memory_budget.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 MEBIBYTE = 1024 * 1024
-# Resident memory of a process without requests: 64 MB were measured.
+# Resident memory of a process without requests, with some room.
 BASE_MEMORY_MB = 70.0
 # Parts of the rest that bodies of requests and answers of backend servers may take.
 # What is left is for connections and for the state of the fleet.
