Keep a stream at its server until another one has taken it

Cause: a move closed the connection to a sound server as soon as the leader had granted a place elsewhere, before the other server had taken the stream. If that one rejected it, and the slot that it had left was taken, nothing worked on the stream when the process stopped. Class: a resource is given up before its replacement is confirmed.

Change: the stream is offered (stream_offer): it is sent to the other server while its own one still has it. A refusal leaves the stream where it is; refused offers back off. Events that come while the offer is out are held until it is decided. A server that breaks off meanwhile leaves the stream to the offer.

--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -50,7 +50,7 @@
 from .retry import RetryBudget, back_off_s
 from .run_id import RunIds
 from .secret_scan import contains_secret
-from .send_outcome import Outcome
+from .send_outcome import Outcome, WithheldError
 from .server_limits import REQUEST_SOURCE
 from .server_notices import ServerNotice, spread_retry_s
 from .serving_ports import Attempt, Dialect, ResponseKind
@@ -63,6 +63,7 @@
     hold,
     watch_send,
 )
+from .stream_offer import StreamOffer
 from .stream_versions import stream_key
 from .trial_admission import RunEnd
 from .usual_times import UsualTimes
@@ -120,10 +121,6 @@
 DRAINING_RETRY_AFTER_S = 0.05
 
 
-class WithheldError(NotSentError):
-    """The server or this instance is leaving, or the server asked for a pause."""
-
-
 class Forwarder:
     """Handles callers' HTTP requests.
 
@@ -411,9 +408,9 @@
             notices,
             budget,
             exchange.excluded,
-            # Another server may have no room, and nothing would be left to work on a
-            # begun stream when this process ends it.
-            lambda: exchange.stream is None or not self.stop_period.has_begun,
+            functools.partial(self._may_leave_server, exchange),
+            functools.partial(self._offer, exchange),
+            functools.partial(self._on_offer_refused, exchange),
         )
         exchange.move = move
         with contextlib.closing(move):
@@ -436,9 +433,15 @@
                     if current is not None and current.is_leaving:
                         # It may have begun to leave since the send.
                         entry = current
-                    self._places.end(pending, place, _run_end(exchange, outcome, entry))
+                    has_begun = _has_begun(exchange, outcome)
+                    run = _run_end(outcome, has_begun, entry, exchange.sent_at)
+                    self._places.end(pending, place, run)
                 if outcome.name != "moved" and exchange.may_change_version:
                     pending.software = None
+                if not outcome.is_final and await move.wait_taken():
+                    self._record_attempt(exchange, place.server, outcome)
+                    exchange.excluded.add(place.server)
+                    continue
                 if outcome.is_cut:
                     # Lets the leader hear from all gateways which requests a crash cut.
                     await asyncio.sleep(CRASH_NEWS_PAUSE_S)
@@ -446,6 +449,49 @@
                 if final is not None:
                     return final
 
+    def _may_leave_server(self, exchange: Exchange) -> bool:
+        """Return whether a stream may leave a server that may be sound.
+
+        Another server may have no room, and nothing would be left to work on a begun
+        stream when this process ends it.
+        """
+        if exchange.runs >= exchange.route.max_attempts:
+            return False
+        return exchange.stream is None or not self.stop_period.has_begun
+
+    def _offer(self, exchange: Exchange, place: GatewayPlace) -> StreamOffer:
+        """Begin to send a stream to another server, while its own one has it."""
+        entry = self._fleet.registry.find(place.server)
+        client = SingleSendClient()
+
+        def on_sent() -> None:
+            self._check_send(exchange, place.server)
+            exchange.sends += 1
+            exchange.runs += 1
+
+        self._record_version(exchange, place, entry)
+        return StreamOffer(
+            place,
+            client,
+            functools.partial(self._open_send, exchange, place, client),
+            functools.partial(self._judge, exchange, entry, sent_at=boot_time()),
+            on_sent,
+        )
+
+    def _on_offer_refused(
+        self, exchange: Exchange, offer: StreamOffer, outcome: Outcome
+    ) -> None:
+        """Record that a server has not taken a stream, which stays at its own one."""
+        self._record_attempt(exchange, offer.place.server, outcome, is_offer=True)
+        if outcome.is_rejected:
+            exchange.runs -= 1
+        if not outcome.is_rejected or outcome.detail == ResponseKind.WRONG_SERVER.value:
+            exchange.excluded.add(offer.place.server)
+        entry = self._fleet.registry.find(offer.place.server)
+        run = _run_end(outcome, False, entry, offer.sent_at)
+        assert exchange.placement is not None
+        self._places.end(exchange.placement, offer.place, run)
+
     def _placement(self, exchange: Exchange) -> PendingPlacement:
         """Return what a request to an engine needs a place for."""
         request = exchange.request
@@ -525,7 +571,12 @@
             exchange.plain_choice = choice
             run = RunEnd("cancelled")
             outcome = await self._send_plain(exchange, choice.entry)
-            run = _run_end(exchange, outcome, self._fleet.registry.find(server))
+            run = _run_end(
+                outcome,
+                _has_begun(exchange, outcome),
+                self._fleet.registry.find(server),
+                exchange.sent_at,
+            )
             return server, outcome
         finally:
             trials.end(request, exchange.service, server, admission, run)
@@ -667,32 +718,16 @@
         self, exchange: Exchange, server: str, outcome: Outcome
     ) -> web.StreamResponse | None:
         """Return the final response, or None if the request is sent again."""
-        self._metrics.attempts_by_outcome[exchange.service, outcome.name] += 1
         if outcome.name == "ok":
+            self._metrics.attempts_by_outcome[exchange.service, outcome.name] += 1
             exchange.set_cause(EndCause.COMPLETED)
             self._record_times(exchange)
             self._log_end(exchange, "ok", _response_status(outcome), server)
             return outcome.response
-        log_event(
-            "attempt_ended",
-            request_id=exchange.request.request_id,
-            server=server,
-            outcome=outcome.name,
-            detail=outcome.detail,
-            runs=exchange.runs,
-            last_event=exchange.splitter.last_id,
-            run_events=exchange.run_events,
-            identity=exchange.request.identity,
-            shared_parts=",".join(exchange.request.shared_parts[:MAX_LOGGED_PARTS]),
-            since_ms=int((boot_time() - exchange.started_at) * 1e3),
-            **exchange.describe_choice(),
-        )
+        self._record_attempt(exchange, server, outcome)
         if outcome.name == "withdrawn":
             refusal = Refusal(Reason.INVALID_KEY, detail=outcome.detail)
             return self._finish_refusal(exchange, refusal)
-        if outcome.name == "moved":
-            exchange.excluded.add(server)
-            return None
         if outcome.name == "withheld":
             if self._stops_before_response(exchange):
                 return self._refuse_stopping(exchange)
@@ -738,6 +773,34 @@
         self._log_end(exchange, "outcome_unknown", 502, outcome.detail)
         return self._error_response(502, "the backend server's answer was lost")
 
+    def _record_attempt(
+        self,
+        exchange: Exchange,
+        server: str,
+        outcome: Outcome,
+        is_offer: bool = False,
+    ) -> None:
+        """Count and log a send without a complete response.
+
+        An offer is one to another server while the stream's own one still has it.
+        """
+        self._metrics.attempts_by_outcome[exchange.service, outcome.name] += 1
+        log_event(
+            "attempt_ended",
+            request_id=exchange.request.request_id,
+            server=server,
+            outcome=outcome.name,
+            detail=outcome.detail,
+            is_offer=is_offer,
+            runs=exchange.runs,
+            last_event=exchange.splitter.last_id,
+            run_events=exchange.run_events,
+            identity=exchange.request.identity,
+            shared_parts=",".join(exchange.request.shared_parts[:MAX_LOGGED_PARTS]),
+            since_ms=int((boot_time() - exchange.started_at) * 1e3),
+            **exchange.describe_choice(),
+        )
+
     async def _wait_for_retry(self, budget: RetryBudget, rejected_sends: int) -> None:
         """Wait for a retry of the budget for a rejected request, and take it.
 
@@ -766,63 +829,47 @@
     # A single send
 
     async def _send(self, exchange: Exchange, place: GatewayPlace) -> Outcome:
-        request = exchange.request
-        left_s = exchange.deadline - boot_time()
-        if left_s <= 0.0:
+        """Send a request, or go on with an offer that its server has not refused."""
+        if exchange.deadline <= boot_time():
             raise TimeoutError
-        resume_after = -1
-        if exchange.route.is_stream and exchange.route.repeat is not RepeatPolicy.NEVER:
-            resume_after = exchange.splitter.last_id
-        attempt = Attempt(
-            place.server,
-            exchange.organisation.name if exchange.organisation else "",
-            place.version if request.adapter else 0,
-            left_s,
-            resume_after,
-        )
-        headers = self._dialect.attempt_headers(request, attempt)
-        url = URL(f"http://{place.address}{request.target}", encoded=True)
-        exchange.sends += 1
-        exchange.runs += 1
         exchange.run_events = 0
-        client = SingleSendClient()
-        sent_at = exchange.sent_at = boot_time()
         entry = self._fleet.registry.find(place.server)
-        self._record_version(exchange, place, entry)
+        offer = exchange.move.take_offer() if exchange.move is not None else None
+        response: contextlib.AbstractAsyncContextManager[BackendResponse]
+        if offer is not None:
+            client = offer.client
+            sent_at = exchange.sent_at = offer.begun_at
+            response = offer.response()
+        else:
+            exchange.sends += 1
+            exchange.runs += 1
+            client = SingleSendClient()
+            sent_at = exchange.sent_at = boot_time()
+            self._record_version(exchange, place, entry)
+            check = functools.partial(self._check_send, exchange, place.server)
+            response = self._open_send(exchange, place, client, check)
         can_move = exchange.route.repeat is RepeatPolicy.RESUMABLE and (
             exchange.runs < exchange.route.max_attempts
         )
         try:
             async with (
                 watch_send(exchange.move if can_move else None, place.server),
-                client.request(
-                    request.method,
-                    url,
-                    headers,
-                    request.body,
-                    lambda: self._check_send(exchange, place.server),
-                ) as backend_response,
+                response as backend_response,
             ):
-                kind = self._dialect.classify(
-                    backend_response.status, backend_response.headers, request
-                )
-                notice = self._apply_notice(
-                    exchange, entry, backend_response, kind, sent_at
-                )
-                if kind is ResponseKind.NOT_RUN and notice.pause_text:
-                    exchange.runs -= 1
-                    return Outcome(
-                        "busy", detail="the backend server asked for a pause"
-                    )
-                return await self._receive(exchange, backend_response, kind)
-        except WithheldError as error:
-            exchange.runs -= 1
-            return Outcome("withheld", detail=str(error))
-        except NotSentError as error:
-            exchange.runs -= 1
-            return Outcome("unreachable", detail=str(error))
-        except BrokenResponseError as error:
-            return Outcome("broken", detail=str(error), is_cut=error.is_cut)
+                if offer is not None:
+                    refused = offer.outcome
+                else:
+                    refused = self._judge(exchange, entry, backend_response, sent_at)
+                # The body of a failure may be the caller's response.
+                if refused is not None and refused.name != "failed":
+                    if refused.is_rejected:
+                        exchange.runs -= 1
+                    return refused
+                return await self._receive(exchange, backend_response)
+        except (NotSentError, BrokenResponseError) as error:
+            if isinstance(error, NotSentError) and offer is None:
+                exchange.runs -= 1
+            return Outcome.from_error(error)
         except MovedError:
             # The server may have crashed in the moment of the move, which then comes
             # before the error of the connection.
@@ -830,6 +877,29 @@
         finally:
             exchange.send_ended_at = boot_time()
 
+    def _open_send(
+        self,
+        exchange: Exchange,
+        place: GatewayPlace,
+        client: SingleSendClient,
+        before_send: Callable[[], None],
+    ) -> contextlib.AbstractAsyncContextManager[BackendResponse]:
+        """Return the context of a send to the server of a place."""
+        request = exchange.request
+        resume_after = -1
+        if exchange.route.is_stream and exchange.route.repeat is not RepeatPolicy.NEVER:
+            resume_after = exchange.splitter.last_id
+        attempt = Attempt(
+            place.server,
+            exchange.organisation.name if exchange.organisation else "",
+            place.version if request.adapter else 0,
+            exchange.deadline - boot_time(),
+            resume_after,
+        )
+        headers = self._dialect.attempt_headers(request, attempt)
+        url = URL(f"http://{place.address}{request.target}", encoded=True)
+        return client.request(request.method, url, headers, request.body, before_send)
+
     def _record_version(
         self, exchange: Exchange, place: GatewayPlace, entry: BackendEntry | None
     ) -> None:
@@ -877,6 +947,30 @@
             )
         return notice
 
+    def _judge(
+        self,
+        exchange: Exchange,
+        entry: BackendEntry | None,
+        backend_response: BackendResponse,
+        sent_at: float,
+    ) -> Outcome | None:
+        """Return why a server does not serve a request, by the head of its response."""
+        status = backend_response.status
+        kind = self._dialect.classify(
+            status, backend_response.headers, exchange.request
+        )
+        notice = self._apply_notice(exchange, entry, backend_response, kind, sent_at)
+        if kind is ResponseKind.NOT_RUN and notice.pause_text:
+            return Outcome("busy", detail="the backend server asked for a pause")
+        if kind in (ResponseKind.NOT_RUN, ResponseKind.WRONG_SERVER):
+            return Outcome("not_run", detail=kind.value)
+        if kind in (ResponseKind.WRONG_REQUEST, ResponseKind.UNSIGNED):
+            detail = f"response is {kind.value}, status {status}"
+            return Outcome("broken", detail=detail)
+        if kind is ResponseKind.FAILURE:
+            return Outcome("failed", detail=f"status {status}")
+        return None
+
     def _check_send(self, exchange: Exchange, server: str) -> None:
         """Raise an error unless a request may still be sent, once it is connected."""
         if self._stops_before_response(exchange):
@@ -893,14 +987,10 @@
         self,
         exchange: Exchange,
         backend_response: BackendResponse,
-        kind: ResponseKind,
     ) -> Outcome:
-        if kind in (ResponseKind.NOT_RUN, ResponseKind.WRONG_SERVER):
-            exchange.runs -= 1
-            return Outcome("not_run", detail=kind.value)
-        if kind in (ResponseKind.WRONG_REQUEST, ResponseKind.UNSIGNED):
-            detail = f"response is {kind.value}, status {backend_response.status}"
-            return Outcome("broken", detail=detail)
+        kind = self._dialect.classify(
+            backend_response.status, backend_response.headers, exchange.request
+        )
         if kind is ResponseKind.SUCCESS and exchange.route.is_stream:
             return await self._relay_stream(exchange, backend_response)
         body = await self._read_response(exchange, backend_response)
@@ -950,6 +1040,8 @@
         last_id = splitter.last_id
         while True:
             chunk = await backend_response.read_chunk()
+            if exchange.move is not None:
+                await exchange.move.wait_decided()
             if not chunk:
                 break
             if self._is_key_withdrawn(exchange):
@@ -958,21 +1050,22 @@
                 events = splitter.feed(chunk)
             except OversizedEventError as error:
                 return Outcome("broken", detail=str(error))
+            # Only new events count as progress, not keep-alive bytes.
+            has_progress = bool(events) and splitter.last_id != last_id
+            if has_progress and exchange.move is not None:
+                exchange.move.on_event(EVENT_GAP_TIMEOUT_S)
             if not events:
                 continue
             if exchange.stream is None:
                 await self._start_stream(exchange, backend_response)
             assert exchange.stream is not None
-            # Only new events count as progress, not keep-alive bytes.
-            if splitter.last_id != last_id:
+            if has_progress:
                 last_id = splitter.last_id
                 exchange.run_events += 1
                 if exchange.run_events == BEGUN_EVENTS and exchange.place is not None:
                     self._places.report_begun(
                         exchange.request, exchange.service, exchange.place
                     )
-                if exchange.move is not None:
-                    exchange.move.on_event(EVENT_GAP_TIMEOUT_S)
                 exchange.times.record_event(boot_time())
             with hold(exchange.move):
                 await exchange.stream.write(events)
@@ -1236,21 +1329,25 @@
         }
 
 
+def _has_begun(exchange: Exchange, outcome: Outcome) -> bool:
+    """Return whether the response of the last run has begun."""
+    if outcome.name == "ok" or exchange.run_events >= BEGUN_EVENTS:
+        return True
+    # A plain service that reports a failure has not crashed.
+    return not exchange.route.is_stream and outcome.name == "failed"
+
+
 def _run_end(
-    exchange: Exchange, outcome: Outcome, entry: BackendEntry | None
+    outcome: Outcome, has_begun: bool, entry: BackendEntry | None, sent_at: float
 ) -> RunEnd:
     """Return what a run shows about the suspects of its request.
 
     A server that was leaving may end its connections without a crash.
     """
-    has_begun = outcome.name == "ok" or exchange.run_events >= BEGUN_EVENTS
-    if not exchange.route.is_stream:
-        # A plain service that reports a failure has not crashed.
-        has_begun |= outcome.name == "failed"
     crashed = None
     if outcome.is_cut and not has_begun and entry is not None and not entry.is_leaving:
         crashed = ServerStart(entry.name, entry.born)
-    return RunEnd(outcome.name, has_begun, crashed, exchange.sent_at)
+    return RunEnd(outcome.name, has_begun, crashed, sent_at)
 
 
 def _drop_headers_with_secret(headers: CIMultiDict[str], secret: str) -> list[str]:
--- a/sequoiafall/stall_timeout.py
+++ b/sequoiafall/stall_timeout.py
@@ -53,9 +53,9 @@
         self._event_at = now
         self._due_at = now + timeout_s
 
-    def on_not_found(self, now: float) -> None:
-        """Record that there is no other server at present."""
-        self._due_at = now + LOOK_AGAIN_S
+    def on_not_found(self, now: float, delay_s: float = LOOK_AGAIN_S) -> None:
+        """Record that there is no other server for the next seconds."""
+        self._due_at = now + delay_s
 
     def due_s(self, now: float) -> float:
         """Return the seconds until another server should be looked for."""
--- a/sequoiafall/stream_move.py
+++ b/sequoiafall/stream_move.py
@@ -1,7 +1,8 @@
 """Moves streams without events to another engine that has a place for them.
 
-The stream stays at its engine until another one has a place: the engine may be sound
-and go on. Only then is the connection closed and the stream resumed elsewhere.
+The stream stays at its engine until another one has taken it: the engine may be sound
+and go on, and the other one may refuse it. Only then is the connection closed and the
+stream resumed elsewhere.
 """
 
 from __future__ import annotations
@@ -15,8 +16,10 @@
 from .place_source import GatewayPlace, PendingPlacement, PlaceSource
 from .refusal import Reason, Refusal
 from .retry import RetryBudget, back_off_s
+from .send_outcome import Outcome
 from .server_notices import ServerNotices
 from .stall_timeout import FIRST_EVENT_TIMEOUT_S, LOOK_AGAIN_S, StallClock
+from .stream_offer import StreamOffer
 from .trial_admission import RunEnd
 
 # Longest delay before the next look for a server of a stream that has none. It
@@ -27,7 +30,7 @@
 
 
 class MovedError(Exception):
-    """Another engine has a place for the stream, which is resumed there."""
+    """Another engine has the stream, which goes on there."""
 
 
 class StreamMove:
@@ -48,6 +51,10 @@
         stream that cannot be refused any more.
     may_leave_server : callable
         Returns whether the stream may leave a server that may be sound.
+    begin_offer : callable
+        Begins to send the stream to the server of a place.
+    on_refused : callable
+        Called when a server does not take the stream, with the outcome of the send.
 
     Attributes
     ----------
@@ -56,8 +63,10 @@
     """
 
     __slots__ = (
+        "_begin_offer",
         "_budget",
         "_clock",
+        "_decision",
         "_excluded",
         "_found",
         "_has_retry",
@@ -66,8 +75,11 @@
         "_logged_refusals",
         "_may_leave_server",
         "_notices",
+        "_offer",
+        "_on_refused",
         "_pending",
         "_places",
+        "_refused_offers",
         "_scope",
         "_search",
         "_server",
@@ -83,8 +95,12 @@
         budget: RetryBudget,
         excluded: set[str],
         may_leave_server: Callable[[], bool],
+        begin_offer: Callable[[GatewayPlace], StreamOffer],
+        on_refused: Callable[[StreamOffer, Outcome], None],
     ) -> None:
         self._may_leave_server = may_leave_server
+        self._begin_offer = begin_offer
+        self._on_refused = on_refused
         self._pending = pending
         self._places = places
         self._notices = notices
@@ -98,6 +114,10 @@
         # Whether the stream still has no events since the search began.
         self._is_wanted = False
         self._found: GatewayPlace | None = None
+        # The send to the place that was found, until it is refused or taken over.
+        self._offer: StreamOffer | None = None
+        self._decision: asyncio.Task[None] | None = None
+        self._refused_offers = 0
         # Whether a retry was taken for a move that has not happened yet.
         self._has_retry = False
         self._is_closed = False
@@ -117,6 +137,10 @@
         """
         refusals = 0
         while True:
+            if self._decision is not None:
+                # The next send takes the offer over.
+                self._decision.cancel()
+                self._decision = None
             if self._search is not None:
                 await asyncio.wait({self._search})
             place, self._found = self._found, None
@@ -135,6 +159,24 @@
             pause_s = back_off_s(LOOK_AGAIN_S, refusals, MAX_LOOK_AGAIN_S)
             await asyncio.sleep(pause_s)
 
+    def take_offer(self) -> StreamOffer | None:
+        """Return the send to the place that `take` returned, if it has begun."""
+        offer, self._offer = self._offer, None
+        return offer
+
+    async def wait_taken(self) -> bool:
+        """Return whether another server takes the stream that its own one has ended.
+
+        It waits for the response if the stream was sent there.
+        """
+        await self.wait_decided()
+        if self._offer is None or not self._offer.is_sent:
+            self._give_back_retry()
+            return False
+        self._has_retry = False
+        self.has_moved = True
+        return True
+
     def close(self) -> None:
         """Stop to look for a place, and release one that is not used."""
         self._is_closed = True
@@ -145,7 +187,7 @@
 
     @contextlib.asynccontextmanager
     async def watch(self, server: str, timeout_s: float) -> AsyncIterator[None]:
-        """Run a send to a server until another one has a place for its stream.
+        """Run a send to a server until another one has taken its stream.
 
         Parameters
         ----------
@@ -157,7 +199,8 @@
         Raises
         ------
         MovedError
-            If another server has a place; `take` returns it.
+            If another server has the stream; `take` and `take_offer` return its
+            place and the send.
         """
         self._server = server
         self._clock = StallClock(boot_time(), timeout_s)
@@ -181,10 +224,30 @@
         finally:
             self._scope = None
             self._stop_timer()
-            self._give_back_retry()
+            if self._offer is None:
+                self._give_back_retry()
+
+    async def wait_decided(self) -> None:
+        """Wait until a server that was sent the stream has taken or refused it.
+
+        What its own server sends meanwhile is not passed on: the other one goes on
+        behind the last event that was. If it takes the stream, the context of the send
+        ends.
+        """
+        while self._offer is not None and self._offer.is_sent:
+            if self._decision is None or self._decision.done():
+                if self._decision is not None:
+                    self._decision.result()
+                if self._scope is not None:
+                    await asyncio.get_running_loop().create_future()
+                return
+            await asyncio.wait({self._decision})
 
     def on_event(self, timeout_s: float) -> None:
-        """Record new events of the stream, and the seconds until the next are due."""
+        """Record new events of the stream, and the seconds until the next are due.
+
+        Nothing may be awaited between `wait_decided` and this.
+        """
         if self._scope is None:
             return
         self._clock.on_event(boot_time(), timeout_s)
@@ -220,7 +283,7 @@
 
     def _on_timer(self) -> None:
         self._timer = None
-        if self._clock.is_held:
+        if self._clock.is_held or self._offer is not None:
             return
         if self._clock.due_s(boot_time()) > 0.0:
             self._schedule()
@@ -250,7 +313,10 @@
             if self._is_closed or (self._scope is not None and not self._may_move()):
                 self._release_found()
             elif self._scope is not None:
-                self._scope.reschedule(asyncio.get_running_loop().time())
+                self._offer = self._begin_offer(reply)
+                self._decision = asyncio.get_running_loop().create_task(
+                    self._decide(self._offer)
+                )
                 return
         elif self._is_wanted:
             self._log_refusal(reply)
@@ -263,6 +329,28 @@
         if not self._clock.is_held:
             self._schedule()
 
+    async def _decide(self, offer: StreamOffer) -> None:
+        """Leave the server once another one has taken the stream."""
+        outcome = await offer.decide()
+        if outcome is None:
+            if self._scope is not None:
+                self._scope.reschedule(asyncio.get_running_loop().time())
+            return
+        self._offer = self._found = None
+        offer.close()
+        if offer.is_sent:
+            self._has_retry = False
+        else:
+            self._give_back_retry()
+        self._on_refused(offer, outcome)
+        self._refused_offers += 1
+        if self._scope is None:
+            return
+        delay_s = back_off_s(LOOK_AGAIN_S, self._refused_offers, MAX_LOOK_AGAIN_S)
+        self._clock.on_not_found(boot_time(), delay_s)
+        if not self._clock.is_held:
+            self._schedule()
+
     def _may_move(self) -> bool:
         """Take the retry of a move, unless it is not wanted or there is none."""
         if self._is_wanted and not self._clock.is_held and self._may_leave_server():
@@ -283,15 +371,24 @@
         if self._found is not None:
             if self._scope is not None:
                 self._scope.reschedule(None)
-            self._give_back_retry()
+            if self._offer is None or not self._offer.is_sent:
+                self._give_back_retry()
             self._release_found()
         if self._search is not None and self._is_wanted:
             self._places.withdraw(self._pending)
         self._is_wanted = False
 
     def _release_found(self) -> None:
+        run = RunEnd("unused")
+        if self._offer is not None:
+            if self._decision is not None:
+                self._decision.cancel()
+            self._offer.close()
+            if self._offer.is_sent:
+                run = RunEnd("cancelled", sent_at=self._offer.sent_at)
+            self._offer = self._decision = None
         if self._found is not None:
-            self._places.end(self._pending, self._found, RunEnd("unused"))
+            self._places.end(self._pending, self._found, run)
             self._found = None
 
     def _log_refusal(self, refusal: Refusal) -> None:
--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -7,7 +7,7 @@
 import aiohttp
 from parameterized import parameterized
 
-from sequoiafall import forwarding
+from sequoiafall import forwarding, stream_offer
 from sequoiafall.boot_clock import boot_time
 from sequoiafall.engine_client import _broken_response, _StrictProtocol
 from sequoiafall.engine_pool import EngineCondition
@@ -16,6 +16,7 @@
 from sequoiafall.platform import names
 from sequoiafall.refusal import Reason
 from sequoiafall.run_id import caller_request_id
+from sequoiafall.standins.adapter_engine import AdapterEngine
 from sequoiafall.stream_move import StreamMove
 from sequoiafall.wire.gen import ttypes
 
@@ -120,6 +121,18 @@
         async with response:
             return response.status, event_ids(received + await response.read())
 
+    def respond_late(self, engine):
+        """Let an engine fall silent when it has the next request."""
+        record_call = AdapterEngine._record_call
+
+        def record(recorded, kind):
+            record_call(recorded, kind)
+            if recorded is engine and kind == "request":
+                engine.fall_silent(LONG_SILENCE_S)
+
+        self.enterContext(patch.object(AdapterEngine, "_record_call", record))
+        self.enterContext(patch.object(stream_offer, "MAX_OVERLAP_S", LONG_SILENCE_S))
+
     def silence(self, engine, seconds):
         """Let an engine that pauses be silent, and then go on."""
         engine.fall_silent(seconds)
@@ -299,6 +312,71 @@
         self.assertEqual(result, (200, [1, 2, 3, 4, 5]))
         self.assertEqual((present.runs["r"], other.runs["r"]), (1, 1))
 
+    @parameterized.expand([("full", "shed_next"), ("failing", "fail_next")])
+    async def test_stream_that_another_engine_refuses(self, _name, refusal):
+        """Guards against streams that leave a sound engine before another takes them.
+
+        The process might stop meanwhile, and no engine would work on the stream.
+        """
+        node = await self.start()
+        call, received, present, other = await self.begin(node)
+        setattr(other, refusal, 1000)
+        present.fall_silent(SILENCE_S + 0.4)
+        present.resume_event.set()
+        await until(lambda: other.received_request_ids.count("r"))
+        self.assertEqual((present.running, other.running), (1, 0))
+        result = await self.finish(call, received)
+        self.assertEqual(result, (200, [1, 2, 3, 4, 5]))
+        self.assertEqual(present.runs["r"], 1)
+        self.assertEqual(node.fleet.places_by_request_and_server, {})
+
+    async def test_stream_whose_engine_goes_on_while_another_one_refuses(self):
+        """Guards against events that are lost or repeated beside a refused move."""
+        node = await self.start()
+        call, received, present, other = await self.begin(node)
+        self.respond_late(other)
+        other.shed_next = 1000
+        present.fall_silent(30.0)
+        present.resume_event.set()
+        await until(lambda: other.received_request_ids.count("r"))
+        present.end_silence()
+        await until(lambda: not present.running)
+        other.end_silence()
+        result = await self.finish(call, received)
+        self.assertEqual(result, (200, [1, 2, 3, 4, 5]))
+        self.assertEqual((present.runs["r"], other.runs["r"]), (1, 0))
+
+    async def test_engine_that_breaks_off_while_another_one_has_the_stream(self):
+        """Guards against a stream that is given up, or sent to a third engine."""
+        node = await self.start()
+        call, received, present, other = await self.begin(node)
+        self.respond_late(other)
+        present.fall_silent(30.0)
+        present.resume_event.set()
+        await until(lambda: other.received_request_ids.count("r"))
+        present.reset_connections()
+        await until(lambda: not present.running)
+        other.end_silence()
+        other.resume_event.set()
+        result = await self.finish(call, received)
+        self.assertEqual(result, (200, [1, 2, 3, 4, 5]))
+        self.assertEqual((present.runs["r"], other.runs["r"]), (1, 1))
+
+    async def test_caller_that_leaves_while_two_engines_have_its_stream(self):
+        """Guards against engines that work on for a caller that has left."""
+        node = await self.start()
+        call, _, present, other = await self.begin(node)
+        self.respond_late(other)
+        present.fall_silent(30.0)
+        present.resume_event.set()
+        await until(lambda: other.received_request_ids.count("r"))
+        (await call).close()
+        await until(lambda: not node.forwarder.open_requests)
+        for engine in (present, other):
+            engine.end_silence()
+        await until(lambda: not present.running and not other.running)
+        self.assertEqual(node.fleet.places_by_request_and_server, {})
+
     async def test_stream_moves_without_a_leader(self):
         """The instance itself finds another engine that holds the adapter."""
         node = await self.start()
--- a/tests/test_stop_ends.py
+++ b/tests/test_stop_ends.py
@@ -96,8 +96,8 @@
         await asyncio.sleep(0.1)
         return first, call
 
-    async def begin_moved_stream(self, node):
-        """Begin a stream that is moved from a sound engine to one that refuses it."""
+    async def begin_refused_move(self, node):
+        """Begin a stream that a second engine refuses while its own one is silent."""
         first, call = await self.begin_stream(node)
         for name in ("e1", "e2"):
             self.engines[name].shed_next = 1000
@@ -121,7 +121,7 @@
         No server works on the stream when the process ends it.
         """
         await self.start_others(2)
-        _, call = await self.begin_moved_stream(self.nodes[1])
+        _, call = await self.begin_refused_move(self.nodes[1])
         stopping = self.begin_stop(self.nodes[1], 2.0)
         status = await self.status_of(call)
         await stopping
@@ -159,7 +159,10 @@
         """
         await self.start_others(2)
         node = self.nodes[1]
-        _, call = await self.begin_moved_stream(node)
+        first, call = await self.begin_refused_move(node)
+        node.forwarder._retry_budget("assist")._saved = 1.0
+        first.reset_connections()
+        await until(lambda: any("outcome=broken" in row for row in self.lines))
         # Other requests used the retries up.
         node.forwarder._retry_budget("assist")._saved = 0.0
         stopping = self.begin_stop(node, 6.0)
--- a/tests/test_stream_move.py
+++ b/tests/test_stream_move.py
@@ -13,6 +13,7 @@
 from sequoiafall.place_source import GatewayPlace
 from sequoiafall.refusal import Reason, Refusal
 from sequoiafall.retry import RetryBudget
+from sequoiafall.send_outcome import Outcome
 from sequoiafall.stall_timeout import LOOK_AGAIN_S, StallClock
 from sequoiafall.stream_move import MAX_LOGGED_REFUSALS, MovedError, StreamMove
 
@@ -52,6 +53,35 @@
         self.ended.append((place.server, run.outcome))
 
 
+class ScriptedOffer:
+    """Offer that a test sends, and that the other server takes or refuses."""
+
+    def __init__(self, place):
+        self.place = place
+        self.sent_at = 0.0
+        self.is_closed = False
+        self.is_decided = asyncio.Event()
+        self.outcome = None
+
+    @property
+    def is_sent(self):
+        return self.sent_at > 0.0
+
+    async def decide(self):
+        """Return the outcome that the test has set."""
+        await self.is_decided.wait()
+        return self.outcome
+
+    def answer(self, outcome=None):
+        """Send the stream and let the server take it, or refuse it."""
+        self.sent_at = self.sent_at or 1.0
+        self.outcome = outcome
+        self.is_decided.set()
+
+    def close(self):
+        self.is_closed = True
+
+
 class StallClockTest(unittest.TestCase):
     """Another server is looked for only when events are overdue."""
 
@@ -86,6 +116,10 @@
         self.excluded = {"e9"}
         request = SimpleNamespace(request_id="r1")
         self.may_leave = True
+        self.offers = []
+        self.refused = []
+        # Whether servers take what they are offered at once.
+        self.are_taken = True
         self.move = StreamMove(
             SimpleNamespace(request=request),
             self.places,
@@ -93,10 +127,18 @@
             self.budget,
             self.excluded,
             lambda: self.may_leave,
+            self.begin_offer,
+            lambda offer, outcome: self.refused.append((offer, outcome.name)),
         )
         self.can_end = asyncio.Event()
         self.enterContext(patch.object(stream_move, "LOOK_AGAIN_S", 0.0))
 
+    def begin_offer(self, place):
+        self.offers.append(ScriptedOffer(place))
+        if self.are_taken:
+            self.offers[-1].answer()
+        return self.offers[-1]
+
     async def send(self, timeout_s=0.0):
         async with self.move.watch("e1", timeout_s):
             await self.can_end.wait()
@@ -164,6 +206,7 @@
 
     async def test_event_between_the_grant_and_the_move(self):
         """The stream goes on, and its unused place is released."""
+        self.are_taken = False
         send = await self.start()
         self.places.answer(PLACE)
         for _ in range(100):
@@ -205,6 +248,8 @@
             self.budget,
             set(),
             lambda: True,
+            self.begin_offer,
+            lambda _offer, _outcome: None,
         )
         async with other.watch("e1", 0.0):
             other._on_timer()
@@ -233,6 +278,147 @@
         self.assertEqual(self.budget.retries, 0)
         await self.finish(send)
 
+    async def offer(self):
+        """Begin a send whose stream is offered to another server; return both."""
+        self.are_taken = False
+        send = await self.start()
+        self.places.answer(PLACE)
+        await until(lambda: self.offers)
+        return send, self.offers[0]
+
+    @parameterized.expand([("not_run",), ("failed",), ("broken",)])
+    async def test_server_keeps_a_stream_that_another_one_refuses(self, name):
+        """Guards against streams that leave a sound server for one that refuses."""
+        send, offer = await self.offer()
+        offer.answer(Outcome(name))
+        await until(lambda: self.refused)
+        self.assertFalse(send.done())
+        self.assertIsNotNone(self.move._timer)
+        self.assertEqual(self.refused, [(offer, name)])
+        self.assertTrue(offer.is_closed)
+        # The server of the offer had the request, so the retry is not given back.
+        self.assertEqual(self.budget.retries, 1)
+        # The forwarder ends the place.
+        self.assertEqual(self.places.ended, [])
+        self.assertFalse(self.move.has_moved)
+        await self.finish(send)
+
+    async def test_refused_offers_are_repeated_ever_less_often(self):
+        self.budget = self.move._budget = RetryBudget(random.Random(1), reserve=9.0)
+        self.enterContext(patch.object(stream_move, "LOOK_AGAIN_S", LOOK_AGAIN_S))
+        delays_s = []
+        on_not_found = StallClock.on_not_found
+
+        def record(clock, now, delay_s=LOOK_AGAIN_S):
+            delays_s.append(delay_s)
+            on_not_found(clock, now, 0.0)
+
+        with patch.object(StallClock, "on_not_found", record):
+            send, _ = await self.offer()
+            for number in range(1, 5):
+                self.offers[-1].answer(Outcome("not_run"))
+                await until(
+                    lambda wanted=number: len(self.places.requests) == wanted + 1
+                )
+                self.places.answer(PLACE)
+                await until(lambda wanted=number: len(self.offers) == wanted + 1)
+        self.assertEqual(delays_s, [0.25, 0.5, 1.0, 1.0])
+        self.offers[-1].answer()
+        with self.assertRaises(MovedError):
+            await send
+
+    async def test_stream_stays_while_the_offer_is_open(self):
+        send, offer = await self.offer()
+        offer.sent_at = 1.0
+        for _ in range(5):
+            self.move._on_timer()
+            await asyncio.sleep(0)
+        self.assertFalse(send.done())
+        self.assertEqual(len(self.places.requests), 1)
+        offer.answer()
+        with self.assertRaises(MovedError):
+            await send
+        self.assertEqual(await self.move.take(True), PLACE)
+        self.assertIs(self.move.take_offer(), offer)
+        self.assertIsNone(self.move.take_offer())
+        self.move.close()
+        self.assertFalse(offer.is_closed)
+
+    async def test_events_wait_while_another_server_has_the_stream(self):
+        """Guards against events that both servers send.
+
+        The other one goes on behind the last event before the offer.
+        """
+        send, offer = await self.offer()
+        offer.sent_at = 1.0
+        waiting = asyncio.create_task(self.move.wait_decided())
+        await asyncio.sleep(0)
+        self.assertFalse(waiting.done())
+        offer.answer(Outcome("not_run"))
+        await waiting
+        self.move.on_event(60.0)
+        await self.finish(send)
+
+    async def test_events_of_a_stream_that_another_server_takes(self):
+        async def send():
+            async with self.move.watch("e1", 0.0):
+                await until(lambda: self.offers and self.offers[0].is_sent)
+                await self.move.wait_decided()
+                self.move.on_event(60.0)
+
+        task = asyncio.create_task(send())
+        await until(lambda: self.places.requests)
+        self.places.answer(PLACE)
+        with self.assertRaises(MovedError):
+            await task
+        self.assertFalse(self.offers[0].is_closed)
+
+    async def test_events_do_not_wait_for_a_stream_that_is_not_sent(self):
+        send, offer = await self.offer()
+        await self.move.wait_decided()
+        self.move.on_event(60.0)
+        self.assertTrue(offer.is_closed)
+        self.assertEqual(self.places.ended, [("e2", "unused")])
+        self.assertEqual(self.budget.retries, 0)
+        await self.finish(send)
+
+    @parameterized.expand([("takes", None, True), ("refuses", "not_run", False)])
+    async def test_server_that_ends_during_an_offer(self, _name, outcome, is_taken):
+        """Guards against a third send while the other server has the stream."""
+        send, offer = await self.offer()
+        offer.sent_at = 1.0
+        await self.finish(send)
+        waiting = asyncio.create_task(self.move.wait_taken())
+        await asyncio.sleep(0)
+        self.assertFalse(waiting.done())
+        offer.answer(Outcome(outcome) if outcome else None)
+        self.assertEqual(await waiting, is_taken)
+        self.assertEqual(self.move.has_moved, is_taken)
+        self.assertEqual(self.budget.retries, 1)
+        if is_taken:
+            self.assertEqual(await self.move.take(True), PLACE)
+            self.assertIs(self.move.take_offer(), offer)
+
+    async def test_server_that_ends_before_the_offer_is_sent(self):
+        """The send elsewhere takes the place of a retry, whose budget pays for it."""
+        send, offer = await self.offer()
+        await self.finish(send)
+        self.assertFalse(await self.move.wait_taken())
+        self.assertEqual(self.budget.retries, 0)
+        self.assertEqual(await self.move.take(True), PLACE)
+        self.assertIs(self.move.take_offer(), offer)
+        self.assertFalse(offer.is_closed)
+
+    async def test_request_that_ends_during_an_offer(self):
+        """Guards against a server that goes on after the caller has left."""
+        send, offer = await self.offer()
+        offer.sent_at = 1.0
+        send.cancel()
+        await asyncio.wait({send})
+        self.move.close()
+        self.assertTrue(offer.is_closed)
+        self.assertEqual(self.places.ended, [("e2", "cancelled")])
+
     async def test_nothing_is_requested_without_a_retry(self):
         self.budget.try_retry()
         send = asyncio.create_task(self.send())
@@ -260,6 +446,8 @@
             self.budget,
             set(),
             lambda: True,
+            self.begin_offer,
+            lambda _offer, _outcome: None,
         )
         send = await self.start()
 
@@ -282,6 +470,7 @@
 
     @parameterized.expand([("goes on", True), ("ends", False)])
     async def test_retry_of_an_unused_place_is_returned(self, _name, goes_on):
+        self.are_taken = False
         send = await self.start()
         self.places.answer(PLACE)
         for _ in range(100):
