Make no offer that outlives the send that it was made beside

Cause: an offer that was not sent yet when the own server broke off stayed open, and was sent while the next step was chosen. It counted as a run then, so no run was left for the retry, and the request was given up.

Change: such an offer is dropped; its place is that of the next send.

--- a/sequoiafall/stream_move.py
+++ b/sequoiafall/stream_move.py
@@ -137,10 +137,6 @@
         """
         refusals = 0
         while True:
-            if self._decision is not None:
-                # The next send takes the offer over.
-                self._decision.cancel()
-                self._decision = None
             if self._search is not None:
                 await asyncio.wait({self._search})
             place, self._found = self._found, None
@@ -160,17 +156,20 @@
             await asyncio.sleep(pause_s)
 
     def take_offer(self) -> StreamOffer | None:
-        """Return the send to the place that `take` returned, if it has begun."""
+        """Return the send to the place that `take` returned, if it was made."""
         offer, self._offer = self._offer, None
+        self._decision = None
         return offer
 
     async def wait_taken(self) -> bool:
         """Return whether another server takes the stream that its own one has ended.
 
-        It waits for the response if the stream was sent there.
+        It waits for the response if the stream was sent there. Otherwise the place is
+        that of the next send, if there is one.
         """
         await self.wait_decided()
         if self._offer is None or not self._offer.is_sent:
+            self._drop_offer()
             self._give_back_retry()
             return False
         self._has_retry = False
@@ -380,17 +379,21 @@
 
     def _release_found(self) -> None:
         run = RunEnd("unused")
-        if self._offer is not None:
-            if self._decision is not None:
-                self._decision.cancel()
-            self._offer.close()
-            if self._offer.is_sent:
-                run = RunEnd("cancelled", sent_at=self._offer.sent_at)
-            self._offer = self._decision = None
+        if self._offer is not None and self._offer.is_sent:
+            run = RunEnd("cancelled", sent_at=self._offer.sent_at)
+        self._drop_offer()
         if self._found is not None:
             self._places.end(self._pending, self._found, run)
             self._found = None
 
+    def _drop_offer(self) -> None:
+        """End the send to the place that was found, if it has begun."""
+        if self._decision is not None:
+            self._decision.cancel()
+        if self._offer is not None:
+            self._offer.close()
+        self._offer = self._decision = None
+
     def _log_refusal(self, refusal: Refusal) -> None:
         self._logged_refusals += 1
         if self._logged_refusals > MAX_LOGGED_REFUSALS:
