--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -121,6 +121,13 @@
         async with response:
             return response.status, event_ids(received + await response.read())
 
+    async def offer(self, present, other):
+        """Silence an engine, and another one when it gets the stream."""
+        self.respond_late(other)
+        present.fall_silent(LONG_SILENCE_S)
+        present.resume_event.set()
+        await until(lambda: other.received_request_ids.count("r"))
+
     def respond_late(self, engine):
         """Let an engine fall silent when it has the next request."""
         record_call = AdapterEngine._record_call
@@ -334,11 +341,8 @@
         """Guards against events that are lost or repeated beside a refused move."""
         node = await self.start()
         call, received, present, other = await self.begin(node)
-        self.respond_late(other)
         other.shed_next = 1000
-        present.fall_silent(30.0)
-        present.resume_event.set()
-        await until(lambda: other.received_request_ids.count("r"))
+        await self.offer(present, other)
         present.end_silence()
         await until(lambda: not present.running)
         other.end_silence()
@@ -350,10 +354,7 @@
         """Guards against a stream that is given up, or sent to a third engine."""
         node = await self.start()
         call, received, present, other = await self.begin(node)
-        self.respond_late(other)
-        present.fall_silent(30.0)
-        present.resume_event.set()
-        await until(lambda: other.received_request_ids.count("r"))
+        await self.offer(present, other)
         present.reset_connections()
         await until(lambda: not present.running)
         other.end_silence()
@@ -366,10 +367,7 @@
         """Guards against engines that work on for a caller that has left."""
         node = await self.start()
         call, _, present, other = await self.begin(node)
-        self.respond_late(other)
-        present.fall_silent(30.0)
-        present.resume_event.set()
-        await until(lambda: other.received_request_ids.count("r"))
+        await self.offer(present, other)
         (await call).close()
         await until(lambda: not node.forwarder.open_requests)
         for engine in (present, other):
