--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -474,7 +474,7 @@
             place,
             client,
             functools.partial(self._open_send, exchange, place, client),
-            functools.partial(self._judge, exchange, entry, sent_at=boot_time()),
+            functools.partial(self._check_head, exchange, entry, sent_at=boot_time()),
             on_sent,
         )
 
@@ -859,7 +859,9 @@
                 if offer is not None:
                     refused = offer.outcome
                 else:
-                    refused = self._judge(exchange, entry, backend_response, sent_at)
+                    refused = self._check_head(
+                        exchange, entry, backend_response, sent_at
+                    )
                 # The body of a failure may be the caller's response.
                 if refused is not None and refused.name != "failed":
                     if refused.is_rejected:
@@ -947,7 +949,7 @@
             )
         return notice
 
-    def _judge(
+    def _check_head(
         self,
         exchange: Exchange,
         entry: BackendEntry | None,
--- a/sequoiafall/stream_offer.py
+++ b/sequoiafall/stream_offer.py
@@ -38,7 +38,7 @@
     open_send : callable
         Returns the context of the send. Its argument is called right before the first
         byte is sent.
-    judge : callable
+    check_head : callable
         Returns why the engine does not take the stream, by the head of its response;
         None if it takes it.
     on_sent : callable
@@ -56,8 +56,8 @@
     """
 
     __slots__ = (
+        "_check_head",
         "_decided",
-        "_judge",
         "_on_sent",
         "_open_send",
         "_outcome",
@@ -75,7 +75,7 @@
         place: GatewayPlace,
         client: SingleSendClient,
         open_send: OpenSend,
-        judge: Callable[[BackendResponse], Outcome | None],
+        check_head: Callable[[BackendResponse], Outcome | None],
         on_sent: Callable[[], None],
     ) -> None:
         loop = asyncio.get_running_loop()
@@ -84,7 +84,7 @@
         self.begun_at = boot_time()
         self.sent_at = 0.0
         self._open_send = open_send
-        self._judge = judge
+        self._check_head = check_head
         self._on_sent = on_sent
         self._outcome: Outcome | None = None
         self._decided = asyncio.Event()
@@ -138,7 +138,7 @@
     async def _run(self) -> None:
         try:
             async with self._open_send(self._before_send) as response:
-                self._outcome = self._judge(response)
+                self._outcome = self._check_head(response)
                 self._response.set_result(response)
                 self._end_wait()
                 await asyncio.get_running_loop().create_future()
--- a/tests/test_stream_offer.py
+++ b/tests/test_stream_offer.py
@@ -42,7 +42,7 @@
         self.head = asyncio.get_running_loop().create_future()
         self.is_connected = asyncio.Event()
         self.offer = StreamOffer(
-            PLACE, SimpleNamespace(), self.open_send, self.judge, self.on_sent
+            PLACE, SimpleNamespace(), self.open_send, self.check_head, self.on_sent
         )
         self.addAsyncCleanup(self.end)
 
@@ -61,7 +61,7 @@
         finally:
             self.is_open = False
 
-    def judge(self, _response):
+    def check_head(self, _response):
         return self.refused
 
     def on_sent(self):
