--- a/review/lab3.py
+++ b/review/lab3.py
@@ -34,6 +34,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "desk.example"
 MODEL = "base"
+MAX_BODY_BYTES = 4_194_304
 START_TIMEOUT_S = 30.0
 CASE_TIMEOUT_S = 105.0
 # Exit codes of a script.
@@ -67,6 +68,12 @@
         super().__init__(name, model, slots)
         self.lab = lab
 
+    def application(self) -> web.Application:
+        """Return the web application, which takes bodies of any size."""
+        application = super().application()
+        application._client_max_size = 2 * MAX_BODY_BYTES
+        return application
+
     async def _on_request(self, request: web.Request) -> web.StreamResponse:
         request_id = request.headers.get(names.REQUEST_ID, "")
         arrival = Arrival(time.monotonic(), self.name, request_id)
@@ -486,7 +493,7 @@
         "services": services,
         "limits": {
             "max_header_bytes": 16384,
-            "max_body_bytes": 4194304,
+            "max_body_bytes": MAX_BODY_BYTES,
             "header_timeout_ms": 3000,
             "idle_timeout_ms": 15000,
         },
