Show that a leader that is cut off joins streams of two software versions (review case 11)

Cause: a leader takes the one version that it knows for the only one, however long it has not heard from the store. It lets streams go on there that began at a version which came since.

Change: case 11, a script; the stand-ins of the lab have a software version.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,9 +1,10 @@
-"""A leader that is cut off goes on to admit a tenant's whole rate."""
+"""A leader that is cut off joins events of two software versions in one stream."""
 
 from __future__ import annotations
 
 import asyncio
-import time
+import re
+import signal
 from pathlib import Path
 
 from review.lab3 import (
@@ -11,6 +12,7 @@
     COULD_NOT_RUN,
     HELD,
     MODEL,
+    Answer,
     Lab,
     configuration,
     engine_service,
@@ -21,103 +23,107 @@
 from sequoiafall.platform import names
 
 FOLDER = Path(__file__).resolve().parent
-# The tenant of the sheet's example.
-RATE_PER_S = 47_858
 KEY = "i9n73hh2b9wu3fexd9dn"
-PROMPT_TOKENS, OUTPUT_TOKENS = 1460, 80
-COST = PROMPT_TOKENS + OUTPUT_TOKENS
-# Its usual traffic is the rate divided by `quota_x` of the site file; a hot tenant
-# sends up to 7.5 times as much.
-DEMAND_PER_S = 7.5 * RATE_PER_S / 1.8 / COST
-# Bounds of the sheet.
-WINDOW_S, OVERAGE, SLACK = 8.0, 0.1, 17_000
-LIMIT = (RATE_PER_S * WINDOW_S + RATE_PER_S) * (1 + OVERAGE) + SLACK
-CALM_S, CUT_S, AFTER_S = 4.0, 12.0, 2.0
+STREAMS = 48
+# Events of a stream and the seconds between them, below the pause of the sheet.
+EVENTS, EVENT_INTERVAL_S = 30, 0.15
+DEADLINE_MS = 15_004
+# Bound of the rule.
+MOST_JOINED = 2
+# Time after the cut in which another leader is elected.
+ELECTION_S = 4.0
 
+_EVENT = re.compile(rb"id: (\d+)\ndata: piece \d+ of (\S+?) *\n\n")
 
-async def send(lab: Lab, node: int, until: float) -> None:
-    """Send the share of the tenant's requests that one node gets."""
-    calls: set[asyncio.Task[object]] = set()
+
+def events(answer: Answer) -> list[tuple[int, str]]:
+    """Return the identifiers and versions of the whole events of an answer."""
+    return [(int(row[1]), row[2].decode()) for row in _EVENT.finditer(answer.body)]
+
+
+async def take_part(lab: Lab, first_node: int, next_node: int) -> list[Answer]:
+    """Start a stream at one node and take it up at another one if it breaks off."""
     headers = {
         names.MODEL: MODEL,
-        names.TOKENS: f"{PROMPT_TOKENS},{OUTPUT_TOKENS}",
+        names.TOKENS: "1460,80",
         names.PROMPT_PARTS: "5c1e07a2:800,91bd3f06:410,e4402b7d:250",
     }
-    interval_s = lab.node_count / DEMAND_PER_S
-    at = time.monotonic()
-    while at < until:
-        await asyncio.sleep(max(0.0, at - time.monotonic()))
-        call = asyncio.create_task(lab.call(node, "/draft/x", KEY, headers))
-        calls.add(call)
-        call.add_done_callback(calls.discard)
-        at += interval_s
-    await asyncio.gather(*calls)
-
-
-def most_tokens(lab: Lab) -> tuple[float, float]:
-    """Return the largest use in a window, and when that window began."""
-    sent_at = {answer.request_id: answer.sent_at for answer in lab.answers}
-    runs = sorted(
-        (row.at, sent_at[row.request_id]) for row in lab.arrivals if row.has_run
+    first = await lab.call(
+        first_node, "/draft/x", KEY, headers, deadline_ms=DEADLINE_MS
     )
-    most, most_at = 0.0, 0.0
-    for _, begin in runs:
-        # Both sent and arrived in the window; each request counts once.
-        count = sum(begin <= sent and at <= begin + WINDOW_S for at, sent in runs)
-        if count * COST > most:
-            most, most_at = count * COST, begin
-    return most, most_at - lab.began_at
+    got = events(first)
+    if not got or got[-1][0] >= EVENTS:
+        return [first]
+    again = {
+        **headers,
+        names.LAST_EVENT: str(got[-1][0]),
+        names.RESUMES: first.request_id,
+    }
+    left_ms = DEADLINE_MS - int((first.ended_at - first.sent_at) * 1e3)
+    taken_up = await lab.call(next_node, "/draft/x", KEY, again, deadline_ms=left_ms)
+    return [first, taken_up]
 
 
 async def run(lab: Lab) -> int:
     """Run the case and return its exit code."""
     await lab.start_store()
-    for number in (1, 2, 3):
-        await lab.add_server(f"i-{number:08x}", "helper", MODEL)
-    tenant = {
-        "name": "hule930",
-        "api_keys": [KEY],
-        "priority": 1,
-        "unit": "tokens",
-        "plain_tokens": 200,
-        "rate_per_s": RATE_PER_S,
-        "burst": RATE_PER_S,
-    }
-    services = [engine_service("helper")]
+    for number in (1, 2):
+        server = await lab.add_server(f"i-{number:08x}", "helper", MODEL, "v1")
+        server.events_per_stream = EVENTS
+        server.event_interval_s = EVENT_INTERVAL_S
+    tenant = {"name": "hule930", "api_keys": [KEY], "priority": 1, "plain_tokens": 200}
+    routes = [route("draft", "helper", timeout_ms=15_000)]
     lab.store.put(
         names.CONFIGURATION_TABLE,
         names.CONFIGURATION_KEY,
-        configuration(7, [route("draft", "helper")], services, [tenant]),
+        configuration(7, routes, [engine_service("helper")], [tenant]),
     )
     await lab.start_nodes()
     await asyncio.sleep(3.0)
-    leader = lab.leader()
-    if not leader:
+    cut_off = lab.leader()
+    if not cut_off:
         return COULD_NOT_RUN
-    until = time.monotonic() + CALM_S + CUT_S + AFTER_S
-    senders = [
-        asyncio.create_task(send(lab, node, until))
-        for node in range(1, lab.node_count + 1)
-    ]
-    await asyncio.sleep(CALM_S)
     if has_trouble():
-        lab.note(f"node {leader}, which leads, is cut off")
-        lab.cut(leader)
-    await asyncio.sleep(CUT_S)
-    if has_trouble():
-        lab.heal(leader)
-        lab.note(f"node {leader} is back; the lease names node {lab.leader()}")
-    await asyncio.gather(*senders)
-    runs = sum(row.has_run for row in lab.arrivals)
-    most, at = most_tokens(lab)
+        lab.cut(cut_off)
+        lab.note(f"node {cut_off}, which leads, is cut off")
+    await asyncio.sleep(ELECTION_S)
+    leader = lab.leader()
+    lab.note(f"the lease names node {leader}")
+    for number in (3, 4):
+        server = await lab.add_server(f"i-{number:08x}", "helper", MODEL, "v2")
+        server.events_per_stream = EVENTS
+        server.event_interval_s = EVENT_INTERVAL_S
+    lab.note("servers of version v2 are announced")
+    await asyncio.sleep(1.5)
+    others = [node for node in range(1, lab.node_count + 1) if node != cut_off]
+    killed = next(node for node in others if node != leader)
+    (left,) = (node for node in others if node != killed)
+    clients = [
+        asyncio.create_task(take_part(lab, killed, (cut_off, left)[number % 2]))
+        for number in range(STREAMS)
+    ]
+    await asyncio.sleep(1.5)
+    lab.signal(killed, signal.SIGKILL)
+    streams = await asyncio.gather(*clients)
     lab.write_calls()
-    lab.note(f"{len(lab.answers)} requests sent, {runs} run")
-    lab.note(f"most tokens in {WINDOW_S:g} s: {most:.0f} from {at:.1f} s")
-    lab.note(f"limit: {LIMIT:.0f}")
-    print(f"{most:.0f} tokens in {WINDOW_S:g} s, the limit is {LIMIT:.0f}")
-    if runs == 0:
+    joined = 0
+    for answers in streams:
+        versions = [sorted({row[1] for row in events(answer)}) for answer in answers]
+        flat = {name for row in versions for name in row}
+        joined += len(flat) > 1
+        ids = " then ".join(
+            f"{answer.request_id} at node {answer.node} status {answer.status}"
+            f" versions {','.join(row) or '-'}"
+            for answer, row in zip(answers, versions, strict=True)
+        )
+        lab.note(f"stream {ids}")
+    taken_up = sum(len(answers) > 1 for answers in streams)
+    text = f"{STREAMS} streams, {taken_up} taken up, {joined} of two versions"
+    lab.note(text)
+    print(text)
+    if not taken_up:
         return COULD_NOT_RUN
-    return BROKEN if most > LIMIT else HELD
+    return BROKEN if joined > MOST_JOINED else HELD
 
 
 if __name__ == "__main__":
--- a/review/lab3.py
+++ b/review/lab3.py
@@ -197,10 +197,11 @@
                 await self.relays[name].start()
 
     async def add_server(
-        self, name: str, service: str, model: str = ""
+        self, name: str, service: str, model: str = "", software: str = ""
     ) -> RecordingServer:
-        """Start a backend server and announce it."""
+        """Start a backend server, with a software version, and announce it."""
         server = RecordingServer(self, name, model)
+        server.software = software
         self.servers.append(server)
         self.service_by_server[name] = service
         self.address_by_server[name] = await server.listen("127.0.0.1")
@@ -216,7 +217,7 @@
                 "service": self.service_by_server[server.name],
                 "address": self.address_by_server[server.name],
                 "zone": "kuldiga",
-                "version": "1",
+                "version": server.software or "v1",
                 "slots": 64,
                 "state": state,
                 "sequence": server.sequence,
