Let the review's scripts exit with 2 if they cannot run

Cause: an error of a script, or a missing library, ended it with 1, which means that the rule was broken.

--- a/review/lab3.py
+++ b/review/lab3.py
@@ -522,8 +522,10 @@
         try:
             async with asyncio.timeout(CASE_TIMEOUT_S):
                 return await run(lab)
-        except (RuntimeError, TimeoutError, OSError) as error:
+        except Exception as error:
+            # An error of the script must not be taken for a broken rule.
             lab.note(f"could not run: {error!r}")
+            print(f"could not run: {error!r}")
             return COULD_NOT_RUN
         finally:
             await lab.stop()
