Refuse streams of unknown origin at a leader that is cut off

Cause: with one known version the leader took it for the only one, without asking whether it would have heard of another one. `LeaseState.leads` holds without an end while the store does not answer.

`leader_standing` now tells what a leader may do by what it hears. The members of a term move out of `LeaderDuties` into `MemberRegister`, which counts those that are heard.

Evidence: the cut-off node logs `found=leader` for all joined streams.

FleetPollReply gains an optional field; the generated code was changed by hand.

--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -20,13 +20,15 @@
 from .catalog import Catalog
 from .crash_evidence import CrashEvidence
 from .evidence_exchange import EvidenceExchange
-from .fleet_leader import LeaderDuties, poll_interval_s
+from .fleet_leader import LeaderDuties
 from .fleet_tables import FEED_INTERVAL_S, FleetTables
 from .instrumented_store import InstrumentedRowStore
 from .leader_link import POLL_TIMEOUT_S, LeaderLink, ReleaseQueue, poll_pause_s
+from .leader_standing import NEWS_TTL_S, Standing, find_standing
 from .lease import RENEW_INTERVAL_S, LeaseStep
 from .lease_keeper import LeaseKeeper
 from .log import log_event, log_warning
+from .member_register import MemberRegister, poll_interval_s
 from .node_metrics import NodeMetrics
 from .node_settings import NodeSettings
 from .notice_exchange import NoticeExchange
@@ -62,9 +64,6 @@
 # A leader that stopped replying may reply again within this time, whether or not
 # the store is reachable.
 LEADER_RETURN_GRACE_S = 1.0
-# Without a leader, and without an answer of the store for this long, an instance may
-# not know of a software version that has come since.
-NEWS_TTL_S = 2.0
 # Streams placed without a leader that an instance tells a leader of which it has lost
 # no poll. A new leader hears of all.
 MAX_ORIGINS_ALONE = 1000
@@ -256,7 +255,7 @@
 
         Instances divide rate limits by it, so a part of the members does not count.
         """
-        own_count = len(self.duties.live_members()) if self.duties is not None else 0
+        own_count = len(self.duties.members.live()) if self.duties is not None else 0
         known = [row for row in self.members_by_instance.values() if not row.leaving]
         return max(own_count, len(known))
 
@@ -284,10 +283,21 @@
     @property
     def has_recent_news(self) -> bool:
         """Whether a new backend server would be known here by now."""
-        if self.has_leader:
+        if self.duties is not None:
+            return self._find_standing(self.duties.members).knows_servers
+        now = boot_time()
+        if self._link.knows_servers and now - self._link.last_reply_at < NEWS_TTL_S:
             return True
-        heard_at = max(self._store_reached_at, self._link.last_reply_at)
-        return boot_time() - heard_at < NEWS_TTL_S
+        return now - self._store_reached_at < NEWS_TTL_S
+
+    def _find_standing(self, members: MemberRegister) -> Standing:
+        """Return what this instance hears as the leader of these members."""
+        now = boot_time()
+        return find_standing(
+            now - self.tables.contact.seen_at,
+            members.heard_count(NEWS_TTL_S, now),
+            members.serving_count(now),
+        )
 
     def record_origin_alone(self, origin: StreamOrigin) -> None:
         """Record a stream that was placed without a leader, to tell the next one."""
@@ -300,7 +310,7 @@
 
     def ready_members(self) -> list[Any]:
         """Return the members that callers may use, including this instance."""
-        members = self.duties.live_members() if self.duties is not None else []
+        members = self.duties.members.live() if self.duties is not None else []
         if not members:
             members = self.members
         members = [row for row in members if row.ready]
@@ -449,8 +459,8 @@
             term=duties.term,
             revision=self.tables.mirror.revision,
             rows=self._rows_to_wire(rows),
-            members=duties.members_since(0 if is_first else poll.members_revision),
-            members_revision=duties.members_revision,
+            members=duties.members.since(0 if is_first else poll.members_revision),
+            members_revision=duties.members.revision,
             over_limit=duties.limits.over_limit(boot_time()),
             reaches_store=self.reaches_store and self.lease.state == "leading",
             newest_by_table=self.tables.mirror.newest_by_table(),
@@ -465,6 +475,7 @@
             software_by_service=self._versions_to_wire(),
             store_age_ms=_age_ms(self.tables.contact.seen_at),
             servers_age_ms=_age_ms(self.tables.contact.read_at),
+            knows_servers=self.has_recent_news,
         )
 
     def _versions_to_wire(self) -> dict[str, list[str]] | None:
@@ -781,6 +792,8 @@
         self._metrics.terms_begun += 1
         self.evidence_exchange.wake()
         self._stored_streams.on_term_began()
+        expected = [row.instance for row in self.members]
+        members = MemberRegister(self.settings.instance, expected, boot_time())
         self.duties = duties = LeaderDuties(
             self.settings,
             self.lease,
@@ -790,6 +803,8 @@
             self.server_limits,
             self.crash_evidence,
             self.stream_versions,
+            members,
+            lambda: self._find_standing(members),
             self._lose_lease,
         )
         self._run_in_background(
@@ -842,7 +857,7 @@
 
     async def _renew(self) -> None:
         if self.duties is not None:
-            self.duties.keep_alive(self._member())
+            self.duties.members.record(self._member(), boot_time())
         lost = await self._keeper.renew()
         if lost:
             self._lose_lease(lost)
@@ -852,7 +867,7 @@
         if self.duties is None or not self.lease.leads:
             return False
         own = 100 * self.settings.capacity
-        sizes = [row.capacity_percent for row in self.duties.live_members()]
+        sizes = [row.capacity_percent for row in self.duties.members.live()]
         if max(sizes, default=0) < HAND_OVER_FACTOR * own:
             self._larger_since = 0.0
             return False
@@ -877,7 +892,7 @@
         duties, self.duties = self.duties, None
         if duties is not None:
             self.members_by_instance = {
-                row.instance: row for row in duties.live_members()
+                row.instance: row for row in duties.members.live()
             }
             self._run_in_background(duties.stop())
 
--- a/sequoiafall/fleet_leader.py
+++ b/sequoiafall/fleet_leader.py
@@ -8,7 +8,6 @@
 import asyncio
 import contextlib
 from collections.abc import Callable, Iterator, Sequence
-from dataclasses import dataclass
 from typing import Any
 
 from .backend_registry import BackendEntry, BackendRegistry
@@ -17,8 +16,10 @@
 from .crash_evidence import CrashEvidence, ServerStart
 from .engine_planner import EnginePlanner
 from .engine_pool import EngineCondition, EngineReport
+from .leader_standing import Standing
 from .lease import LeaseState
 from .log import innermost_frames, log_event, log_warning
+from .member_register import MemberRegister
 from .node_metrics import NodeMetrics
 from .node_settings import NodeSettings
 from .order_worker import OrderWorker
@@ -44,18 +45,9 @@
 
 # Interval between reports of an engine, whose figures are 0.1 s old.
 REPORT_INTERVAL_S = 0.25
-# A member that missed this many polls is not offered to callers.
-MEMBER_TTL_POLLS = 4.0
-# Interval between polls of a member. It grows with the number of members, up to the
-# maximum, to hold the leader at about this many polls per second.
-POLL_INTERVAL_S = 0.25
-POLL_INTERVAL_MAX_S = 0.5
-POLLS_PER_S = 160.0
 # Above this number of engines, each report is read less often.
 FEW_ENGINES = 12
 REPORT_INTERVAL_MANY_S = 0.5
-# The places of a member that has not polled for this long are released.
-MEMBER_RELEASE_S = 3.0
 # A new leader waits this long for the members' first polls before it loads
 # adapters, so that it knows which ones are in use.
 MEMBER_SYNC_S = 0.25
@@ -67,21 +59,12 @@
 # the interval of the checks.
 VERSIONS_WAIT_S = 0.5
 VERSIONS_CHECK_S = 0.02
+# Retry time of a stream that another instance may know.
+TAKE_UP_RETRY_S = 0.3
 # Outcome of a place whose request goes on, and whose response has begun.
 BEGUN_OUTCOME = "begun"
 
 
-@dataclass(slots=True)
-class MemberRecord:
-    """Last poll of a member, and whether the member is still live."""
-
-    member: Any
-    polled_at: float
-    revision: int = 0
-    is_live: bool = True
-    is_released: bool = False
-
-
 class LeaderDuties:
     """Runs the leader's work of one instance during one term.
 
@@ -103,6 +86,10 @@
         Evidence on what crashes servers.
     versions : StreamVersions
         Software versions that streams began at.
+    members : MemberRegister
+        Members of the term.
+    find_standing : callable
+        Returns what this leader hears from the store and the members.
     step_down : callable
         Called with the reason why this instance must stop leading.
     """
@@ -117,6 +104,8 @@
         limits: ServerLimits,
         evidence: CrashEvidence,
         versions: StreamVersions,
+        members: MemberRegister,
+        find_standing: Callable[[], Standing],
         step_down: Callable[[str], None],
     ) -> None:
         now = boot_time()
@@ -137,8 +126,8 @@
         self._report_schedule = ReportSchedule()
         self.allowances_by_server: dict[str, RequestAllowance] = {}
         self.planners_by_service: dict[str, EnginePlanner] = {}
-        self.members_by_instance: dict[str, MemberRecord] = {}
-        self.members_revision = 0
+        self.members = members
+        self._find_standing = find_standing
         self._workers_by_server: dict[str, OrderWorker] = {}
         self._conditions_by_server: dict[str, EngineCondition] = {}
         self._replies_by_request: dict[str, asyncio.Future[Any]] = {}
@@ -269,8 +258,8 @@
         with self._step_down_on_error():
             now = boot_time()
             name = poll.member.instance
-            is_first = poll.term != self.term or name not in self.members_by_instance
-            self._record_member(poll.member, now)
+            is_first = poll.term != self.term or name not in self.members.by_instance
+            self.members.record(poll.member, now)
             if is_first:
                 self._adopt_member(poll, now)
                 log_event(
@@ -278,29 +267,11 @@
                     instance=name,
                     term=self.term,
                     held=len(poll.held),
-                    members=len(self.members_by_instance),
+                    members=len(self.members.by_instance),
                 )
             for organisation, tokens in poll.tokens_by_organisation.items():
                 self.limits.charge(organisation, tokens, now)
 
-    def _record_member(self, member: Any, now: float) -> None:
-        record = self.members_by_instance.get(member.instance)
-        if record is not None and record.is_live and record.member == member:
-            record.polled_at = now
-            return
-        self.members_revision += 1
-        self.members_by_instance[member.instance] = MemberRecord(
-            member, now, self.members_revision
-        )
-
-    def members_since(self, revision: int) -> list[Any]:
-        """Return the members changed since a revision; lost ones count as leaving."""
-        return [
-            record.member if record.is_live else _as_leaving(record.member)
-            for record in self.members_by_instance.values()
-            if record.revision > revision
-        ]
-
     def _adopt_member(self, poll: Any, now: float) -> None:
         kept = frozenset(held.request_id for held in poll.held)
         for planner in self.planners_by_service.values():
@@ -326,34 +297,11 @@
             recent[organisation] = recent.get(organisation, 0.0) + tokens
 
     def _expire_silent_members(self, now: float) -> None:
-        for name, record in list(self.members_by_instance.items()):
-            age_s = now - record.polled_at
-            if record.is_live and age_s > self._member_ttl_s():
-                record.is_live = False
-                self.members_revision += 1
-                record.revision = self.members_revision
-                log_event("member_silent", instance=name, age_ms=int(age_s * 1e3))
-            if age_s > MEMBER_RELEASE_S and not record.is_released:
-                record.is_released = True
-                log_event("member_lost", instance=name, term=self.term)
-                for planner in self.planners_by_service.values():
-                    actions = planner.release_gateway(name, frozenset(), now)
-                    self._apply(planner, actions)
-
-    def _member_ttl_s(self) -> float:
-        return MEMBER_TTL_POLLS * poll_interval_s(len(self.members_by_instance))
-
-    def keep_alive(self, member: Any) -> None:
-        """Keep the leader's own instance live among the members."""
-        self._record_member(member, boot_time())
-
-    def live_members(self) -> list[Any]:
-        """Return the members that polled recently and are not leaving."""
-        return [
-            record.member
-            for record in self.members_by_instance.values()
-            if record.is_live and not record.member.leaving
-        ]
+        for name in self.members.expire(now):
+            log_event("member_lost", instance=name, term=self.term)
+            for planner in self.planners_by_service.values():
+                actions = planner.release_gateway(name, frozenset(), now)
+                self._apply(planner, actions)
 
     # Places
 
@@ -412,15 +360,25 @@
         known is refused as long as there may be several.
         """
         if request.software is None and request.is_take_up:
-            key, until = request.resumes_key or b"", boot_time() + VERSIONS_WAIT_S
-            result, software = self._versions.decide(key, request.pool, boot_time())
-            while result is TakeUpResult.UNKNOWN and not self._versions.is_known:
-                if self._has_ended or boot_time() >= until:
-                    break
-                await asyncio.sleep(VERSIONS_CHECK_S)
-                result, software = self._versions.decide(key, request.pool, boot_time())
+            result, software = await self._decide_version(request)
+            standing = self._find_standing()
+            if result is TakeUpResult.SINGLE and not standing.knows_servers:
+                # Servers of another version may have come where it is not heard of.
+                return _refuse_take_up(
+                    request, Reason.STREAM_VERSION_UNKNOWN, TAKE_UP_RETRY_S, standing
+                )
             if result is TakeUpResult.UNKNOWN:
-                return _refuse_take_up(request, Reason.STREAM_VERSION_UNKNOWN)
+                return _refuse_take_up(
+                    request, Reason.STREAM_VERSION_UNKNOWN, standing=standing
+                )
+            log_event(
+                "take_up_bound",
+                request_id=caller_request_id(request.request_id),
+                found=result.value,
+                software=software,
+                standing=standing.value,
+                term=self.term,
+            )
             request.software = software
         elif request.software is None and request.resumes_key:
             request.software = self._versions.find(
@@ -433,6 +391,17 @@
             return None
         return _refuse_take_up(request, Reason.STREAM_VERSION_GONE)
 
+    async def _decide_version(self, request: Any) -> tuple[TakeUpResult, str]:
+        """Decide on a stream, after what was stored of its beginning has been read."""
+        key, until = request.resumes_key or b"", boot_time() + VERSIONS_WAIT_S
+        result, software = self._versions.decide(key, request.pool, boot_time())
+        while result is TakeUpResult.UNKNOWN and not self._versions.is_known:
+            if self._has_ended or boot_time() >= until:
+                break
+            await asyncio.sleep(VERSIONS_CHECK_S)
+            result, software = self._versions.decide(key, request.pool, boot_time())
+        return result, software
+
     async def _admit_trial(self, request: Any) -> Any:
         """Answer a gateway's request to send to a plain service."""
         refused = await self._trial_queue.admit(request)
@@ -810,7 +779,7 @@
                 log_event(
                     "term_started",
                     term=self.term,
-                    members=len(self.members_by_instance),
+                    members=len(self.members.by_instance),
                     organisations=len(self._recent_tokens_by_organisation),
                 )
             self._expire_silent_members(now)
@@ -834,24 +803,6 @@
                 continue
 
 
-def poll_interval_s(members: int) -> float:
-    """Return the seconds between two polls of one member."""
-    return min(POLL_INTERVAL_MAX_S, max(POLL_INTERVAL_S, members / POLLS_PER_S))
-
-
-def _as_leaving(member: Any) -> Any:
-    return ttypes.FleetMember(
-        instance=member.instance,
-        incarnation=member.incarnation,
-        zone=member.zone,
-        front_address=member.front_address,
-        peer_address=member.peer_address,
-        ready=False,
-        leaving=True,
-        capacity_percent=member.capacity_percent,
-    )
-
-
 def _refusal(reason: Reason, retry_after_s: float, detail: str, charged: bool) -> Any:
     return ttypes.EngineAnswer(
         server="",
@@ -864,17 +815,28 @@
     )
 
 
-def _refuse_take_up(request: Any, reason: Reason) -> Any:
-    """Return the answer to a stream that no server may go on with."""
+def _refuse_take_up(
+    request: Any,
+    reason: Reason,
+    retry_after_s: float | None = None,
+    standing: Standing | None = None,
+) -> Any:
+    """Return the answer to a stream that no server may go on with.
+
+    Without a time to come back it cannot go on later either, so its caller should not
+    come back in vain.
+    """
     log_event(
         "take_up_refused",
         request_id=caller_request_id(request.request_id),
         reason=reason.value,
         software=request.software or "",
         service=request.pool,
+        standing=standing.value if standing else "",
     )
-    # It cannot go on later either, so its caller should not come back in vain.
-    return _refusal(reason, request.time_left_ms / 1e3, reason.value, False)
+    if retry_after_s is None:
+        retry_after_s = request.time_left_ms / 1e3
+    return _refusal(reason, retry_after_s, reason.value, False)
 
 
 def _admission() -> Any:
--- a/sequoiafall/fleet_tables.py
+++ b/sequoiafall/fleet_tables.py
@@ -12,8 +12,9 @@
 from .backend_registry import BackendRegistry
 from .boot_clock import boot_time
 from .catalog import Catalog
-from .fleet_leader import POLL_INTERVAL_S, LeaderDuties
+from .fleet_leader import LeaderDuties
 from .log import log_event, log_warning
+from .member_register import POLL_INTERVAL_S
 from .mirror import Mirror
 from .node_settings import DRAIN_S, HEARTBEAT_S
 from .row_store import HistoryLost, RowStore, StoreRow, era_of, max_version
--- a/sequoiafall/leader_link.py
+++ b/sequoiafall/leader_link.py
@@ -68,6 +68,9 @@
         not.
     reaches_store : bool
         Whether the leader reported that it reaches the store.
+    knows_servers : bool
+        Whether a server that the store names would be known to the leader by now, at
+        its last reply.
     last_reply_at : float
         Time of the last reply in seconds, suspensions included.
     is_refused : bool
@@ -97,6 +100,7 @@
         self.evidence_revision_sent = 0
         self.grants_permits = False
         self.reaches_store = False
+        self.knows_servers = False
         self.last_reply_at = 0.0
         self.is_refused = False
         self.lost_address = ""
@@ -189,6 +193,9 @@
         self.evidence_revision = reply.evidence_revision or 0
         self.grants_permits = reply.limits_revision is not None
         self.reaches_store = reply.reaches_store
+        self.knows_servers = (
+            reply.reaches_store if reply.knows_servers is None else reply.knows_servers
+        )
         self.last_reply_at = boot_time()
         self.is_connection_lost = self.is_refused = False
         return is_new
--- /dev/null
+++ b/sequoiafall/member_register.py
@@ -0,0 +1,147 @@
+"""Members of the fleet as one leader hears from them during its term.
+
+Times are seconds of `boot_time`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any
+
+from .log import log_event
+from .wire.gen import ttypes
+
+# A member that missed this many polls is not offered to callers.
+MEMBER_TTL_POLLS = 4.0
+# Interval between polls of a member. It grows with the number of members, up to the
+# maximum, to hold the leader at about this many polls per second.
+POLL_INTERVAL_S = 0.25
+POLL_INTERVAL_MAX_S = 0.5
+POLLS_PER_S = 160.0
+# The places of a member that has not polled for this long are released.
+MEMBER_RELEASE_S = 3.0
+# A member that has not polled for this long is taken to have ended. Until then it may
+# be cut off, and serve callers that reach it.
+MEMBER_GONE_S = 20.0
+
+
+@dataclass(slots=True)
+class MemberRecord:
+    """Last poll of a member, and whether the member is still live."""
+
+    member: Any
+    polled_at: float
+    revision: int = 0
+    is_live: bool = True
+    is_released: bool = False
+
+
+class MemberRegister:
+    """Members that polled a leader, and those that it expects to.
+
+    Parameters
+    ----------
+    instance : str
+        The leader's own instance.
+    expected : iterable of str
+        Instances that were members before the term. They count as heard until they
+        have missed their first polls.
+    now : float
+        Time at which the term began.
+
+    Attributes
+    ----------
+    by_instance : dict of str to MemberRecord
+        Members that have polled in this term.
+    revision : int
+        Grows with each change of a member.
+    """
+
+    __slots__ = ("_expected", "_instance", "_started_at", "by_instance", "revision")
+
+    def __init__(self, instance: str, expected: Iterable[str], now: float) -> None:
+        self._instance = instance
+        self._started_at = now
+        self._expected = set(expected) - {instance}
+        self.by_instance: dict[str, MemberRecord] = {}
+        self.revision = 0
+
+    def record(self, member: Any, now: float) -> None:
+        """Record a poll of a member, or that the leader's own instance is live."""
+        self._expected.discard(member.instance)
+        record = self.by_instance.get(member.instance)
+        if record is not None and record.is_live and record.member == member:
+            record.polled_at = now
+            return
+        self.revision += 1
+        self.by_instance[member.instance] = MemberRecord(member, now, self.revision)
+
+    def since(self, revision: int) -> list[Any]:
+        """Return the members changed since a revision; lost ones count as leaving."""
+        return [
+            record.member if record.is_live else _as_leaving(record.member)
+            for record in self.by_instance.values()
+            if record.revision > revision
+        ]
+
+    def live(self) -> list[Any]:
+        """Return the members that polled recently and are not leaving."""
+        return [
+            record.member
+            for record in self.by_instance.values()
+            if record.is_live and not record.member.leaving
+        ]
+
+    def expire(self, now: float) -> list[str]:
+        """Update the members that are silent; return those whose places are lost."""
+        released = []
+        for name, record in list(self.by_instance.items()):
+            age_s = now - record.polled_at
+            if record.is_live and age_s > self.ttl_s:
+                record.is_live = False
+                self.revision += 1
+                record.revision = self.revision
+                log_event("member_silent", instance=name, age_ms=int(age_s * 1e3))
+            if age_s > MEMBER_RELEASE_S and not record.is_released:
+                record.is_released = True
+                released.append(name)
+        return released
+
+    @property
+    def ttl_s(self) -> float:
+        """Seconds without a poll after which a member is silent."""
+        return MEMBER_TTL_POLLS * poll_interval_s(len(self.by_instance))
+
+    def heard_count(self, within_s: float, now: float) -> int:
+        """Return the number of instances that polled lately, with the leader's own."""
+        heard = sum(
+            now - record.polled_at <= within_s
+            for name, record in self.by_instance.items()
+            if name != self._instance and not record.member.leaving
+        )
+        if now - self._started_at <= within_s:
+            heard += len(self._expected)
+        return 1 + heard
+
+    def serving_count(self, now: float) -> int:
+        """Return the number of instances that may serve callers, with its own."""
+        return self.heard_count(MEMBER_GONE_S, now)
+
+
+def poll_interval_s(members: int) -> float:
+    """Return the seconds between two polls of one member."""
+    return min(POLL_INTERVAL_MAX_S, max(POLL_INTERVAL_S, members / POLLS_PER_S))
+
+
+def _as_leaving(member: Any) -> Any:
+    return ttypes.FleetMember(
+        instance=member.instance,
+        incarnation=member.incarnation,
+        zone=member.zone,
+        front_address=member.front_address,
+        peer_address=member.peer_address,
+        ready=False,
+        leaving=True,
+        capacity_percent=member.capacity_percent,
+    )
--- a/sequoiafall/wire/gen/ttypes.py
+++ b/sequoiafall/wire/gen/ttypes.py
@@ -5159,6 +5159,7 @@
      - software_by_service
      - store_age_ms
      - servers_age_ms
+     - knows_servers
 
     """
 
@@ -5183,10 +5184,11 @@
         'software_by_service',
         'store_age_ms',
         'servers_age_ms',
+        'knows_servers',
     )
 
 
-    def __init__(self, leads=None, term=None, revision=None, rows=None, members=None, over_limit=None, reaches_store=None, newest_by_table=None, leader_address=None, lease_version=None, members_revision=None, left=None, left_revision=None, limits=None, limits_revision=None, evidence=None, evidence_revision=None, software_by_service=None, store_age_ms=None, servers_age_ms=None,):
+    def __init__(self, leads=None, term=None, revision=None, rows=None, members=None, over_limit=None, reaches_store=None, newest_by_table=None, leader_address=None, lease_version=None, members_revision=None, left=None, left_revision=None, limits=None, limits_revision=None, evidence=None, evidence_revision=None, software_by_service=None, store_age_ms=None, servers_age_ms=None, knows_servers=None,):
         self.leads = leads
         self.term = term
         self.revision = revision
@@ -5207,6 +5209,7 @@
         self.software_by_service = software_by_service
         self.store_age_ms = store_age_ms
         self.servers_age_ms = servers_age_ms
+        self.knows_servers = knows_servers
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5369,6 +5372,11 @@
                     self.servers_age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.BOOL:
+                    self.knows_servers = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5488,6 +5496,10 @@
             oprot.writeFieldBegin('servers_age_ms', TType.I32, 20)
             oprot.writeI32(self.servers_age_ms)
             oprot.writeFieldEnd()
+        if self.knows_servers is not None:
+            oprot.writeFieldBegin('knows_servers', TType.BOOL, 21)
+            oprot.writeBool(self.knows_servers)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6902,6 +6914,7 @@
     (18, TType.MAP, 'software_by_service', (TType.STRING, 'UTF8', TType.LIST, (TType.STRING, 'UTF8', False), False), None, ),  # 18
     (19, TType.I32, 'store_age_ms', None, None, ),  # 19
     (20, TType.I32, 'servers_age_ms', None, None, ),  # 20
+    (21, TType.BOOL, 'knows_servers', None, None, ),  # 21
 )
 all_structs.append(EngineAsk)
 EngineAsk.thrift_spec = (
--- a/sequoiafall/wire/sequoiafall.thrift
+++ b/sequoiafall/wire/sequoiafall.thrift
@@ -416,6 +416,9 @@
   // leader knew all entries of servers; absent from leaders of earlier builds.
   19: optional i32 store_age_ms
   20: optional i32 servers_age_ms
+  // Whether a server that the store names would be known to the leader by now, see
+  // `leader_standing`; absent from leaders of earlier builds.
+  21: optional bool knows_servers
 }
 
 // Asks for a place of a request at an engine. `on_time_ms` is the time left in
--- a/tests/test_operator_faults.py
+++ b/tests/test_operator_faults.py
@@ -313,7 +313,7 @@
             self.call(member, "/check/x", adapter="a1", request_id="running")
         )
         await until(lambda: self.runs("running"))
-        records = leader.fleet.duties.members_by_instance
+        records = leader.fleet.duties.members.by_instance
         name = member.settings.instance
 
         async def no_poll():
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -18,13 +18,15 @@
 from sequoiafall.engine_choice import EngineChooser
 from sequoiafall.engine_planner import EnginePlanner
 from sequoiafall.fleet import ranked_members
-from sequoiafall.fleet_leader import LeaderDuties, poll_interval_s
+from sequoiafall.fleet_leader import LeaderDuties
 from sequoiafall.forwarding import Forwarder
 from sequoiafall.leader_link import (
     LEADER_SILENCE_POLLS,
     POLL_TIMEOUT_S,
     poll_pause_s,
 )
+from sequoiafall.leader_standing import Standing
+from sequoiafall.member_register import MemberRegister, poll_interval_s
 from sequoiafall.node_metrics import NodeMetrics
 from sequoiafall.node_settings import NodeSettings, SettingsSource
 from sequoiafall.platform import names
@@ -719,6 +721,8 @@
             ServerLimits(registry),
             CrashEvidence(),
             StreamVersions(),
+            MemberRegister("node-1", (), 0.0),
+            lambda: Standing.IN_TOUCH,
             lambda _: None,
         )
         self.addAsyncCleanup(self.duties.stop)
@@ -795,6 +799,8 @@
             ServerLimits(registry),
             CrashEvidence(),
             StreamVersions(),
+            MemberRegister("node-1", (), 0.0),
+            lambda: Standing.IN_TOUCH,
             lambda _: None,
         )
         self.addAsyncCleanup(duties.stop)
--- a/tests/test_send_permits.py
+++ b/tests/test_send_permits.py
@@ -12,6 +12,8 @@
 from sequoiafall.backend_registry import BackendEntry, BackendRegistry
 from sequoiafall.crash_evidence import CrashEvidence
 from sequoiafall.fleet_leader import LeaderDuties
+from sequoiafall.leader_standing import Standing
+from sequoiafall.member_register import MemberRegister
 from sequoiafall.node_metrics import NodeMetrics
 from sequoiafall.request_allowance import Permit, RequestAllowance
 from sequoiafall.send_permits import LEADERLESS_SHARE, SendPermits, TimeSlots
@@ -159,6 +161,8 @@
             limits,
             CrashEvidence(),
             StreamVersions(),
+            MemberRegister("node-1", (), 0.0),
+            lambda: Standing.IN_TOUCH,
             lambda _reason: None,
         )
         self.addAsyncCleanup(duties.stop)
