Tell a new leader where all streams began

Cause: members told a new leader only of streams of services that had several versions at their first poll. When a second version came later, nobody could tell any more: the instance at which the streams began had ended.

--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -32,6 +32,7 @@
 from .node_metrics import NodeMetrics
 from .node_settings import NodeSettings
 from .notice_exchange import NoticeExchange
+from .origin_reports import OriginReports
 from .request_allowance import Permit
 from .row_store import RowStore, StoreRow
 from .server_limits import ServerLimits
@@ -64,9 +65,6 @@
 # A leader that stopped replying may reply again within this time, whether or not
 # the store is reachable.
 LEADER_RETURN_GRACE_S = 1.0
-# Streams placed without a leader that an instance tells a leader of which it has lost
-# no poll. A new leader hears of all.
-MAX_ORIGINS_ALONE = 1000
 # A leader that has not replied for this long is no longer offered to callers.
 LEADER_GONE_AFTER_S = 1.0
 # Random delay of each candidate, so that their writes do not collide.
@@ -155,8 +153,7 @@
         self.stream_versions = StreamVersions()
         self._stored_streams = StoredStreams(self.stream_versions, self._store)
         self._store_reached_at = -NEWS_TTL_S
-        # Streams that were placed without a leader, for the next poll of one.
-        self._origins_alone: list[StreamOrigin] = []
+        self._origin_reports = OriginReports(self.stream_versions)
         self.notices = ServerNotices(self.registry, random.Random())
         self.server_limits = ServerLimits(self.registry)
         self.crash_evidence = CrashEvidence(self._on_evidence_changed)
@@ -301,8 +298,7 @@
 
     def record_origin_alone(self, origin: StreamOrigin) -> None:
         """Record a stream that was placed without a leader, to tell the next one."""
-        if len(self._origins_alone) < MAX_ORIGINS_ALONE:
-            self._origins_alone.append(origin)
+        self._origin_reports.add_alone(origin)
 
     def count_take_up(self, result: str) -> None:
         """Count a stream that is taken up, by how its software version was found."""
@@ -640,7 +636,8 @@
             return False
         return boot_time() - self._leader_lost_at >= self._rank_delay_s
 
-    async def _poll_leader(self) -> None:
+    async def _poll_leader(self, leads: bool = True) -> None:
+        """Poll the leader, or an instance that may know it if it does not lead."""
         link = self._link
         link.should_poll = False
         client = link.client
@@ -655,9 +652,11 @@
         evidence, evidence_revision_sent = self.evidence_exchange.next_changes(
             link.evidence_revision_sent
         )
-        origins, self._origins_alone = self._origins_alone, []
-        if is_first:
-            origins, _ = self.stream_versions.origins_since(0, boot_time())
+        if is_first and leads:
+            # A second version may come after the last other instance that knows where
+            # a stream began has ended.
+            self._origin_reports.begin(boot_time())
+        origins = self._origin_reports.take(boot_time()) if leads else []
         poll = ttypes.FleetPoll(
             member=self._member(),
             term=link.term,
@@ -691,7 +690,7 @@
         result = await client.call(poll, POLL_TIMEOUT_S)
         if isinstance(result, Failure):
             error = result.failure()
-            self._origins_alone += origins[:MAX_ORIGINS_ALONE]
+            self._origin_reports.put_back(origins)
             link.is_refused = error.refused
             self._restore_tokens(tokens)
             if not client.connected:
@@ -706,6 +705,7 @@
         self.evidence_exchange.apply(reply.evidence)
         if not reply.leads:
             self._restore_tokens(tokens)
+            self._origin_reports.put_back(origins)
             for member in reply.members:
                 self._learn_member(member)
             if reply.leader_address:
@@ -921,7 +921,7 @@
             return
         address = random.choice(addresses)
         await self._link.set_address(address, "peer hint")
-        await self._poll_leader()
+        await self._poll_leader(leads=False)
 
     # The store
 
--- a/sequoiafall/fleet_leader.py
+++ b/sequoiafall/fleet_leader.py
@@ -392,10 +392,12 @@
         return _refuse_take_up(request, Reason.STREAM_VERSION_GONE)
 
     async def _decide_version(self, request: Any) -> tuple[TakeUpResult, str]:
-        """Decide on a stream, after what was stored of its beginning has been read."""
+        """Decide on a stream once what is stored and what members know has come."""
         key, until = request.resumes_key or b"", boot_time() + VERSIONS_WAIT_S
         result, software = self._versions.decide(key, request.pool, boot_time())
-        while result is TakeUpResult.UNKNOWN and not self._versions.is_known:
+        while result is TakeUpResult.UNKNOWN and not (
+            self._versions.is_known and self._members_synced.is_set()
+        ):
             if self._has_ended or boot_time() >= until:
                 break
             await asyncio.sleep(VERSIONS_CHECK_S)
--- a/sequoiafall/stream_versions.py
+++ b/sequoiafall/stream_versions.py
@@ -255,6 +255,15 @@
             return TakeUpResult.SINGLE, next(iter(live))
         return TakeUpResult.UNKNOWN, ""
 
+    def unexpired(self, now: float) -> list[StreamOrigin]:
+        """Return the origins of all streams that may still be taken up."""
+        self._advance(now)
+        return [
+            origin
+            for _, origin in self._origins_by_key.values()
+            if origin.expires_at > now
+        ]
+
     def origins_since(self, number: int, now: float) -> tuple[list[StreamOrigin], int]:
         """Return new origins of the services that have several live versions.
 
--- a/sequoiafall/wire/sequoiafall.thrift
+++ b/sequoiafall/wire/sequoiafall.thrift
@@ -380,8 +380,9 @@
   // Evidence on suspects that changed since the sender's last poll.
   16: list<PartEvidence> evidence
   17: i64 evidence_revision
-  // On the first poll of a term: the streams that began here, and the software
-  // versions that may have such streams, of services with several of them.
+  // Where streams began that the leader has not been told of: in the first polls of a
+  // term all that the sender knows, then those that were placed without a leader.
+  // On the first poll also the software versions of services with several of them.
   18: list<StreamOrigin> origins
   19: map<string, list<string>> software_by_service
 }
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -824,3 +824,40 @@
         await response.read()
         self.assertTrue(any("event=stream_taken_up" in line for line in lines))
         self.assertFalse(any(KEY in line for line in lines), lines)
+
+
+class ReleaseAfterTheLeaderTest(VersionCase):
+    """A second version comes after a change of the leader."""
+
+    async def _step_down(self, leader):
+        leader.fleet._no_election_until = boot_time() + LONG_SILENCE_S
+        leader.fleet._lose_lease("test")
+
+    @parameterized.expand(
+        [
+            ("stopped", VersionCase.stop),
+            ("killed", VersionCase.kill),
+            ("steps down", _step_down),
+        ]
+    )
+    async def test_streams_of_before_the_change(self, _name, end):
+        """Guards against take-ups that are refused after a rolling restart.
+
+        The next leader is told where streams began while they have a single version,
+        as it cannot ask once the instance at which they began has ended.
+        """
+        await self.start(ONE_VERSION, 3)
+        first, node = self.leader, self.member
+        streams = await self.begin(node)
+        node.fleet._no_election_until = boot_time() + LONG_SILENCE_S
+        await end(self, first)
+        await until(lambda: self.leader not in (None, first))
+        await self.settle()
+        await self.stop(node)
+        for name in ("e3", "e4"):
+            await self.start_engine(name, "v2")
+        await self.settle()
+        self.advance()
+        answers = await self.take_up(self.leader, streams)
+        self.assert_one_version(streams)
+        self.assert_resumed_or_refused(answers)
