Divide token limits among the instances that may serve

Instances that are cut off and do not lead added a share of the rate to the whole of it.

Cause: a leader granted the whole limit whomever it heard.

A leader now grants the part of a limit that belongs to the instances it hears. The rest is kept for those that are silent, which use it without a leader or with another one, until they have been silent for 20 s. An instance that has heard no other one for 18 s uses no share, and a leader that also has no store steps down then. All instances divide by the same number, as the leader tells which silent members may serve (FleetMember.is_silent). With the store away for all, the members still poll the leader, and the limit is granted whole. A part that grows again adds no tokens. The own instance is never silent to its leader any more: it was, while a renewal of the lease waited for the store.

FleetMember gains an optional field; the generated code was changed by hand.

--- a/sequoiafall/day_session.py
+++ b/sequoiafall/day_session.py
@@ -162,7 +162,7 @@
         self._term = 0
         # Instances share it, so it outlasts the terms of leaders.
         self._evidence = CrashEvidence()
-        self._limits = TokenLimits(0.0)
+        self._limits = TokenLimits()
         limits = {
             row.name: TokenLimit(row.rate_per_s, row.burst)
             for row in day.organisations
--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -24,7 +24,7 @@
 from .fleet_tables import FEED_INTERVAL_S, FleetTables
 from .instrumented_store import InstrumentedRowStore
 from .leader_link import POLL_TIMEOUT_S, LeaderLink, ReleaseQueue, poll_pause_s
-from .leader_standing import NEWS_TTL_S, Standing, find_standing
+from .leader_standing import ALONE_LIMIT_S, NEWS_TTL_S, Standing, find_standing
 from .lease import RENEW_INTERVAL_S, LeaseStep
 from .lease_keeper import LeaseKeeper
 from .log import log_event, log_warning
@@ -153,6 +153,8 @@
         self.stream_versions = StreamVersions()
         self._stored_streams = StoredStreams(self.stream_versions, self._store)
         self._store_reached_at = -NEWS_TTL_S
+        # When another instance polled this one, or replied to it.
+        self._heard_at = self._started_at
         self._origin_reports = OriginReports(self.stream_versions)
         self.notices = ServerNotices(self.registry, random.Random())
         self.server_limits = ServerLimits(self.registry)
@@ -252,8 +254,12 @@
 
         Instances divide rate limits by it, so a part of the members does not count.
         """
-        own_count = len(self.duties.members.live()) if self.duties is not None else 0
-        known = [row for row in self.members_by_instance.values() if not row.leaving]
+        own_count = self.duties.members.serving_count() if self.duties else 0
+        known = [
+            row
+            for row in self.members_by_instance.values()
+            if row.is_silent or not row.leaving
+        ]
         return max(own_count, len(known))
 
     def _poll_interval_s(self) -> float:
@@ -287,14 +293,31 @@
             return True
         return now - self._store_reached_at < NEWS_TTL_S
 
+    @property
+    def has_limit_share(self) -> bool:
+        """Whether this instance may use its share of limits without a leader.
+
+        If it is cut off from all others for longer, their leader uses its share.
+        """
+        if self.member_count <= 1:
+            return True
+        return boot_time() - self._heard_at < ALONE_LIMIT_S
+
+    def _is_alone(self) -> bool:
+        """Whether this leader has heard nobody for longer than its share lasts."""
+        if self.has_limit_share or self.duties is None:
+            return False
+        if boot_time() - self.tables.contact.seen_at < ALONE_LIMIT_S:
+            return False
+        return self._find_standing(self.duties.members) is Standing.ALONE
+
     def _find_standing(self, members: MemberRegister) -> Standing:
         """Return what this instance hears as the leader of these members."""
         now = boot_time()
-        return find_standing(
-            now - self.tables.contact.seen_at,
-            members.heard_count(NEWS_TTL_S, now),
-            members.serving_count(now),
-        )
+        if now - self.tables.contact.seen_at < NEWS_TTL_S:
+            return Standing.IN_TOUCH
+        heard = members.heard_count(NEWS_TTL_S, now)
+        return find_standing(heard, members.serving_count())
 
     def record_origin_alone(self, origin: StreamOrigin) -> None:
         """Record a stream that was placed without a leader, to tell the next one."""
@@ -421,6 +444,7 @@
     # Requests of peers
 
     def _on_poll(self, poll: Any, peer: str) -> Any:
+        self._heard_at = boot_time()
         duties = self.duties
         self.evidence_exchange.apply(poll.evidence)
         if poll.term > self.lease.token and self.lease.leads:
@@ -702,6 +726,7 @@
                 link.on_leader_lost(error.detail)
             return
         reply = result.unwrap()
+        self._heard_at = boot_time()
         self.evidence_exchange.apply(reply.evidence)
         if not reply.leads:
             self._restore_tokens(tokens)
@@ -792,7 +817,10 @@
         self._metrics.terms_begun += 1
         self.evidence_exchange.wake()
         self._stored_streams.on_term_began()
-        expected = [row.instance for row in self.members]
+        known = self.members_by_instance | self._learned_by_instance
+        expected = [
+            row.instance for row in known.values() if row.is_silent or not row.leaving
+        ]
         members = MemberRegister(self.settings.instance, expected, boot_time())
         self.duties = duties = LeaderDuties(
             self.settings,
@@ -861,6 +889,8 @@
         lost = await self._keeper.renew()
         if lost:
             self._lose_lease(lost)
+        elif self._is_alone():
+            self._lose_lease("cut off from the store and all other instances")
 
     def _should_hand_over(self) -> bool:
         """Whether a much larger instance has been a member for long enough."""
@@ -892,7 +922,7 @@
         duties, self.duties = self.duties, None
         if duties is not None:
             self.members_by_instance = {
-                row.instance: row for row in duties.members.live()
+                row.instance: row for row in duties.members.since(0)
             }
             self._run_in_background(duties.stop())
 
--- a/sequoiafall/fleet_leader.py
+++ b/sequoiafall/fleet_leader.py
@@ -43,6 +43,8 @@
 from .trial_queue import TrialQueue
 from .wire.gen import ttypes
 
+# Interval between looks at which members are silent.
+MEMBER_CHECK_INTERVAL_S = 0.1
 # Interval between reports of an engine, whose figures are 0.1 s old.
 REPORT_INTERVAL_S = 0.25
 # Above this number of engines, each report is read less often.
@@ -116,7 +118,7 @@
         self._metrics = metrics
         self._step_down = step_down
         self.term = lease.token
-        self.limits = TokenLimits(now)
+        self.limits = TokenLimits()
         self._server_limits = limits
         self._evidence = evidence
         self._versions = versions
@@ -133,6 +135,7 @@
         self._replies_by_request: dict[str, asyncio.Future[Any]] = {}
         self._organisations_by_request: dict[str, str] = {}
         self._recent_tokens_by_organisation: dict[str, float] = {}
+        self._members_checked_at = now
         self._models_by_service: dict[str, str] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
         self._wake = asyncio.Event()
@@ -296,8 +299,14 @@
             recent = self._recent_tokens_by_organisation
             recent[organisation] = recent.get(organisation, 0.0) + tokens
 
-    def _expire_silent_members(self, now: float) -> None:
-        for name in self.members.expire(now):
+    def _check_members(self, now: float) -> None:
+        """Release what silent members held, and divide the limits with them."""
+        if now - self._members_checked_at < MEMBER_CHECK_INTERVAL_S:
+            return
+        self._members_checked_at = now
+        self.limits.set_share(self.members.limit_share(now), now)
+        keeps_silent = not self._find_standing().reaches_store
+        for name in self.members.expire(now, keeps_silent):
             log_event("member_lost", instance=name, term=self.term)
             for planner in self.planners_by_service.values():
                 actions = planner.release_gateway(name, frozenset(), now)
@@ -784,7 +793,7 @@
                     members=len(self.members.by_instance),
                     organisations=len(self._recent_tokens_by_organisation),
                 )
-            self._expire_silent_members(now)
+            self._check_members(now)
             due_s = 0.25
             for planner in self.planners_by_service.values():
                 expired = planner.counts.expired_places
--- a/sequoiafall/member_register.py
+++ b/sequoiafall/member_register.py
@@ -35,6 +35,12 @@
     revision: int = 0
     is_live: bool = True
     is_released: bool = False
+    is_gone: bool = False
+
+    @property
+    def serves(self) -> bool:
+        """Whether the member may serve callers."""
+        return not self.is_gone and not self.member.leaving
 
 
 class MemberRegister:
@@ -80,7 +86,7 @@
     def since(self, revision: int) -> list[Any]:
         """Return the members changed since a revision; lost ones count as leaving."""
         return [
-            record.member if record.is_live else _as_leaving(record.member)
+            record.member if record.is_live else _as_lost(record)
             for record in self.by_instance.values()
             if record.revision > revision
         ]
@@ -93,21 +99,41 @@
             if record.is_live and not record.member.leaving
         ]
 
-    def expire(self, now: float) -> list[str]:
-        """Update the members that are silent; return those whose places are lost."""
+    def expire(self, now: float, keeps_silent: bool = False) -> list[str]:
+        """Update the members that are silent; return those whose places are lost.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        keeps_silent : bool, default=False
+            Whether silent members may serve for any time. They do if this instance
+            is the one that is cut off.
+        """
         released = []
-        for name, record in list(self.by_instance.items()):
+        for name, record in self.by_instance.items():
+            if name == self._instance:
+                continue
             age_s = now - record.polled_at
             if record.is_live and age_s > self.ttl_s:
                 record.is_live = False
-                self.revision += 1
-                record.revision = self.revision
+                self._change(record)
                 log_event("member_silent", instance=name, age_ms=int(age_s * 1e3))
             if age_s > MEMBER_RELEASE_S and not record.is_released:
                 record.is_released = True
                 released.append(name)
+            if age_s > MEMBER_GONE_S and not record.is_gone and not keeps_silent:
+                record.is_gone = True
+                self._change(record)
+                log_event("member_gone", instance=name, age_ms=int(age_s * 1e3))
+        if now - self._started_at > MEMBER_GONE_S and not keeps_silent:
+            self._expected.clear()
         return released
 
+    def _change(self, record: MemberRecord) -> None:
+        self.revision += 1
+        record.revision = self.revision
+
     @property
     def ttl_s(self) -> float:
         """Seconds without a poll after which a member is silent."""
@@ -118,15 +144,26 @@
         heard = sum(
             now - record.polled_at <= within_s
             for name, record in self.by_instance.items()
-            if name != self._instance and not record.member.leaving
+            if name != self._instance and record.serves
         )
         if now - self._started_at <= within_s:
             heard += len(self._expected)
         return 1 + heard
 
-    def serving_count(self, now: float) -> int:
+    def serving_count(self) -> int:
         """Return the number of instances that may serve callers, with its own."""
-        return self.heard_count(MEMBER_GONE_S, now)
+        serving = sum(
+            name != self._instance and record.serves
+            for name, record in self.by_instance.items()
+        )
+        return 1 + serving + len(self._expected)
+
+    def limit_share(self, now: float) -> float:
+        """Return the part of all limits that is granted to instances that are heard.
+
+        The others may be cut off, and use theirs without a leader or with another one.
+        """
+        return self.heard_count(self.ttl_s, now) / self.serving_count()
 
 
 def poll_interval_s(members: int) -> float:
@@ -134,7 +171,8 @@
     return min(POLL_INTERVAL_MAX_S, max(POLL_INTERVAL_S, members / POLLS_PER_S))
 
 
-def _as_leaving(member: Any) -> Any:
+def _as_lost(record: MemberRecord) -> Any:
+    member = record.member
     return ttypes.FleetMember(
         instance=member.instance,
         incarnation=member.incarnation,
@@ -144,4 +182,5 @@
         ready=False,
         leaving=True,
         capacity_percent=member.capacity_percent,
+        is_silent=record.serves,
     )
--- a/sequoiafall/place_source.py
+++ b/sequoiafall/place_source.py
@@ -22,7 +22,7 @@
 from .send_permits import SendPermits
 from .serving_ports import CallerRequest, EngineControl
 from .stream_versions import StreamOrigin, TakeUpResult
-from .token_bucket import TokenBucket
+from .token_bucket import TokenBucket, share_of
 from .trial_admission import LEADER_RETRY_S, RunEnd, TrialAdmission
 from .wire.gen import ttypes
 
@@ -297,15 +297,15 @@
 
         Returns whether the share covers them; organisations without a rate limit
         are always admitted. There is no share while the number of instances is not
-        known.
+        known, nor after a time without contact to any of them.
         """
         limit = organisation.limit
         if limit.rate_per_s <= 0.0:
             return True
         members = self._fleet.member_count
-        if not members:
+        if not members or not self._fleet.has_limit_share:
             return False
-        share = TokenLimit(limit.rate_per_s / members, limit.burst / members)
+        share = share_of(limit, 1.0 / members)
         return (
             self._leaderless_bucket(organisation.name, share).take(tokens, boot_time())
             <= 0.0
--- a/sequoiafall/token_bucket.py
+++ b/sequoiafall/token_bucket.py
@@ -58,6 +58,11 @@
         self.limit = limit
         self._level = min(limit.burst, self._level + grown)
 
+    def set_share(self, limit: TokenLimit, now: float) -> None:
+        """Change the part of a limit that may be used; a greater one adds no tokens."""
+        self._level = min(limit.burst, self.level(now))
+        self.limit = limit
+
     def take(self, tokens: float, now: float) -> float:
         """Take tokens if the bucket is not empty.
 
@@ -89,20 +94,18 @@
 
 
 class TokenLimits:
-    """Buckets of all organisations at the leader.
+    """Buckets of all organisations at the leader."""
 
-    Parameters
-    ----------
-    now : float
-        Time at which the leader's term began.
-    """
-
-    __slots__ = ("_buckets_by_organisation", "_recent_by_organisation", "_started_at")
+    __slots__ = (
+        "_buckets_by_organisation",
+        "_limits_by_organisation",
+        "_share",
+    )
 
-    def __init__(self, now: float) -> None:
-        self._started_at = now
+    def __init__(self) -> None:
         self._buckets_by_organisation: dict[str, TokenBucket] = {}
-        self._recent_by_organisation: dict[str, float] = {}
+        self._limits_by_organisation: dict[str, TokenLimit] = {}
+        self._share = 1.0
 
     def set_limits(
         self, limits_by_organisation: dict[str, TokenLimit], now: float
@@ -110,17 +113,35 @@
         """Apply the limits of a new configuration."""
         for name, limit in limits_by_organisation.items():
             bucket = self._buckets_by_organisation.get(name)
+            shared = share_of(limit, self._share)
             if bucket is not None:
-                if bucket.limit != limit:
-                    bucket.set_limit(limit, now)
+                if self._limits_by_organisation[name] != limit:
+                    bucket.set_limit(shared, now)
                 continue
             # The level at the previous leader is unknown. The bucket starts nearly
-            # empty; `apply_reported_use` raises the level to what the recent use
-            # leaves.
-            level = INITIAL_LEVEL_S * limit.rate_per_s
-            self._buckets_by_organisation[name] = TokenBucket(limit, now, level)
+            # empty; `apply_reported_use` sets the level that the recent use leaves.
+            level = INITIAL_LEVEL_S * shared.rate_per_s
+            self._buckets_by_organisation[name] = TokenBucket(shared, now, level)
         for name in set(self._buckets_by_organisation) - set(limits_by_organisation):
             del self._buckets_by_organisation[name]
+        self._limits_by_organisation = dict(limits_by_organisation)
+
+    def set_share(self, share: float, now: float) -> None:
+        """Use a part of each limit only; instances elsewhere may use the rest.
+
+        Parameters
+        ----------
+        share : float
+            Part of the rates and bursts, from 0 to 1.
+        now : float
+            Time in seconds.
+        """
+        if share == self._share:
+            return
+        self._share = share
+        for name, bucket in self._buckets_by_organisation.items():
+            limit = self._limits_by_organisation[name]
+            bucket.set_share(share_of(limit, share), now)
 
     def take(self, organisation: str, tokens: float, now: float) -> float:
         """Take tokens as `TokenBucket.take`; unknown organisations have no limit."""
@@ -203,3 +224,8 @@
                 self._sums_by_organisation[organisation] = left
             else:
                 del self._sums_by_organisation[organisation]
+
+
+def share_of(limit: TokenLimit, share: float) -> TokenLimit:
+    """Return a part of a limit; a rate of 0 means that there is none."""
+    return TokenLimit(limit.rate_per_s * share, limit.burst * share)
--- a/sequoiafall/wire/gen/ttypes.py
+++ b/sequoiafall/wire/gen/ttypes.py
@@ -3714,6 +3714,7 @@
      - ready
      - leaving
      - capacity_percent
+     - is_silent
 
     """
 
@@ -3726,10 +3727,11 @@
         'ready',
         'leaving',
         'capacity_percent',
+        'is_silent',
     )
 
 
-    def __init__(self, instance=None, incarnation=None, zone=None, front_address=None, peer_address=None, ready=None, leaving=None, capacity_percent=None,):
+    def __init__(self, instance=None, incarnation=None, zone=None, front_address=None, peer_address=None, ready=None, leaving=None, capacity_percent=None, is_silent=None,):
         self.instance = instance
         self.incarnation = incarnation
         self.zone = zone
@@ -3738,6 +3740,7 @@
         self.ready = ready
         self.leaving = leaving
         self.capacity_percent = capacity_percent
+        self.is_silent = is_silent
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3788,6 +3791,11 @@
                     self.capacity_percent = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.is_silent = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3830,6 +3838,10 @@
             oprot.writeFieldBegin('capacity_percent', TType.I32, 8)
             oprot.writeI32(self.capacity_percent)
             oprot.writeFieldEnd()
+        if self.is_silent is not None:
+            oprot.writeFieldBegin('is_silent', TType.BOOL, 9)
+            oprot.writeBool(self.is_silent)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6800,6 +6812,7 @@
     (6, TType.BOOL, 'ready', None, None, ),  # 6
     (7, TType.BOOL, 'leaving', None, None, ),  # 7
     (8, TType.I32, 'capacity_percent', None, None, ),  # 8
+    (9, TType.BOOL, 'is_silent', None, None, ),  # 9
 )
 all_structs.append(MirroredRow)
 MirroredRow.thrift_spec = (
--- a/sequoiafall/wire/sequoiafall.thrift
+++ b/sequoiafall/wire/sequoiafall.thrift
@@ -278,6 +278,9 @@
   6: bool ready
   7: bool leaving
   8: i32 capacity_percent
+  // Whether it no longer polls and may serve callers nevertheless. For routing it
+  // counts as leaving, for limits that all instances share it does not.
+  9: optional bool is_silent
 }
 
 // A row as the store holds it; `version` comes from the store's one counter.
--- a/tests/test_cut_off_leader.py
+++ b/tests/test_cut_off_leader.py
@@ -4,10 +4,22 @@
 holds is told by the other instances: those that still poll it follow nobody else.
 """
 
+import asyncio
+
 from parameterized import parameterized
 
+from sequoiafall.boot_clock import boot_time
+from sequoiafall.catalog import TokenLimit
+
 from .cut_off_case import CutOffCase
 from .events import until
+from .platform_case import PlatformCase, configuration
+
+# Limit of the organisation, and the cost of one request of `PlatformCase.call`.
+LIMIT = TokenLimit(40_000.0, 40_000.0)
+COST = 1020
+# Bound of the limit's overage.
+OVERAGE = 0.1
 
 
 class CutOffVersionsTest(CutOffCase):
@@ -54,3 +66,71 @@
         answers = await self.take_up(node, streams)
         self.assert_one_version(streams)
         self.assert_resumed_or_refused(answers)
+
+
+class CutOffLimitTest(CutOffCase):
+    """Token limits while a leader is cut off."""
+
+    def configure(self, version=1, **changes):
+        tenant = {
+            **configuration()["tenants"][0],
+            "rate_per_s": LIMIT.rate_per_s,
+            "burst": LIMIT.burst,
+        }
+        PlatformCase.configure(self, version, tenants=[tenant], **changes)
+
+    async def press(self, nodes, until_time):
+        """Send much more than the limit to nodes; return the tokens that ran."""
+        ran = 0
+
+        async def send(node):
+            nonlocal ran
+            while boot_time() < until_time:
+                status, *_ = await self.call(node, "/draft/x", adapter="a1")
+                ran += COST * (status == 200)
+                await asyncio.sleep(0.01)
+
+        await asyncio.gather(*(send(node) for node in nodes for _ in range(4)))
+        return ran
+
+    async def start(self, versions, count=3):
+        await super().start(versions, count)
+        self.advance()
+
+    async def test_two_leaders(self):
+        """Guards against two leaders that both admit the whole rate."""
+        await self.start({"e1": "v1", "e2": "v1"})
+        leader = await self.cut_off_leader()
+        await until(
+            lambda: len(self.successor(leader).fleet.duties.members.live()) == 2
+        )
+        began_at, seconds = boot_time(), 6.0
+        ran = await self.press([leader, self.successor(leader)], began_at + seconds)
+        elapsed_s = boot_time() - began_at
+        allowed = LIMIT.burst + LIMIT.rate_per_s * elapsed_s
+        self.assertLessEqual(ran, (1.0 + OVERAGE) * allowed)
+        # Both go on to serve.
+        self.assertGreater(ran, 0.5 * LIMIT.rate_per_s * seconds)
+
+    @parameterized.expand([("to the leader", True), ("to all", False)])
+    async def test_store_is_away(self, _name, is_leader):
+        """The limit is granted whole: all instances follow the leader."""
+        await self.start({"e1": "v1", "e2": "v1"})
+        for row in [self.leader] if is_leader else self.nodes:
+            self.cut_off(row, peers=False)
+        await until(lambda: not self.leader.fleet.reaches_store)
+        began_at, seconds = boot_time(), 4.0
+        ran = await self.press(self.nodes, began_at + seconds)
+        self.assertGreater(ran, 0.8 * LIMIT.rate_per_s * seconds)
+
+    async def test_alone_for_long(self):
+        """A leader that nobody has heard uses no limit that another one may grant."""
+        await self.start({"e1": "v1", "e2": "v1"})
+        leader = await self.cut_off_leader()
+        fleet = leader.fleet
+        fleet._heard_at -= 60.0
+        fleet.tables.contact._answered_at -= 60.0
+        fleet.tables.contact._read_at -= 60.0
+        await until(lambda: not fleet.lease.leads)
+        organisation = fleet.catalog.organisations_by_name["org-1"]
+        self.assertFalse(leader.forwarder._places.admit_without_leader(organisation, 1))
--- a/tests/test_fleet_shares.py
+++ b/tests/test_fleet_shares.py
@@ -28,6 +28,7 @@
 
     def __init__(self, members):
         self.member_count = members
+        self.has_limit_share = True
         registry = BackendRegistry()
         self.notices = ServerNotices(registry, random.Random(1))
         self.server_limits = ServerLimits(registry)
--- a/tests/test_place_source.py
+++ b/tests/test_place_source.py
@@ -59,6 +59,7 @@
         self.registry = FakeRegistry()
         self.notices = ServerNotices(BackendRegistry(), random.Random(1))
         self.member_count = 0
+        self.has_limit_share = True
         self.versions_by_adapter = {}
         self.server_limits = ServerLimits(BackendRegistry())
         self.crash_evidence = CrashEvidence()
--- a/tests/test_token_bucket.py
+++ b/tests/test_token_bucket.py
@@ -72,21 +72,21 @@
     """Initial levels at a new leader, which does not know the previous levels."""
 
     def test_new_term_starts_nearly_empty_and_is_filled_by_reports(self):
-        limits = TokenLimits(0.0)
+        limits = TokenLimits()
         limits.set_limits({"org": LIMIT}, 0.0)
         self.assertEqual(limits.level("org", 0.0), INITIAL_LEVEL_S * LIMIT.rate_per_s)
         limits.apply_reported_use({}, 0.0)
         self.assertEqual(limits.level("org", 0.0), LIMIT.burst)
 
     def test_reported_use_is_not_given_again(self):
-        limits = TokenLimits(0.0)
+        limits = TokenLimits()
         limits.set_limits({"org": LIMIT}, 0.0)
         used = LIMIT.burst + LIMIT.rate_per_s * RECENT_USE_WINDOW_S
         limits.apply_reported_use({"org": used}, 0.0)
         self.assertEqual(limits.level("org", 0.0), INITIAL_LEVEL_S * LIMIT.rate_per_s)
 
     def test_use_without_a_place_closes_the_bucket(self):
-        limits = TokenLimits(0.0)
+        limits = TokenLimits()
         limits.set_limits({"org": LIMIT}, 0.0)
         limits.charge("org", 5000.0, 0.0)
         self.assertEqual(limits.over_limit(0.0), [])
@@ -99,3 +99,40 @@
         use.add("org", 5.0, RECENT_USE_WINDOW_S)
         self.assertEqual(use.sums(RECENT_USE_WINDOW_S + 0.1), {"org": 5.0})
         self.assertEqual(use.sums(3 * RECENT_USE_WINDOW_S), {})
+
+
+class ShareTest(unittest.TestCase):
+    """A leader uses the part of a limit that belongs to the instances it hears."""
+
+    def test_rate_and_burst(self):
+        limits = TokenLimits()
+        limits.set_limits({"org": LIMIT}, 0.0)
+        limits.apply_reported_use({}, 0.0)
+        limits.set_share(0.25, 0.0)
+        self.assertEqual(limits.level("org", 0.0), 0.25 * LIMIT.burst)
+        limits.take("org", LIMIT.burst, 0.0)
+        level = limits.level("org", 0.0)
+        self.assertEqual(limits.level("org", 1.0), level + 0.25 * LIMIT.rate_per_s)
+
+    def test_greater_share_adds_no_tokens(self):
+        """Guards against tokens of instances that are heard now and then."""
+        limits = TokenLimits()
+        limits.set_limits({"org": LIMIT}, 0.0)
+        limits.apply_reported_use({}, 0.0)
+        for share in (0.5, 1.0, 0.5, 1.0):
+            limits.set_share(share, 0.0)
+        self.assertEqual(limits.level("org", 0.0), 0.5 * LIMIT.burst)
+
+    def test_changed_limit_keeps_the_share(self):
+        limits = TokenLimits()
+        limits.set_limits({"org": LIMIT}, 0.0)
+        limits.set_share(0.5, 0.0)
+        limits.set_limits({"org": TokenLimit(4000.0, 4000.0)}, 0.0)
+        level = limits.level("org", 0.0)
+        self.assertEqual(limits.level("org", 0.1), level + 0.1 * 0.5 * 4000.0)
+
+    def test_no_rate_stays_no_limit(self):
+        limits = TokenLimits()
+        limits.set_limits({"org": TokenLimit(0.0, 0.0)}, 0.0)
+        limits.set_share(0.5, 0.0)
+        self.assertEqual(limits.take("org", 1e9, 0.0), 0.0)
