Poll a leader without the store while the lease row is read

And for a part of each second, members placed requests without a leader that was there.

Cause: a member whose leader does not reach the store looks at the lease row itself. A read takes one second and more without a response, and the member did not poll meanwhile. The leader took it for silent after 1 s, and it took the leader for lost after 0.6 s.

The member now polls at the usual interval while the read goes on.

Evidence: test_members_poll_while_the_store_is_away failed before (has_leader became false) and passes.

--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from typing import Any
 
 import xxhash
@@ -637,12 +637,33 @@
                     continue
                 self._on_leader_lost()
                 if self._is_rank_delay_over():
-                    await self._run_election_step()
-                    await asyncio.sleep(self._rank_delay_s)
+                    await self._poll_during(self._run_election_round())
             except Exception as error:
                 log_warning("fleet_step_failed", error=repr(error))
             await asyncio.sleep(ELECTION_INTERVAL_S)
 
+    async def _run_election_round(self) -> None:
+        await self._run_election_step()
+        await asyncio.sleep(self._rank_delay_s)
+
+    async def _poll_during(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Poll a leader that replies without the store while a coroutine runs.
+
+        A read of the lease row takes seconds while the store does not respond. The
+        leader would take this instance for silent, and this one the leader for lost.
+        """
+        task = asyncio.get_running_loop().create_task(coroutine)
+        try:
+            while self.has_leader and self._link.term and not self.lease.leads:
+                pause_s = poll_pause_s(self._link.silence_s, self._poll_interval_s())
+                done, _ = await asyncio.wait({task}, timeout=pause_s)
+                if done:
+                    break
+                await self._poll_leader()
+            await task
+        finally:
+            task.cancel()
+
     def _has_usable_leader(self) -> bool:
         return self.has_leader and self._link.reaches_store
 
--- a/tests/test_cut_off_leader.py
+++ b/tests/test_cut_off_leader.py
@@ -123,6 +123,23 @@
         ran = await self.press(self.nodes, began_at + seconds)
         self.assertGreater(ran, 0.8 * LIMIT.rate_per_s * seconds)
 
+    async def test_members_poll_while_the_store_is_away(self):
+        """Guards against members that stop to poll while they wait for the store.
+
+        The leader took them for silent, and they placed requests without it.
+        """
+        await self.start({"e1": "v1", "e2": "v1"})
+        for row in self.nodes:
+            self.cut_off(row, peers=False)
+        await until(lambda: not any(row.fleet.reaches_store for row in self.nodes))
+        leader, register = self.leader, self.leader.fleet.duties.members
+        ends_at = boot_time() + 4.0
+        while boot_time() < ends_at:
+            self.assertTrue(all(row.fleet.has_leader for row in self.nodes))
+            self.assertEqual(register.limit_share(boot_time()), 1.0)
+            await asyncio.sleep(0.02)
+        self.assertIs(self.leader, leader)
+
     async def test_alone_for_long(self):
         """A leader that nobody has heard uses no limit that another one may grant."""
         await self.start({"e1": "v1", "e2": "v1"})
