Work out the level of a limit from when its tokens were used

Cause: a new leader knew the sum of the last 10 s only, and set the level to burst + 10 s of the rate - that sum. One who presses the limit all the time has used 10 s of the rate, so the whole burst was left. An instance without a leader began with half of its burst, whatever a leader had admitted there.

Members now tell their use in slots of 0.5 s. The level is that of a bucket which was empty 10 s ago: full after usual use, empty after steady pressure. Instances without a leader work theirs out from their own use. What members admitted without a leader was charged at their first poll beside the recent use; it counts once now. The old formula had hidden that.

--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -504,6 +504,12 @@
             return None
         return self.stream_versions.several_by_service(boot_time())
 
+    def _recent_use_to_wire(self) -> dict[str, list[int]]:
+        return {
+            name: [int(tokens) for tokens in slots]
+            for name, slots in self.recent_use.slots(boot_time()).items()
+        }
+
     def _origins_to_wire(self, origins: list[StreamOrigin]) -> list[Any]:
         now = boot_time()
         return [
@@ -715,6 +721,9 @@
             }
             if is_first
             else {},
+            recent_use_by_organisation=(
+                self._recent_use_to_wire() if is_first else None
+            ),
             announces=False,
             members_revision=link.members_revision,
             newest_by_table=self.tables.mirror.newest_by_table() if is_first else {},
@@ -876,6 +885,7 @@
                 name: int(used)
                 for name, used in self.recent_use.sums(boot_time()).items()
             },
+            recent_use_by_organisation=self._recent_use_to_wire(),
             announces=True,
             members_revision=0,
             newest_by_table={},
--- a/sequoiafall/fleet_leader.py
+++ b/sequoiafall/fleet_leader.py
@@ -39,7 +39,7 @@
 from .server_notices import Pause
 from .serving_ports import EngineControl
 from .stream_versions import StreamVersions, TakeUpResult
-from .token_bucket import TokenLimits
+from .token_bucket import ReportedUse, TokenLimits
 from .trial_queue import TrialQueue
 from .wire.gen import ttypes
 
@@ -63,6 +63,8 @@
 VERSIONS_CHECK_S = 0.02
 # Retry time of a stream that another instance may know.
 TAKE_UP_RETRY_S = 0.3
+# Slots of use in which a member counts as heard although it no longer polls.
+UNHEARD_SLOTS = 2
 # Outcome of a place whose request goes on, and whose response has begun.
 BEGUN_OUTCOME = "begun"
 
@@ -134,7 +136,7 @@
         self._conditions_by_server: dict[str, EngineCondition] = {}
         self._replies_by_request: dict[str, asyncio.Future[Any]] = {}
         self._organisations_by_request: dict[str, str] = {}
-        self._recent_tokens_by_organisation: dict[str, float] = {}
+        self._recent_use = ReportedUse()
         self._members_checked_at = now
         self._models_by_service: dict[str, str] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -272,9 +274,28 @@
                     held=len(poll.held),
                     members=len(self.members.by_instance),
                 )
+                self._charge_first_poll(poll, now)
+                return
             for organisation, tokens in poll.tokens_by_organisation.items():
                 self.limits.charge(organisation, tokens, now)
 
+    def _charge_first_poll(self, poll: Any, now: float) -> None:
+        """Charge what a member admitted before it followed this leader.
+
+        It is part of the recent use that the members report at the begin of a term.
+        Later, all but the last of it was of the share that is kept for silent members.
+        """
+        if not self._members_synced.is_set():
+            for organisation, tokens in poll.tokens_by_organisation.items():
+                self.limits.charge_until_reported(organisation, tokens, now)
+            return
+        slots_by_organisation = poll.recent_use_by_organisation or {}
+        for organisation, tokens in poll.tokens_by_organisation.items():
+            recent = slots_by_organisation.get(organisation)
+            if recent is not None:
+                tokens = min(tokens, sum(recent[-UNHEARD_SLOTS:]))
+            self.limits.charge(organisation, tokens, now)
+
     def _adopt_member(self, poll: Any, now: float) -> None:
         kept = frozenset(held.request_id for held in poll.held)
         for planner in self.planners_by_service.values():
@@ -295,9 +316,9 @@
                     held.time_left_ms / 1e3,
                 )
                 pool_planner.adopt(placement_request, held.server, held.version, now)
-        for organisation, tokens in poll.recent_tokens_by_organisation.items():
-            recent = self._recent_tokens_by_organisation
-            recent[organisation] = recent.get(organisation, 0.0) + tokens
+        self._recent_use.add(
+            poll.recent_use_by_organisation, poll.recent_tokens_by_organisation
+        )
 
     def _check_members(self, now: float) -> None:
         """Release what silent members held, and divide the limits with them."""
@@ -785,13 +806,13 @@
                 not self._members_synced.is_set()
                 and now - self._started_at >= MEMBER_SYNC_S
             ):
-                self.limits.apply_reported_use(self._recent_tokens_by_organisation, now)
+                self.limits.apply_reported_use(self._recent_use.by_organisation, now)
                 self._members_synced.set()
                 log_event(
                     "term_started",
                     term=self.term,
                     members=len(self.members.by_instance),
-                    organisations=len(self._recent_tokens_by_organisation),
+                    organisations=len(self._recent_use.by_organisation),
                 )
             self._check_members(now)
             due_s = 0.25
--- a/sequoiafall/place_source.py
+++ b/sequoiafall/place_source.py
@@ -22,7 +22,7 @@
 from .send_permits import SendPermits
 from .serving_ports import CallerRequest, EngineControl
 from .stream_versions import StreamOrigin, TakeUpResult
-from .token_bucket import TokenBucket, share_of
+from .token_bucket import TokenBucket, level_after, share_of
 from .trial_admission import LEADER_RETRY_S, RunEnd, TrialAdmission
 from .wire.gen import ttypes
 
@@ -316,12 +316,14 @@
         now = boot_time()
         max_level = LEADERLESS_BURST_SHARE * share.burst
         bucket = self._leaderless_buckets.get(organisation)
-        level = max_level if bucket is None else bucket.level(now)
         last_used_at = self._leaderless_used_at.get(organisation, 0.0)
-        if now - last_used_at > LEADERLESS_IDLE_S:
-            # A leader may have admitted requests meanwhile.
-            level = min(level, max_level)
+        if bucket is None or now - last_used_at > LEADERLESS_IDLE_S:
+            # A leader may have admitted requests here meanwhile.
+            use = self._fleet.recent_use.slots(now).get(organisation, [])
+            level = min(max_level, level_after(use, share))
             bucket = None
+        else:
+            level = min(max_level, bucket.level(now))
         if bucket is None or bucket.limit != share:
             bucket = TokenBucket(share, now, level)
             self._leaderless_buckets[organisation] = bucket
--- a/sequoiafall/token_bucket.py
+++ b/sequoiafall/token_bucket.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Mapping, Sequence
 
 from .catalog import TokenLimit
 
@@ -20,6 +21,10 @@
 MAX_PLAIN_OVERDRAFT_TOKENS = 6000.0
 # Longest time that an empty bucket takes to refill; older use does not matter.
 RECENT_USE_WINDOW_S = 10.0
+# Recent use is told in slots of this length, as the level of a bucket depends on when
+# the tokens were used.
+USE_SLOT_S = 0.5
+USE_SLOTS = int(RECENT_USE_WINDOW_S / USE_SLOT_S)
 
 
 class TokenBucket:
@@ -63,6 +68,11 @@
         self._level = min(limit.burst, self.level(now))
         self.limit = limit
 
+    def set_level(self, level: float, now: float) -> None:
+        """Replace the number of tokens."""
+        self._level = min(level, self.limit.burst)
+        self._updated_at = now
+
     def take(self, tokens: float, now: float) -> float:
         """Take tokens if the bucket is not empty.
 
@@ -98,12 +108,16 @@
 
     __slots__ = (
         "_buckets_by_organisation",
+        "_charged_by_organisation",
+        "_created_at_by_organisation",
         "_limits_by_organisation",
         "_share",
     )
 
     def __init__(self) -> None:
         self._buckets_by_organisation: dict[str, TokenBucket] = {}
+        self._created_at_by_organisation: dict[str, float] = {}
+        self._charged_by_organisation: dict[str, float] = {}
         self._limits_by_organisation: dict[str, TokenLimit] = {}
         self._share = 1.0
 
@@ -122,8 +136,10 @@
             # empty; `apply_reported_use` sets the level that the recent use leaves.
             level = INITIAL_LEVEL_S * shared.rate_per_s
             self._buckets_by_organisation[name] = TokenBucket(shared, now, level)
+            self._created_at_by_organisation[name] = now
         for name in set(self._buckets_by_organisation) - set(limits_by_organisation):
             del self._buckets_by_organisation[name]
+            del self._created_at_by_organisation[name]
         self._limits_by_organisation = dict(limits_by_organisation)
 
     def set_share(self, share: float, now: float) -> None:
@@ -154,6 +170,14 @@
         if bucket is not None:
             bucket.charge(tokens, now)
 
+    def charge_until_reported(
+        self, organisation: str, tokens: float, now: float
+    ) -> None:
+        """Subtract tokens until `apply_reported_use`, which counts them as well."""
+        self.charge(organisation, tokens, now)
+        charged = self._charged_by_organisation
+        charged[organisation] = charged.get(organisation, 0.0) + tokens
+
     def refund(self, organisation: str, tokens: float, now: float) -> None:
         """Return the tokens of a request that did not run."""
         bucket = self._buckets_by_organisation.get(organisation)
@@ -161,24 +185,26 @@
             bucket.refund(tokens, now)
 
     def apply_reported_use(
-        self, tokens_by_organisation: dict[str, float], now: float
+        self, use_by_organisation: dict[str, list[float]], now: float
     ) -> None:
-        """Raise the levels by the use that all gateways reported.
+        """Set the levels that the use before the term, as reported, leaves.
 
         Parameters
         ----------
-        tokens_by_organisation : dict of str to float
-            Tokens admitted in the last `RECENT_USE_WINDOW_S` seconds.
+        use_by_organisation : dict of str to list of float
+            Tokens that all gateways admitted in the last `USE_SLOTS` slots before now.
         now : float
             Time in seconds.
         """
         for name, bucket in self._buckets_by_organisation.items():
-            limit = bucket.limit
-            used = tokens_by_organisation.get(name, 0.0)
-            wanted = limit.burst + limit.rate_per_s * RECENT_USE_WINDOW_S - used
-            level = bucket.level(now)
-            if wanted > level:
-                bucket.refund(min(limit.burst, wanted) - level, now)
+            limit, level = bucket.limit, bucket.level(now)
+            age_s = now - self._created_at_by_organisation[name]
+            # Without use in this term, the bucket would hold this much.
+            unused = (INITIAL_LEVEL_S + age_s) * limit.rate_per_s
+            charged = self._charged_by_organisation.pop(name, 0.0)
+            taken = max(0.0, unused - level - charged)
+            left = level_after(use_by_organisation.get(name, []), limit)
+            bucket.set_level(left - taken, now)
 
     def level(self, organisation: str, now: float) -> float:
         """Return the level of a bucket; 0 if there is none."""
@@ -216,6 +242,15 @@
         self._expire(now)
         return dict(self._sums_by_organisation)
 
+    def slots(self, now: float) -> dict[str, list[float]]:
+        """Return the tokens admitted in each of the last slots, the oldest first."""
+        self._expire(now)
+        use: dict[str, list[float]] = {}
+        for at, organisation, tokens in self._entries:
+            slots = use.setdefault(organisation, [0.0] * USE_SLOTS)
+            slots[_slot(now - at)] += tokens
+        return use
+
     def _expire(self, now: float) -> None:
         while self._entries and self._entries[0][0] < now - RECENT_USE_WINDOW_S:
             _, organisation, tokens = self._entries.popleft()
@@ -226,6 +261,64 @@
                 del self._sums_by_organisation[organisation]
 
 
+class ReportedUse:
+    """Sum of the recent use that gateways report.
+
+    Attributes
+    ----------
+    by_organisation : dict of str to list of float
+        Tokens in each of the last slots, the oldest first.
+    """
+
+    __slots__ = ("by_organisation",)
+
+    def __init__(self) -> None:
+        self.by_organisation: dict[str, list[float]] = {}
+
+    def add(
+        self,
+        slots_by_organisation: Mapping[str, Sequence[float]] | None,
+        sums_by_organisation: Mapping[str, float],
+    ) -> None:
+        """Add the use of one gateway.
+
+        Parameters
+        ----------
+        slots_by_organisation : mapping of str to sequence of float, or None
+            Tokens in each slot, None from an instance of an earlier build.
+        sums_by_organisation : mapping of str to float
+            Tokens of the whole window, which are spread evenly without the slots.
+        """
+        if slots_by_organisation is None:
+            slots_by_organisation = {
+                name: [tokens / USE_SLOTS] * USE_SLOTS
+                for name, tokens in sums_by_organisation.items()
+            }
+        for name, slots in slots_by_organisation.items():
+            known = self.by_organisation.setdefault(name, [0.0] * USE_SLOTS)
+            for number, tokens in enumerate(slots[-USE_SLOTS:]):
+                known[number] += tokens
+
+
 def share_of(limit: TokenLimit, share: float) -> TokenLimit:
     """Return a part of a limit; a rate of 0 means that there is none."""
     return TokenLimit(limit.rate_per_s * share, limit.burst * share)
+
+
+def level_after(slots: list[float], limit: TokenLimit) -> float:
+    """Return the level of a bucket that was empty before the slots of recent use.
+
+    It is no lower than after the use that a term begins with in any case, so that one
+    that was full before is not closed for long.
+    """
+    lowest = -INITIAL_LEVEL_S * limit.rate_per_s
+    level = 0.0
+    for used in slots or [0.0] * USE_SLOTS:
+        level = min(limit.burst, level + USE_SLOT_S * limit.rate_per_s) - used
+        level = max(lowest, level)
+    return level
+
+
+def _slot(age_s: float) -> int:
+    """Return the index of the slot of a use that is this old."""
+    return max(0, USE_SLOTS - 1 - int(max(0.0, age_s) / USE_SLOT_S))
--- a/sequoiafall/wire/gen/ttypes.py
+++ b/sequoiafall/wire/gen/ttypes.py
@@ -4774,6 +4774,7 @@
      - evidence_revision
      - origins
      - software_by_service
+     - recent_use_by_organisation
 
     """
 
@@ -4797,10 +4798,11 @@
         'evidence_revision',
         'origins',
         'software_by_service',
+        'recent_use_by_organisation',
     )
 
 
-    def __init__(self, member=None, term=None, revision=None, tokens_by_organisation=None, rows=None, held=None, recent_tokens_by_organisation=None, announces=None, members_revision=None, newest_by_table=None, left=None, paused=None, left_revision=None, limits=None, limits_revision=None, evidence=None, evidence_revision=None, origins=None, software_by_service=None,):
+    def __init__(self, member=None, term=None, revision=None, tokens_by_organisation=None, rows=None, held=None, recent_tokens_by_organisation=None, announces=None, members_revision=None, newest_by_table=None, left=None, paused=None, left_revision=None, limits=None, limits_revision=None, evidence=None, evidence_revision=None, origins=None, software_by_service=None, recent_use_by_organisation=None,):
         self.member = member
         self.term = term
         self.revision = revision
@@ -4820,6 +4822,7 @@
         self.evidence_revision = evidence_revision
         self.origins = origins
         self.software_by_service = software_by_service
+        self.recent_use_by_organisation = recent_use_by_organisation
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4997,6 +5000,22 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.MAP:
+                    self.recent_use_by_organisation = {}
+                    (_ktype333, _vtype334, _size335) = iprot.readMapBegin()
+                    for _i336 in range(_size335):
+                        _key337 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val338 = []
+                        (_etype339, _size340) = iprot.readListBegin()
+                        for _i341 in range(_size340):
+                            _elem342 = iprot.readI64()
+                            _val338.append(_elem342)
+                        iprot.readListEnd()
+                        self.recent_use_by_organisation[_key337] = _val338
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5123,6 +5142,17 @@
                 oprot.writeListEnd()
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.recent_use_by_organisation is not None:
+            oprot.writeFieldBegin('recent_use_by_organisation', TType.MAP, 20)
+            oprot.writeMapBegin(TType.STRING, TType.LIST, len(self.recent_use_by_organisation))
+            for kiter333, viter334 in self.recent_use_by_organisation.items():
+                oprot.writeString(kiter333.encode('utf-8') if sys.version_info[0] == 2 else kiter333)
+                oprot.writeListBegin(TType.I64, len(viter334))
+                for iter335 in viter334:
+                    oprot.writeI64(iter335)
+                oprot.writeListEnd()
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6903,6 +6933,7 @@
     (17, TType.I64, 'evidence_revision', None, None, ),  # 17
     (18, TType.LIST, 'origins', (TType.STRUCT, [StreamOrigin, None], False), None, ),  # 18
     (19, TType.MAP, 'software_by_service', (TType.STRING, 'UTF8', TType.LIST, (TType.STRING, 'UTF8', False), False), None, ),  # 19
+    (20, TType.MAP, 'recent_use_by_organisation', (TType.STRING, 'UTF8', TType.LIST, (TType.I64, None, False), False), None, ),  # 20
 )
 all_structs.append(FleetPollReply)
 FleetPollReply.thrift_spec = (
--- a/sequoiafall/wire/sequoiafall.thrift
+++ b/sequoiafall/wire/sequoiafall.thrift
@@ -388,6 +388,9 @@
   // On the first poll also the software versions of services with several of them.
   18: list<StreamOrigin> origins
   19: map<string, list<string>> software_by_service
+  // On the first poll of a term: tokens that the sender admitted in each of the last
+  // time slots, the oldest first, see `token_bucket`.
+  20: optional map<string, list<i64>> recent_use_by_organisation
 }
 
 // `left` are all servers that said that they are leaving, if the leader's
--- a/tests/test_fleet_shares.py
+++ b/tests/test_fleet_shares.py
@@ -11,9 +11,14 @@
 from sequoiafall.catalog import Organisation, TokenLimit
 from sequoiafall.crash_evidence import CrashEvidence
 from sequoiafall.forwarding import Forwarder
-from sequoiafall.place_source import LEADERLESS_BURST_SHARE, PlaceSource
+from sequoiafall.place_source import (
+    LEADERLESS_BURST_SHARE,
+    LEADERLESS_IDLE_S,
+    PlaceSource,
+)
 from sequoiafall.server_limits import ServerLimits
 from sequoiafall.server_notices import ServerNotices
+from sequoiafall.token_bucket import USE_SLOT_S, RecentTokenUse
 
 EXTRA_RETRIES = 290
 RATE_PER_S = 1000.0
@@ -29,6 +34,7 @@
     def __init__(self, members):
         self.member_count = members
         self.has_limit_share = True
+        self.recent_use = RecentTokenUse()
         registry = BackendRegistry()
         self.notices = ServerNotices(registry, random.Random(1))
         self.server_limits = ServerLimits(registry)
@@ -164,6 +170,33 @@
         self.now += 60.0
         self.assertLessEqual(self.admitted(sources), self.allowed(0.0, 13))
 
+    def test_use_before_the_leader_was_lost(self):
+        """Guards against a burst at each loss of a leader that has spent it."""
+        members, periods, cost = 13, 6, 10
+        fleets = [FakeFleet(members) for _ in range(members)]
+        sources = [PlaceSource(fleet, None, random.Random(1)) for fleet in fleets]
+        for fleet in fleets:
+            for tenths in range(-100, 0):
+                tokens = 0.1 * RATE_PER_S / members
+                fleet.recent_use.add("org", tokens, self.now + tenths / 10.0)
+        tokens = 0
+        for _ in range(periods):
+            for fleet, source in zip(fleets, sources, strict=True):
+                while source.admit_without_leader(self.organisation, cost):
+                    tokens += cost
+                    fleet.recent_use.add("org", cost, self.now)
+            # A leader replies for longer than the bucket is kept.
+            self.now += LEADERLESS_IDLE_S + 0.1
+        elapsed_s = periods * (LEADERLESS_IDLE_S + 0.1)
+        allowed = (USE_SLOT_S + elapsed_s) * RATE_PER_S + periods * members * cost
+        self.assertLessEqual(tokens, allowed)
+
+    def test_alone_for_long(self):
+        """Guards against the share of an instance that its leader takes for gone."""
+        fleet = FakeFleet(13)
+        fleet.has_limit_share = False
+        self.assertEqual(self.admitted(self.sources(fleet, 1), 1.0), 0)
+
     def test_limit_is_lowered_while_requests_go_on(self):
         sources = self.sources(FakeFleet(13), 13)
         self.admitted(sources, 1.0)
--- a/tests/test_place_source.py
+++ b/tests/test_place_source.py
@@ -21,6 +21,7 @@
 from sequoiafall.refusal import Reason, Refusal
 from sequoiafall.server_limits import ServerLimits
 from sequoiafall.server_notices import ServerNotice, ServerNotices
+from sequoiafall.token_bucket import RecentTokenUse
 
 
 class FakeRegistry:
@@ -32,6 +33,9 @@
             for n in range(engines)
         ]
 
+    def record_start(self, name, born):
+        return False
+
     def active_servers(self, _service):
         """Return the engines."""
         return self.entries
@@ -60,6 +64,7 @@
         self.notices = ServerNotices(BackendRegistry(), random.Random(1))
         self.member_count = 0
         self.has_limit_share = True
+        self.recent_use = RecentTokenUse()
         self.versions_by_adapter = {}
         self.server_limits = ServerLimits(BackendRegistry())
         self.crash_evidence = CrashEvidence()
--- a/tests/test_token_bucket.py
+++ b/tests/test_token_bucket.py
@@ -9,6 +9,8 @@
 from sequoiafall.token_bucket import (
     INITIAL_LEVEL_S,
     RECENT_USE_WINDOW_S,
+    USE_SLOT_S,
+    USE_SLOTS,
     RecentTokenUse,
     TokenBucket,
     TokenLimits,
@@ -82,8 +84,72 @@
         limits = TokenLimits()
         limits.set_limits({"org": LIMIT}, 0.0)
         used = LIMIT.burst + LIMIT.rate_per_s * RECENT_USE_WINDOW_S
-        limits.apply_reported_use({"org": used}, 0.0)
-        self.assertEqual(limits.level("org", 0.0), INITIAL_LEVEL_S * LIMIT.rate_per_s)
+        limits.apply_reported_use({"org": [used / USE_SLOTS] * USE_SLOTS}, 0.0)
+        self.assertLessEqual(limits.level("org", 0.0), 0.0)
+
+    def test_use_in_the_new_term_counts(self):
+        limits = TokenLimits()
+        limits.set_limits({"org": LIMIT}, 0.0)
+        limits.take("org", 500.0, 0.0)
+        limits.apply_reported_use({}, 0.25)
+        self.assertEqual(limits.level("org", 0.25), LIMIT.burst - 500.0)
+
+    def test_use_without_a_leader_is_counted_once(self):
+        """Guards against callers that are refused for seconds after an outage.
+
+        What a gateway admitted without a leader is told twice: as tokens that no
+        leader has charged, and as recent use.
+        """
+        limits = TokenLimits()
+        limits.set_limits({"org": LIMIT}, 0.0)
+        limits.charge_until_reported("org", 8.0 * LIMIT.rate_per_s, 0.0)
+        use = [0.5 * LIMIT.rate_per_s * USE_SLOT_S] * USE_SLOTS
+        limits.apply_reported_use({"org": use}, 0.0)
+        self.assertGreater(limits.level("org", 0.0), 0.5 * LIMIT.burst)
+
+    @parameterized.expand(
+        [
+            ("usual", 0.55 * LIMIT.rate_per_s, LIMIT.burst),
+            ("as much as is allowed", LIMIT.rate_per_s, 0.0),
+        ]
+    )
+    def test_level_after_steady_use(self, _name, tokens_per_s, level):
+        """Guards against a burst that is granted anew at each change of the leader.
+
+        An organisation that presses its limit had an empty bucket at the last leader,
+        one that stays below it a full one.
+        """
+        limits = TokenLimits()
+        limits.set_limits({"org": LIMIT}, 0.0)
+        use = [tokens_per_s * USE_SLOT_S] * USE_SLOTS
+        limits.apply_reported_use({"org": use}, 0.0)
+        self.assertAlmostEqual(
+            limits.level("org", 0.0), level, delta=USE_SLOT_S * LIMIT.rate_per_s
+        )
+
+    @parameterized.expand([(0.6,), (1.5,), (3.0,)])
+    def test_leader_changes_again_and_again(self, term_s):
+        """Guards against a burst that is granted anew at each change of the leader."""
+        now, step_s, sync_s = 0.0, 0.01, 0.25
+        use, admitted, cost = RecentTokenUse(), [], 50.0
+        while now < 20.0:
+            limits, begins_at, is_synced = TokenLimits(), now, False
+            limits.set_limits({"org": LIMIT}, now)
+            reported = use.slots(now)
+            while now < begins_at + term_s:
+                if not is_synced and now >= begins_at + sync_s:
+                    limits.apply_reported_use(reported, now)
+                    is_synced = True
+                while limits.take("org", cost, now) == 0.0:
+                    use.add("org", cost, now)
+                    admitted.append((now, cost))
+                now += step_s
+        window_s = 8.0
+        for start, _ in admitted:
+            used = sum(t for at, t in admitted if start <= at < start + window_s)
+            # The overage of the limit, and what a term begins with.
+            bound = 1.1 * (LIMIT.burst + LIMIT.rate_per_s * window_s)
+            self.assertLessEqual(used, bound + INITIAL_LEVEL_S * LIMIT.rate_per_s)
 
     def test_use_without_a_place_closes_the_bucket(self):
         limits = TokenLimits()
