Give a restarted server a version of its own until an entry names it

While the store was away, an engine that started again with another software version got streams that were taken for streams of the version before.

Cause: the version of a stream is that of the server's entry, which was of the start before. The engine's reports name the new start, and nothing compared the two.

The registry records such starts. Until an entry names the version, it is one of its own, so that streams of it are joined with no other; the entry resolves it. A single known version is not assumed meanwhile. Gateways accept the leader's word on a start that they have not heard of. A waiting stream whose version is gone is refused at once.

--- a/sequoiafall/backend_registry.py
+++ b/sequoiafall/backend_registry.py
@@ -5,6 +5,10 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
+# Software version of a start that no entry has named yet, followed by the start.
+_UNNAMED_PREFIX = "unnamed start "
+# Maximum number of starts whose versions are kept; the oldest are dropped first.
+MAX_STARTS = 4000
 # Maximum number of recorded departures; the oldest are dropped first. Servers that
 # are gone are no longer announced, so few of the records are ever needed.
 MAX_LEAVING = 2000
@@ -53,7 +57,9 @@
 
     __slots__ = (
         "_entries_by_name",
+        "_later_starts_by_name",
         "_leaving_start_times_by_name",
+        "_software_by_unnamed",
         "left_revision",
         "revision",
     )
@@ -61,6 +67,10 @@
     def __init__(self) -> None:
         self._entries_by_name: dict[str, BackendEntry] = {}
         self._leaving_start_times_by_name: dict[str, int] = {}
+        # Starts that servers have reported and that their entries do not name yet.
+        self._later_starts_by_name: dict[str, int] = {}
+        # Versions of starts that entries have named.
+        self._software_by_unnamed: dict[str, str] = {}
         self.revision = 0
         self.left_revision = 0
 
@@ -75,6 +85,14 @@
                 del self._leaving_start_times_by_name[entry.name]
             else:
                 entry = replace(entry, is_leaving=True)
+        self._record_software(entry)
+        later_born = self._later_starts_by_name.get(entry.name)
+        if later_born is not None:
+            if _is_later_start(later_born, entry.born):
+                unnamed = _unnamed_software(entry.name, later_born)
+                entry = replace(entry, born=later_born, software=unnamed)
+            else:
+                del self._later_starts_by_name[entry.name]
         if self._entries_by_name.get(entry.name) == entry:
             return False
         self._entries_by_name[entry.name] = entry
@@ -90,6 +108,7 @@
         if not self._leaving_start_times_by_name.get(name, 1):
             # Without a start time, only the removed entry indicates a new start.
             del self._leaving_start_times_by_name[name]
+        self._later_starts_by_name.pop(name, None)
         if self._entries_by_name.pop(name, None) is None:
             return False
         self.revision += 1
@@ -128,6 +147,55 @@
             self.put(entry)
         return True
 
+    def record_start(self, name: str, born: int) -> bool:
+        """Record a start that a server reports, and return whether it is new.
+
+        A server may have started again while the store is away, with another software
+        version than its entry names. It has a version of its own until it is named.
+        """
+        entry = self._entries_by_name.get(name)
+        if entry is None or not _is_later_start(born, entry.born):
+            return False
+        self._later_starts_by_name[name] = born
+        return self.put(entry)
+
+    def resolve_software(self, software: str) -> str:
+        """Return the version of an unnamed start, if an entry has named it since."""
+        return self._software_by_unnamed.get(software, software)
+
+    def runs_software(self, name: str, software: str) -> bool:
+        """Whether a server has a version, which may be that of an unnamed start.
+
+        The leader may know of a start that has not been heard of here.
+        """
+        entry = self._entries_by_name.get(name)
+        if entry is None:
+            return False
+        if entry.software == self.resolve_software(software):
+            return True
+        server, _, born = software.removeprefix(_UNNAMED_PREFIX).rpartition(" ")
+        return (
+            software.startswith(_UNNAMED_PREFIX)
+            and server == name
+            and _is_later_start(int(born), entry.born)
+        )
+
+    def has_unnamed_software(self, service: str) -> bool:
+        """Whether a server of a service runs a version that no entry has named."""
+        return any(
+            self._entries_by_name[name].service == service
+            for name in self._later_starts_by_name
+            if name in self._entries_by_name
+        )
+
+    def _record_software(self, entry: BackendEntry) -> None:
+        if not entry.born:
+            return
+        starts = self._software_by_unnamed
+        starts[_unnamed_software(entry.name, entry.born)] = entry.software
+        if len(starts) > MAX_STARTS:
+            del starts[next(iter(starts))]
+
     def leaving_start_times(self) -> dict[str, int]:
         """Return the start times of the leaving servers by name."""
         return dict(self._leaving_start_times_by_name)
@@ -141,9 +209,11 @@
         return [row for row in self.all_servers(service) if not row.is_leaving]
 
     def software_by_service(self) -> dict[str, set[str]]:
-        """Return the software versions of the known servers of each service."""
+        """Return the software versions of each service that entries have named."""
         versions: dict[str, set[str]] = {}
         for entry in self._entries_by_name.values():
+            if entry.name in self._later_starts_by_name:
+                continue
             versions.setdefault(entry.service, set()).add(entry.software)
         return versions
 
@@ -152,5 +222,9 @@
         return [row for row in self._entries_by_name.values() if row.service == service]
 
 
+def _unnamed_software(name: str, born: int) -> str:
+    return f"{_UNNAMED_PREFIX}{name} {born}"
+
+
 def _is_later_start(born: int, other: int) -> bool:
     return bool(born and other and born > other)
--- a/sequoiafall/engine_planner.py
+++ b/sequoiafall/engine_planner.py
@@ -176,7 +176,24 @@
         self.pool.adapter_slots = adapter_slots
         for name in self.pool.set_entries(entries):
             self._unbind(name)
-        return self._on_change(now)
+        return self._refuse_gone_versions(entries, now) + self._on_change(now)
+
+    def _refuse_gone_versions(
+        self, entries: list[BackendEntry], now: float
+    ) -> list[Action]:
+        """Refuse waiting streams that no engine can go on with any more."""
+        versions = {entry.software for entry in entries if not entry.is_leaving}
+        actions: list[Action] = []
+        for waiting in list(self._waiting_by_id.values()):
+            software = waiting.request.software
+            if software is None or not versions or software in versions:
+                continue
+            self._drop(waiting)
+            detail = "no engine has the software version that began the stream"
+            actions.append(
+                self._refuse(waiting, Reason.STREAM_VERSION_GONE, now, detail)
+            )
+        return actions
 
     def set_store_rate(self, loads_per_s: float) -> None:
         """Set the base model loads per second that the weight store can start."""
--- a/sequoiafall/fleet_leader.py
+++ b/sequoiafall/fleet_leader.py
@@ -392,7 +392,10 @@
         if request.software is None and request.is_take_up:
             result, software = await self._decide_version(request)
             standing = self._find_standing()
-            if result is TakeUpResult.SINGLE and not standing.knows_servers:
+            is_single = result is TakeUpResult.SINGLE
+            if is_single and self._registry.has_unnamed_software(request.pool):
+                result = TakeUpResult.UNKNOWN
+            elif is_single and not standing.knows_servers:
                 # Servers of another version may have come where it is not heard of.
                 return _refuse_take_up(
                     request, Reason.STREAM_VERSION_UNKNOWN, TAKE_UP_RETRY_S, standing
@@ -416,6 +419,7 @@
             )
         if request.software is None:
             return None
+        request.software = self._registry.resolve_software(request.software)
         active = self._registry.active_servers(request.pool)
         if not active or any(entry.software == request.software for entry in active):
             return None
@@ -769,6 +773,8 @@
         self._report_schedule.on_read(entry.name, report is not None, now)
         engine = planner.pool.engines_by_name.get(entry.name)
         worker = self._worker(entry)
+        if report is not None and self._registry.record_start(entry.name, report.born):
+            self.on_backends_changed()
         if report is not None and engine is not None:
             if engine.born and report.born and engine.born != report.born:
                 worker.reset_sequence()
--- a/sequoiafall/forwarding.py
+++ b/sequoiafall/forwarding.py
@@ -982,7 +982,10 @@
             raise WithheldError("the backend server is leaving")
         if self._fleet.notices.pause_left_s(server) > 0.0:
             raise WithheldError("the backend server asked for a pause")
-        if exchange.software not in (None, entry.software):
+        software = exchange.software
+        if software is not None and not self._fleet.registry.runs_software(
+            server, software
+        ):
             raise WithheldError("the backend server has another software version")
 
     async def _receive(
--- a/sequoiafall/place_source.py
+++ b/sequoiafall/place_source.py
@@ -191,6 +191,9 @@
                 "here",
             )
         while True:
+            if pending.software is not None:
+                registry = self._fleet.registry
+                pending.software = registry.resolve_software(pending.software)
             if self._is_version_gone(pending):
                 if pending.is_take_up:
                     self._fleet.count_take_up(Reason.STREAM_VERSION_GONE.value)
@@ -235,9 +238,10 @@
         """Whether no server is left that may go on with a stream."""
         if pending.software is None:
             return False
-        active = self._fleet.registry.active_servers(pending.service)
-        return bool(active) and all(
-            entry.software != pending.software for entry in active
+        registry, software = self._fleet.registry, pending.software
+        active = registry.active_servers(pending.service)
+        return bool(active) and not any(
+            registry.runs_software(entry.name, software) for entry in active
         )
 
     def report_begun(
@@ -481,6 +485,10 @@
         result, software = self._fleet.stream_versions.decide(
             pending.resumes_key, pending.service, boot_time()
         )
+        if result is TakeUpResult.SINGLE and (
+            self._fleet.registry.has_unnamed_software(pending.service)
+        ):
+            return
         if result is not TakeUpResult.UNKNOWN:
             self._bind(pending, software, result.value)
 
@@ -552,11 +560,14 @@
         reports = await asyncio.gather(
             *(self._control.report(entry) for entry in entries)
         )
-        self._reports_by_server = known | {
+        read = {
             entry.name: report
             for entry, report in zip(entries, reports, strict=True)
             if report is not None
         }
+        for name, report in read.items():
+            self._fleet.registry.record_start(name, report.born)
+        self._reports_by_server = known | read
         self._reports_read_at = boot_time()
 
     def no_leader_refusal(self, detail: str) -> Refusal:
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -683,6 +683,61 @@
         self.assert_refused(await self.take_up_all(streams))
 
 
+class UnnamedStartTest(VersionCase):
+    """A server starts again with another version while the store is away."""
+
+    async def restart_as_v2(self):
+        """Restart e2, which writes its entry only when the store is back."""
+        await self.start(ONE_VERSION)
+        self.store.rejected_peers.add("*")
+        engine = self.engines["e2"]
+        engine.on_restart = None
+        engine.keeps_models = True
+        engine.restart()
+        engine.software = "v2"
+        planner = self.leader.fleet.duties.planners_by_service["assist"]
+        known = planner.pool.engines_by_name["e2"]
+        await until(lambda: known.born == engine.started_at_ms and known.is_synced)
+        return engine
+
+    async def test_streams_of_the_new_start(self):
+        """Guards against streams that are joined with those of the entry's version."""
+        engine = await self.restart_as_v2()
+        streams = await self.begin(self.member)
+        self.assertIn({"v2"}, [row.software for row in streams])
+        born = engine.started_at_ms
+        engine.down_s = EVENT_TIMEOUT_S
+        await engine.crash()
+        await until(lambda: engine.started_at_ms > born)
+        self.advance()
+        await self.finish(streams)
+        self.assert_one_version(streams)
+
+    async def test_entry_of_the_new_start_arrives(self):
+        """Streams that began before it go on at its version."""
+        engine = await self.restart_as_v2()
+        streams = await self.begin(self.member)
+        self.store.rejected_peers.clear()
+        self.announce(engine)
+        await self.start_engine("e4", "v2")
+        await self.settle()
+        await self.break_off(streams)
+        self.advance()
+        answers = await self.take_up(self.leader, streams)
+        self.assert_one_version(streams)
+        self.assert_resumed_or_refused(answers)
+
+    async def test_take_up_of_unknown_origin(self):
+        """Guards against the version of the entry for a stream of the new start."""
+        await self.restart_as_v2()
+        streams = await self.begin(self.member)
+        await self.break_off(streams)
+        self.advance()
+        headers = {names.RESUMES: "r999999"}
+        for node in (self.member, self.leader):
+            self.assert_refused(await self.take_up(node, streams, **headers))
+
+
 class UnknownStreamTest(VersionCase):
     """Take-ups that name no stream which the nodes know."""
 
@@ -829,8 +884,13 @@
 class ReleaseAfterTheLeaderTest(VersionCase):
     """A second version comes after a change of the leader."""
 
+    def prevent_election(self, node):
+        """Let a node follow leaders only."""
+        keeper = node.fleet._keeper
+        self.enterContext(patch.object(keeper, "take", AsyncMock(return_value=False)))
+
     async def _step_down(self, leader):
-        leader.fleet._no_election_until = boot_time() + LONG_SILENCE_S
+        self.prevent_election(leader)
         leader.fleet._lose_lease("test")
 
     @parameterized.expand(
@@ -849,7 +909,7 @@
         await self.start(ONE_VERSION, 3)
         first, node = self.leader, self.member
         streams = await self.begin(node)
-        node.fleet._no_election_until = boot_time() + LONG_SILENCE_S
+        self.prevent_election(node)
         await end(self, first)
         await until(lambda: self.leader not in (None, first))
         await self.settle()
