Decode only the strings with escapes in the search for a caller's key

Cause: a body with a backslash was decoded whole into Python objects, which take up to 45 times its bytes. Only a string with an escape can hold a key that does not stand in the body verbatim.

A pattern finds these strings in one pass, and 64 KB of them are decoded at a time.

--- a/sequoiafall/secret_scan.py
+++ b/sequoiafall/secret_scan.py
@@ -22,6 +22,14 @@
 # of them would block the event loop for half a second.
 MAX_DECODED_ESCAPES = 4096
 
+# Strings of JSON that are decoded at a time. As Python objects, the values of a body
+# take up to 45 times its bytes.
+MAX_STRINGS_BYTES = 64 * 1024
+# A string of JSON with an escape, after text and strings without one.
+_ESCAPED_STRING = re.compile(
+    rb'(?:[^"]++|"[^"\\]*+")*+("[^"\\]*+(?:\\.[^"\\]*+)++")', re.DOTALL
+)
+
 _TO_STANDARD_ALPHABET = bytes.maketrans(b"-_", b"+/")
 _LINE_BREAKS = b"\r\n"
 _BASE64_ESCAPES = (
@@ -146,11 +154,30 @@
 
 
 def _json_contains(scanner: _SecretScanner, data: bytes) -> bool:
+    """Search the strings of JSON that have escapes; the others stand in it verbatim."""
+    if json.dumps(scanner.secret)[1:-1].encode() in data:
+        return True
+    strings: list[bytes] = []
+    size = 0
+    position = 0
+    # A search would try each later position again where the rest is no JSON.
+    while match := _ESCAPED_STRING.match(data, position):
+        position = match.end()
+        strings.append(match[1])
+        size += len(match[1])
+        if size >= MAX_STRINGS_BYTES:
+            if _strings_contain(scanner, strings):
+                return True
+            strings, size = [], 0
+    return _strings_contain(scanner, strings)
+
+
+def _strings_contain(scanner: _SecretScanner, strings: list[bytes]) -> bool:
     try:
-        value = decode_json(data)
+        values = decode_json(b"[" + b",".join(strings) + b"]", list[str])
     except msgspec.DecodeError:
-        return json.dumps(scanner.secret)[1:-1].encode() in data
-    return scanner.matches(_joined_strings(value))
+        return False
+    return scanner.matches(_joined_strings(values))
 
 
 def _joined_strings(value: Any) -> bytes:
--- a/tests/test_secret_scan.py
+++ b/tests/test_secret_scan.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import tracemalloc
 import unittest
 from urllib.parse import quote
 
@@ -95,3 +96,52 @@
     def test_no_secret(self):
         self.assertFalse(contains_secret("", ["x"]))
         self.assertFalse(value_contains_secret("", {"a": "x"}))
+
+
+class MemoryTest(unittest.TestCase):
+    """Guards against a process that a body within the limits ends for lack of memory.
+
+    As Python objects, the values of JSON take up to 45 times their bytes.
+    """
+
+    SIZE = 1024 * 1024
+    BEGIN = '{"note":"caf\\u00e9","lines":[[[7]]'
+    END = "]}"
+
+    @parameterized.expand(
+        [
+            ("short lists", ",[[7]]"),
+            ("nested lists", "," + 50 * "[" + 50 * "]"),
+            ("objects", ',{"k":1}'),
+            ("strings", ',"ab"'),
+            ("escaped strings", ',"\\n"'),
+            ("numbers", ",1"),
+        ]
+    )
+    def test_large_body(self, _name, row):
+        body = self.BEGIN + row * (self.SIZE // len(row)) + self.END
+        json.loads(body)
+        data = body.encode()
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        self.assertFalse(contains_secret(SECRET, [data]))
+        _, peak = tracemalloc.get_traced_memory()
+        # Forms of the text that are searched are copies of it.
+        self.assertLess(peak, 6 * len(data))
+
+    @parameterized.expand(
+        [
+            ("between lists", '{"a":[[7]],"b":["%s"]}'),
+            ("after many strings", "[" + '"\\n",' * 100_000 + '"%s"]'),
+            ("key", '{"x":"\\\\","%s":1}'),
+            ("after a string that ends in a backslash", '["\\\\","%s"]'),
+        ]
+    )
+    def test_escaped_secret(self, _name, text):
+        escaped = "".join(f"\\u{ord(letter):04x}" for letter in SECRET)
+        self.assertTrue(contains_secret(SECRET, [text % escaped]))
+
+    @parameterized.expand([('"',), ("\\",), ('"\\',), ('\\"',), ('"a\\n',)])
+    def test_text_that_is_no_json(self, unit):
+        """Guards against a search that begins anew at each letter."""
+        self.assertFalse(contains_secret(SECRET, [unit * (self.SIZE // len(unit))]))
