Tell likely leaders of streams placed without a leader

Cause: where these streams began was told to the next leader only, so it ended with the instance.

While their service has several software versions, the instance tells the two members that are likely to lead next, 0.1 s after a stream is placed. A member keeps what it is told, and tells the leader that it follows, as it tells its own streams. With a single version nothing is told, as nothing need be known.

Evidence: PlacedAloneTest failed before (no other node knew the streams) and passes.

--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -65,6 +65,10 @@
 # A leader that stopped replying may reply again within this time, whether or not
 # the store is reachable.
 LEADER_RETURN_GRACE_S = 1.0
+# Streams placed without a leader are told to this many instances, together with those
+# that follow within this time.
+MAX_ORIGIN_HOLDERS = 2
+SHARE_ORIGINS_AFTER_S = 0.1
 # A leader that has not replied for this long is no longer offered to callers.
 LEADER_GONE_AFTER_S = 1.0
 # Random delay of each candidate, so that their writes do not collide.
@@ -156,6 +160,7 @@
         # When another instance polled this one, or replied to it.
         self._heard_at = self._started_at
         self._origin_reports = OriginReports(self.stream_versions)
+        self._is_sharing_origins = False
         self.notices = ServerNotices(self.registry, random.Random())
         self.server_limits = ServerLimits(self.registry)
         self.crash_evidence = CrashEvidence(self._on_evidence_changed)
@@ -320,8 +325,34 @@
         return find_standing(heard, members.serving_count())
 
     def record_origin_alone(self, origin: StreamOrigin) -> None:
-        """Record a stream that was placed without a leader, to tell the next one."""
+        """Record a stream that was placed without a leader, to tell the next one.
+
+        Others are told as well while the stream's service has several versions: this
+        instance may end before there is a leader.
+        """
         self._origin_reports.add_alone(origin)
+        if self._is_sharing_origins:
+            return
+        if self.stream_versions.has_several(origin.service, boot_time()):
+            self._is_sharing_origins = True
+            self._run_in_background(self._share_origins())
+
+    async def _share_origins(self) -> None:
+        """Tell the instances that may lead next of streams placed without a leader."""
+        await asyncio.sleep(SHARE_ORIGINS_AFTER_S)
+        self._is_sharing_origins = False
+        origins = self._origin_reports.placed_alone(boot_time())
+        own = self.settings.instance
+        address_by_instance = {row.instance: row.peer_address for row in self.members}
+        likely = [
+            address_by_instance[name]
+            for name in ranked_members(self.members, self._link.last_term)
+            if name != own and address_by_instance[name] != self._link.lost_address
+        ]
+        poll = self._poll_of_peer(origins)
+        await asyncio.gather(
+            *(self._announce(row, poll) for row in likely[:MAX_ORIGIN_HOLDERS])
+        )
 
     def count_take_up(self, result: str) -> None:
         """Count a stream that is taken up, by how its software version was found."""
@@ -452,6 +483,8 @@
             duties = None
         if duties is None or not self.lease.leads:
             self._learn_member(poll.member)
+            # The sender has no leader to tell.
+            self._apply_versions(None, poll.origins)
             if poll.announces and poll.term > self._link.term:
                 self._run_in_background(
                     self._follow_announced(poll.member.peer_address)
@@ -874,19 +907,34 @@
             duties.set_catalog(self.catalog)
         for adapter, version in self.versions_by_adapter.items():
             duties.set_adapter_version(adapter, version)
-        poll = ttypes.FleetPoll(
+        poll = self._poll_of_peer([])
+        poll.term = self.lease.token
+        poll.recent_tokens_by_organisation = {
+            name: int(used) for name, used in self.recent_use.sums(boot_time()).items()
+        }
+        poll.recent_use_by_organisation = self._recent_use_to_wire()
+        poll.announces = True
+        poll.evidence = self.evidence_exchange.since_revision(0)
+        self._pending_tokens.clear()
+        self._releases.clear()
+        duties.on_poll(poll)
+        for member in self.members:
+            if member.instance != self.settings.instance:
+                self._run_in_background(self._announce(member.peer_address, poll))
+        self._learned_by_instance.clear()
+
+    def _poll_of_peer(self, origins: list[StreamOrigin]) -> Any:
+        """Return a message that tells an instance of this one, and of streams."""
+        return ttypes.FleetPoll(
             member=self._member(),
-            term=self.lease.token,
+            term=0,
             revision=0,
             tokens_by_organisation={},
             rows=[],
+            # A leader releases the places that are not named.
             held=list(self.places_by_request_and_server.values()),
-            recent_tokens_by_organisation={
-                name: int(used)
-                for name, used in self.recent_use.sums(boot_time()).items()
-            },
-            recent_use_by_organisation=self._recent_use_to_wire(),
-            announces=True,
+            recent_tokens_by_organisation={},
+            announces=False,
             members_revision=0,
             newest_by_table={},
             left=[],
@@ -894,18 +942,11 @@
             left_revision=0,
             limits=[],
             limits_revision=0,
-            evidence=self.evidence_exchange.since_revision(0),
+            evidence=[],
             evidence_revision=0,
-            origins=[],
+            origins=self._origins_to_wire(origins),
             software_by_service={},
         )
-        self._pending_tokens.clear()
-        self._releases.clear()
-        duties.on_poll(poll)
-        for member in self.members:
-            if member.instance != self.settings.instance:
-                self._run_in_background(self._announce(member.peer_address, poll))
-        self._learned_by_instance.clear()
 
     async def _announce(self, address: str, poll: Any) -> None:
         client = WireClient(address, self._secret)
--- a/sequoiafall/origin_reports.py
+++ b/sequoiafall/origin_reports.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import deque
 
 from .stream_versions import StreamOrigin, StreamVersions
@@ -36,6 +37,11 @@
         """Add a stream that was placed without a leader."""
         self._placed_alone.append(origin)
 
+    def placed_alone(self, now: float) -> list[StreamOrigin]:
+        """Return the streams placed without a leader that no leader knows yet."""
+        newest = itertools.islice(reversed(self._placed_alone), MAX_ORIGINS_PER_MESSAGE)
+        return [origin for origin in newest if origin.expires_at > now]
+
     def begin(self, now: float) -> None:
         """Tell all origins that this instance knows, as the leader is new to it."""
         self._untold.clear()
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -17,6 +17,7 @@
 from sequoiafall.boot_clock import boot_time
 from sequoiafall.fleet_leader import LeaderDuties
 from sequoiafall.platform import names
+from sequoiafall.stream_versions import stream_key
 
 from .events import until
 from .gateway_case import capture_log
@@ -921,3 +922,32 @@
         answers = await self.take_up(self.leader, streams)
         self.assert_one_version(streams)
         self.assert_resumed_or_refused(answers)
+
+
+class PlacedAloneTest(VersionCase):
+    """Streams that a node placed without a leader outlast the node."""
+
+    def knows(self, node, streams):
+        versions = node.fleet.stream_versions
+        keys = [stream_key("org-1", row.request_id) for row in streams]
+        return all(versions.find(key, "assist", boot_time()) for key in keys)
+
+    async def test_node_ends_before_there_is_a_leader(self):
+        """Guards against take-ups that are refused after two losses in a row."""
+        await self.start(TWO_EACH, 3)
+        first = self.leader
+        node, other = (row for row in self.nodes if row is not first)
+        with contextlib.ExitStack() as stack:
+            for row in (node, other):
+                take = AsyncMock(return_value=False)
+                stack.enter_context(patch.object(row.fleet._keeper, "take", take))
+            await self.kill(first)
+            streams = await self.begin(node)
+            await until(lambda: self.knows(other, streams))
+            await self.kill(node)
+        await until(lambda: self.leader is other)
+        await self.settle()
+        self.advance()
+        answers = await self.take_up(other, streams)
+        self.assert_one_version(streams)
+        self.assert_resumed_or_refused(answers)
