Count the recent use of a member once, and log a leader's standing

A member whose first poll got no reply in 0.4 s polls again, and its recent use was added a second time. The level of a limit then began too low, and callers within it were refused for some seconds.

The last report of each member counts. A leader also logs when what it hears changes (leader_standing), with the part of each limit that it grants, so that refusals as over the rate can be told from a cut.

ReportedUseTest.test_repeated_report_counts_once guards against it; the class it tests took each report as new before.

--- a/sequoiafall/fleet_leader.py
+++ b/sequoiafall/fleet_leader.py
@@ -138,6 +138,7 @@
         self._organisations_by_request: dict[str, str] = {}
         self._recent_use = ReportedUse()
         self._members_checked_at = now
+        self._standing = Standing.IN_TOUCH
         self._models_by_service: dict[str, str] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
         self._wake = asyncio.Event()
@@ -316,18 +317,34 @@
                     held.time_left_ms / 1e3,
                 )
                 pool_planner.adopt(placement_request, held.server, held.version, now)
-        self._recent_use.add(
-            poll.recent_use_by_organisation, poll.recent_tokens_by_organisation
-        )
+        # What is placed without a leader is told in polls without the use.
+        if poll.recent_use_by_organisation is not None or (
+            poll.recent_tokens_by_organisation
+        ):
+            self._recent_use.set(
+                poll.member.instance,
+                poll.recent_use_by_organisation,
+                poll.recent_tokens_by_organisation,
+            )
 
     def _check_members(self, now: float) -> None:
         """Release what silent members held, and divide the limits with them."""
         if now - self._members_checked_at < MEMBER_CHECK_INTERVAL_S:
             return
         self._members_checked_at = now
-        self.limits.set_share(self.members.limit_share(now), now)
-        keeps_silent = not self._find_standing().reaches_store
-        for name in self.members.expire(now, keeps_silent):
+        share = self.members.limit_share(now)
+        self.limits.set_share(share, now)
+        standing = self._find_standing()
+        if standing is not self._standing:
+            self._standing = standing
+            log_event(
+                "leader_standing",
+                standing=standing.value,
+                limit_share=share,
+                members=len(self.members.by_instance),
+                term=self.term,
+            )
+        for name in self.members.expire(now, not standing.reaches_store):
             log_event("member_lost", instance=name, term=self.term)
             for planner in self.planners_by_service.values():
                 actions = planner.release_gateway(name, frozenset(), now)
@@ -812,13 +829,14 @@
                 not self._members_synced.is_set()
                 and now - self._started_at >= MEMBER_SYNC_S
             ):
-                self.limits.apply_reported_use(self._recent_use.by_organisation, now)
+                recent_use = self._recent_use.by_organisation()
+                self.limits.apply_reported_use(recent_use, now)
                 self._members_synced.set()
                 log_event(
                     "term_started",
                     term=self.term,
                     members=len(self.members.by_instance),
-                    organisations=len(self._recent_use.by_organisation),
+                    organisations=len(recent_use),
                 )
             self._check_members(now)
             due_s = 0.25
--- a/sequoiafall/token_bucket.py
+++ b/sequoiafall/token_bucket.py
@@ -262,28 +262,25 @@
 
 
 class ReportedUse:
-    """Sum of the recent use that gateways report.
+    """Recent use that gateways report; the last report of each one counts."""
 
-    Attributes
-    ----------
-    by_organisation : dict of str to list of float
-        Tokens in each of the last slots, the oldest first.
-    """
-
-    __slots__ = ("by_organisation",)
+    __slots__ = ("_slots_by_instance",)
 
     def __init__(self) -> None:
-        self.by_organisation: dict[str, list[float]] = {}
+        self._slots_by_instance: dict[str, Mapping[str, Sequence[float]]] = {}
 
-    def add(
+    def set(
         self,
+        instance: str,
         slots_by_organisation: Mapping[str, Sequence[float]] | None,
         sums_by_organisation: Mapping[str, float],
     ) -> None:
-        """Add the use of one gateway.
+        """Record the use of one gateway.
 
         Parameters
         ----------
+        instance : str
+            The gateway.
         slots_by_organisation : mapping of str to sequence of float, or None
             Tokens in each slot, None from an instance of an earlier build.
         sums_by_organisation : mapping of str to float
@@ -294,10 +291,17 @@
                 name: [tokens / USE_SLOTS] * USE_SLOTS
                 for name, tokens in sums_by_organisation.items()
             }
-        for name, slots in slots_by_organisation.items():
-            known = self.by_organisation.setdefault(name, [0.0] * USE_SLOTS)
-            for number, tokens in enumerate(slots[-USE_SLOTS:]):
-                known[number] += tokens
+        self._slots_by_instance[instance] = slots_by_organisation
+
+    def by_organisation(self) -> dict[str, list[float]]:
+        """Return the tokens of all gateways in each of the last slots."""
+        sums: dict[str, list[float]] = {}
+        for slots_by_organisation in self._slots_by_instance.values():
+            for name, slots in slots_by_organisation.items():
+                known = sums.setdefault(name, [0.0] * USE_SLOTS)
+                for number, tokens in enumerate(slots[-USE_SLOTS:]):
+                    known[number] += tokens
+        return sums
 
 
 def share_of(limit: TokenLimit, share: float) -> TokenLimit:
--- a/tests/test_token_bucket.py
+++ b/tests/test_token_bucket.py
@@ -12,6 +12,7 @@
     USE_SLOT_S,
     USE_SLOTS,
     RecentTokenUse,
+    ReportedUse,
     TokenBucket,
     TokenLimits,
 )
@@ -202,3 +203,20 @@
         limits.set_limits({"org": TokenLimit(0.0, 0.0)}, 0.0)
         limits.set_share(0.5, 0.0)
         self.assertEqual(limits.take("org", 1e9, 0.0), 0.0)
+
+
+class ReportedUseTest(unittest.TestCase):
+    """Recent use of all gateways, as they report it at the begin of a term."""
+
+    def test_repeated_report_counts_once(self):
+        """Guards against use that counts twice if the reply to a poll was lost."""
+        reported = ReportedUse()
+        for _ in range(3):
+            reported.set("node-1", {"org": [10.0] * USE_SLOTS}, {})
+        reported.set("node-2", {"org": [5.0] * USE_SLOTS}, {})
+        self.assertEqual(reported.by_organisation(), {"org": [15.0] * USE_SLOTS})
+
+    def test_report_of_an_earlier_build(self):
+        reported = ReportedUse()
+        reported.set("node-1", None, {"org": 100.0})
+        self.assertEqual(sum(reported.by_organisation()["org"]), 100.0)
