Cease to grant a member's part of a limit when the member begins to use it

Cause: a member uses its part 2.4 poll intervals after the last reply, and the leader granted it for 4 intervals. A new leader counted the one that was lost as heard for a second.

The leader ceases after 2.4 intervals as well, and a leader that was lost is silent from the begin of the next term.

--- a/sequoiafall/fleet.py
+++ b/sequoiafall/fleet.py
@@ -881,10 +881,18 @@
         self.evidence_exchange.wake()
         self._stored_streams.on_term_began()
         known = self.members_by_instance | self._learned_by_instance
-        expected = [
-            row.instance for row in known.values() if row.is_silent or not row.leaving
-        ]
-        members = MemberRegister(self.settings.instance, expected, boot_time())
+        serving = [row for row in known.values() if row.is_silent or not row.leaving]
+        lost_address = self._link.lost_address
+        members = MemberRegister(
+            self.settings.instance,
+            [row.instance for row in serving],
+            [
+                row.instance
+                for row in serving
+                if row.is_silent or row.peer_address == lost_address
+            ],
+            boot_time(),
+        )
         self.duties = duties = LeaderDuties(
             self.settings,
             self.lease,
--- a/sequoiafall/member_register.py
+++ b/sequoiafall/member_register.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from .leader_link import LEADER_SILENCE_POLLS
 from .log import log_event
 from .wire.gen import ttypes
 
@@ -53,6 +54,8 @@
     expected : iterable of str
         Instances that were members before the term. They count as heard until they
         have missed their first polls.
+    silent : iterable of str
+        Those of them that were silent before the term, such as a leader that was lost.
     now : float
         Time at which the term began.
 
@@ -64,18 +67,33 @@
         Grows with each change of a member.
     """
 
-    __slots__ = ("_expected", "_instance", "_started_at", "by_instance", "revision")
+    __slots__ = (
+        "_expected",
+        "_instance",
+        "_silent",
+        "_started_at",
+        "by_instance",
+        "revision",
+    )
 
-    def __init__(self, instance: str, expected: Iterable[str], now: float) -> None:
+    def __init__(
+        self,
+        instance: str,
+        expected: Iterable[str],
+        silent: Iterable[str],
+        now: float,
+    ) -> None:
         self._instance = instance
         self._started_at = now
-        self._expected = set(expected) - {instance}
+        self._silent = set(silent) - {instance}
+        self._expected = set(expected) - self._silent - {instance}
         self.by_instance: dict[str, MemberRecord] = {}
         self.revision = 0
 
     def record(self, member: Any, now: float) -> None:
         """Record a poll of a member, or that the leader's own instance is live."""
         self._expected.discard(member.instance)
+        self._silent.discard(member.instance)
         record = self.by_instance.get(member.instance)
         if record is not None and record.is_live and record.member == member:
             record.polled_at = now
@@ -128,6 +146,7 @@
                 log_event("member_gone", instance=name, age_ms=int(age_s * 1e3))
         if now - self._started_at > MEMBER_GONE_S and not keeps_silent:
             self._expected.clear()
+            self._silent.clear()
         return released
 
     def _change(self, record: MemberRecord) -> None:
@@ -156,14 +175,16 @@
             name != self._instance and record.serves
             for name, record in self.by_instance.items()
         )
-        return 1 + serving + len(self._expected)
+        return 1 + serving + len(self._expected) + len(self._silent)
 
     def limit_share(self, now: float) -> float:
         """Return the part of all limits that is granted to instances that are heard.
 
         The others may be cut off, and use theirs without a leader or with another one.
+        They do so once they have had no reply for as long.
         """
-        return self.heard_count(self.ttl_s, now) / self.serving_count()
+        within_s = LEADER_SILENCE_POLLS * poll_interval_s(len(self.by_instance))
+        return self.heard_count(within_s, now) / self.serving_count()
 
 
 def poll_interval_s(members: int) -> float:
--- a/tests/test_member_register.py
+++ b/tests/test_member_register.py
@@ -5,10 +5,12 @@
 
 from parameterized import parameterized
 
+from sequoiafall.leader_link import LEADER_SILENCE_POLLS
 from sequoiafall.leader_standing import ALONE_LIMIT_S, Standing, find_standing
 from sequoiafall.member_register import (
     MEMBER_GONE_S,
     MemberRegister,
+    poll_interval_s,
 )
 
 MEMBERS = ("node-1", "node-2", "node-3", "node-4")
@@ -37,7 +39,7 @@
     """
 
     def setUp(self):
-        self.register = MemberRegister(OWN, (), 0.0)
+        self.register = MemberRegister(OWN, (), (), 0.0)
         self.poll(MEMBERS, 0.0)
 
     def poll(self, names, now, **changes):
@@ -79,14 +81,31 @@
         self.assertEqual(self.share(5.0), 1.0)
 
     def test_new_leader_waits_for_the_members_that_it_knew(self):
-        register = MemberRegister(OWN, MEMBERS, 0.0)
+        register = MemberRegister(OWN, MEMBERS, (), 0.0)
         self.assertEqual(register.limit_share(0.0), 1.0)
         self.assertEqual(register.limit_share(2.5), 0.25)
         register.record(member(MEMBERS[1]), 2.5)
         self.assertEqual(register.limit_share(2.5), 0.5)
 
+    def test_leader_that_was_lost(self):
+        """Guards against its part, which it uses until it knows of the new leader."""
+        register = MemberRegister(OWN, MEMBERS, MEMBERS[3:], 0.0)
+        self.assertEqual(register.limit_share(0.0), 0.75)
+        register.record(member(MEMBERS[3]), 0.1)
+        self.assertEqual(register.limit_share(0.1), 1.0)
+
+    @parameterized.expand([(4,), (118,)])
+    def test_member_uses_its_part_when_the_leader_ceases_to(self, members):
+        """Guards against the time in which both use it."""
+        register = MemberRegister(OWN, (), (), 0.0)
+        for number in range(members):
+            register.record(member(f"node-{number}"), 0.0)
+        silence_s = LEADER_SILENCE_POLLS * poll_interval_s(members)
+        self.assertEqual(register.limit_share(silence_s - 0.01), 1.0)
+        self.assertLess(register.limit_share(silence_s + 0.01), 0.5)
+
     def test_only_instance(self):
-        self.assertEqual(MemberRegister(OWN, (), 0.0).limit_share(100.0), 1.0)
+        self.assertEqual(MemberRegister(OWN, (), (), 0.0).limit_share(100.0), 1.0)
 
     def test_members_are_told_who_may_serve(self):
         """Instances without a leader divide the limits by the same number."""
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -721,7 +721,7 @@
             ServerLimits(registry),
             CrashEvidence(),
             StreamVersions(),
-            MemberRegister("node-1", (), 0.0),
+            MemberRegister("node-1", (), (), 0.0),
             lambda: Standing.IN_TOUCH,
             lambda _: None,
         )
@@ -799,7 +799,7 @@
             ServerLimits(registry),
             CrashEvidence(),
             StreamVersions(),
-            MemberRegister("node-1", (), 0.0),
+            MemberRegister("node-1", (), (), 0.0),
             lambda: Standing.IN_TOUCH,
             lambda _: None,
         )
--- a/tests/test_send_permits.py
+++ b/tests/test_send_permits.py
@@ -161,7 +161,7 @@
             limits,
             CrashEvidence(),
             StreamVersions(),
-            MemberRegister("node-1", (), 0.0),
+            MemberRegister("node-1", (), (), 0.0),
             lambda: Standing.IN_TOUCH,
             lambda _reason: None,
         )
